--- /dev/null
+++ b/include/citronpitch/entryvm.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "citronpitch/action.h"
+#include "citronpitch/claimbook.h"
+#include "citronpitch/configuration.h"
+#include "citronpitch/dispatcher.h"
+#include "citronpitch/jobrun.h"
+#include "citronpitch/membership.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Citronpitch {
+
+/// What an entry VM is told about itself and the others.
+struct EntryVmOptions
+{
+    VmIdentity self;
+    /// Start of this life, in microseconds since the Unix epoch. A later life of the same VM has a larger
+    /// one.
+    std::uint64_t incarnation = 0;
+    /// Every entry VM, this one included, in the same order on each.
+    std::vector<VmIdentity> vms;
+    Duration heartbeatPeriod = std::chrono::milliseconds(250);
+    Duration suspicionTime = std::chrono::milliseconds(1500);
+    /// How long answers are kept.
+    Duration retention = std::chrono::hours(1);
+};
+
+/// What a caller asks for with a key.
+enum class RequestKind { Submit, Fetch, Cancel };
+
+inline constexpr std::array requestKindNames{
+    EnumName<RequestKind>{RequestKind::Submit, "submit"},
+    EnumName<RequestKind>{RequestKind::Fetch, "fetch"},
+    EnumName<RequestKind>{RequestKind::Cancel, "cancel"},
+};
+
+/// Request of a caller. Fetch and Cancel use only the team and the key of the submission.
+struct CallerRequest
+{
+    RequestKind kind = RequestKind::Submit;
+    Submission submission;
+    /// Whether the caller waits for the final answer.
+    bool wait = true;
+};
+
+/**
+ * @brief All decisions of one entry VM: typed events and the time go in, typed actions come out.
+ *
+ * Does no I/O, reads no clock and draws no random number. Used by Daemon, by the tests and by the fuzzers.
+ * After every call the owner carries out takeActions() in order.
+ */
+class EntryVm
+{
+public:
+    explicit EntryVm(const EntryVmOptions &options);
+
+    /// A caller's request arrived; @p caller gets exactly one AnswerCaller unless callerGone() is called
+    /// first.
+    void request(TimePoint now, CallerId caller, CallerRequest request);
+
+    /// The connection of @p caller is gone; its job goes on.
+    void callerGone(CallerId caller);
+
+    /// An upstream announced itself to this VM, renewed its lease or said that it is leaving.
+    void announce(TimePoint now, const UpstreamAnnouncement &announcement);
+
+    /// An attempt has ended.
+    void attemptEnded(TimePoint now, AttemptId attempt, const AttemptResult &result);
+
+    /// A message of another entry VM arrived.
+    void peerMessage(TimePoint now, const citronpitch::wire::PeerMessage &message);
+
+    /// The journal has synced the record with @p token.
+    void journalSynced(TimePoint now, std::uint64_t token);
+
+    /// The accepted configuration changed.
+    void setConfiguration(TimePoint now, const Configuration &configuration);
+
+    /// Time passed: heartbeats, suspicions, deadlines and expiry. Called every few milliseconds.
+    void tick(TimePoint now);
+
+    /// Starts a graceful shutdown: no new job is taken, those in flight are finished.
+    void drain(TimePoint now);
+
+    /// Whether nothing is in flight any more.
+    bool isIdle() const;
+
+    /// Actions decided since the last call.
+    std::vector<Action> takeActions();
+
+    const Dispatcher &dispatcher() const;
+    const Membership &membership() const;
+    const Configuration &configuration() const;
+
+private:
+    struct OpenAttempt
+    {
+        JobId job = 0;
+        std::uint32_t task = 0;
+    };
+
+    struct JobDeadline
+    {
+        TimePoint deadline;
+        JobId job = 0;
+        auto operator<=>(const JobDeadline &) const = default;
+    };
+
+    /// A caller's request that was passed on to the home of its key.
+    struct Forward
+    {
+        std::string home;
+        CallerId caller = 0;
+        CallerRequest request;
+        TimePoint resendAt;
+        Duration resendAfter{};
+        TimePoint deadline;
+    };
+
+    void handleAtHome(TimePoint now, const Waiter &waiter, CallerRequest request);
+    void submitAtHome(TimePoint now, const Waiter &waiter, CallerRequest request);
+    void fetchAtHome(const Waiter &waiter, const CallerRequest &request);
+    void cancelAtHome(TimePoint now, const Waiter &waiter, const CallerRequest &request);
+    void acceptJob(TimePoint now, const Waiter &waiter, CallerRequest request);
+    void enqueueJob(TimePoint now, JobId job);
+    void forward(TimePoint now, const std::string &home, CallerId caller, CallerRequest request);
+    void sendForward(std::uint64_t number, const Forward &forward);
+    void forwardedRequest(TimePoint now, const citronpitch::wire::PeerMessage &message);
+    void forwardedAnswer(const citronpitch::wire::PeerMessage &message);
+    void failForwards(TimePoint now, const std::string &home);
+    void place(TimePoint now);
+    void startAttempt(const Placement &placement);
+    void finishJob(TimePoint now, JobId job, const Answer &answer);
+    void failLateJobs(TimePoint now);
+    void resendForwards(TimePoint now);
+    void sendHeartbeats(TimePoint now);
+    void updateShare();
+    void reply(const Waiter &waiter, const Answer &answer);
+    void send(const std::string &vm, std::shared_ptr<citronpitch::wire::PeerMessage> message);
+    std::shared_ptr<citronpitch::wire::PeerMessage> newMessage(std::uint64_t receiverIncarnation) const;
+
+    EntryVmOptions m_options;
+    std::vector<std::string> m_vmNames;
+    Membership m_membership;
+    ClaimBook m_claims;
+    Dispatcher m_dispatcher;
+    Configuration m_configuration;
+    std::map<JobId, JobRun> m_jobs;
+    std::set<JobDeadline> m_deadlines;
+    std::map<AttemptId, OpenAttempt> m_attempts;
+    std::map<std::uint64_t, JobId> m_awaitingSync;
+    std::map<std::uint64_t, Forward> m_forwards;
+    std::vector<Action> m_actions;
+    TimePoint m_nextHeartbeat;
+    JobId m_nextJob = 1;
+    std::uint64_t m_nextForward = 1;
+    std::uint64_t m_nextSyncToken = 1;
+    bool m_isDraining = false;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/include/citronpitch/jobrun.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "citronpitch/action.h"
+#include "citronpitch/job.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Citronpitch {
+
+/// What has to happen after an attempt has ended.
+enum class AfterAttempt {
+    /// The job goes on; nothing is to be done for this task.
+    Continue,
+    /// The task did not start and has to be placed again.
+    PlaceAgain,
+    /// The job has its final answer.
+    AnswerJob,
+};
+
+/**
+ * @brief Progress of one accepted job: what is known of each of its tasks, and the final answer.
+ *
+ * A task that may have run is never placed again unless the job is idempotent. The job fails as soon as one
+ * task cannot succeed any more. Used by EntryVm.
+ */
+class JobRun
+{
+public:
+    explicit JobRun(Submission submission);
+
+    const Submission &submission() const;
+
+    /// Notes that the start message of @p task may be sent to @p upstream from now on.
+    void start(std::uint32_t task, AttemptId attempt, const std::string &upstream);
+
+    /// Notes how the attempt of @p task ended.
+    AfterAttempt end(std::uint32_t task, const AttemptResult &result);
+
+    /// Attempts whose end is not known.
+    std::vector<AttemptId> openAttempts() const;
+
+    /// Whether a task of the job has an attempt whose end is not known.
+    bool hasOpenAttempts() const;
+
+    /// Complete answer; every task must have succeeded.
+    Answer completeAnswer() const;
+
+    /// Failed answer for @p reason; tasks in flight are reported as such that may have run.
+    Answer failedAnswer(Reason reason, std::string detail) const;
+
+    /// Reason and detail that led to AfterAttempt::AnswerJob.
+    Answer finalAnswer() const;
+
+private:
+    struct Task
+    {
+        std::optional<AttemptId> attempt;
+        std::uint32_t attempts = 0;
+        TaskReport report;
+    };
+
+    AfterAttempt fail(Reason reason, std::string detail);
+
+    Submission m_submission;
+    std::vector<Task> m_tasks;
+    std::size_t m_succeeded = 0;
+    Reason m_failure = Reason::None;
+    std::string m_failureDetail;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/include/citronpitch/wireconvert.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "citronpitch/job.h"
+#include "citronpitch/upstream.h"
+
+#include <optional>
+
+namespace citronpitch::wire {
+class Answer;
+class Submission;
+class UpstreamAnnouncement;
+} // namespace citronpitch::wire
+
+namespace Citronpitch {
+
+/// Fills @p to from @p from.
+void toWire(const Submission &from, citronpitch::wire::Submission *to);
+void toWire(const Answer &from, citronpitch::wire::Answer *to);
+void toWire(const UpstreamAnnouncement &from, citronpitch::wire::UpstreamAnnouncement *to);
+
+/// Reads a message from a peer or the journal; nothing where a field is out of its range.
+std::optional<Submission> fromWire(const citronpitch::wire::Submission &from);
+std::optional<Answer> fromWire(const citronpitch::wire::Answer &from);
+std::optional<UpstreamAnnouncement> fromWire(const citronpitch::wire::UpstreamAnnouncement &from);
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/claims/jobrun.cpp
@@ -0,0 +1,114 @@
+#include "citronpitch/jobrun.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Citronpitch {
+
+namespace {
+
+/// Attempts that an idempotent task gets in all.
+constexpr std::uint32_t maximumAttempts = 3;
+
+constexpr int firstSuccess = 200;
+constexpr int firstRedirect = 300;
+
+bool isSuccess(int status)
+{
+    return status >= firstSuccess && status < firstRedirect;
+}
+
+} // namespace
+
+JobRun::JobRun(Submission submission)
+    : m_submission(std::move(submission))
+    , m_tasks(m_submission.tasks.size())
+{
+}
+
+const Submission &JobRun::submission() const
+{
+    return m_submission;
+}
+
+void JobRun::start(std::uint32_t task, AttemptId attempt, const std::string &upstream)
+{
+    auto &it = m_tasks.at(task);
+    it.attempt = attempt;
+    ++it.attempts;
+    it.report.upstream = upstream;
+}
+
+AfterAttempt JobRun::end(std::uint32_t task, const AttemptResult &result)
+{
+    auto &it = m_tasks.at(task);
+    it.attempt.reset();
+    if (result.end == AttemptEnd::NotSent || result.end == AttemptEnd::Declined)
+        return AfterAttempt::PlaceAgain;
+    if (result.end == AttemptEnd::Broken) {
+        if (m_submission.idempotent && it.attempts < maximumAttempts)
+            return AfterAttempt::PlaceAgain;
+        it.report.state = TaskState::MayHaveRun;
+        return fail(Reason::OutcomeOfTaskUnknown,
+                    "start: no answer from upstream " + it.report.upstream + "; the task may have run");
+    }
+    it.report.state = TaskState::Ran;
+    it.report.status = result.status;
+    it.report.result = result.body;
+    if (!isSuccess(result.status))
+        return fail(Reason::TaskFailed, "task: upstream " + it.report.upstream + " answered with an error");
+    ++m_succeeded;
+    return m_succeeded == m_tasks.size() ? AfterAttempt::AnswerJob : AfterAttempt::Continue;
+}
+
+std::vector<AttemptId> JobRun::openAttempts() const
+{
+    std::vector<AttemptId> attempts;
+    for (const auto &it : m_tasks) {
+        if (it.attempt)
+            attempts.push_back(*it.attempt);
+    }
+    return attempts;
+}
+
+bool JobRun::hasOpenAttempts() const
+{
+    return std::any_of(m_tasks.begin(), m_tasks.end(), [](const auto &it) { return it.attempt.has_value(); });
+}
+
+Answer JobRun::completeAnswer() const
+{
+    Answer answer{m_submission.key, Outcome::Complete, Reason::None, {}, {}, {}};
+    answer.tasks.reserve(m_tasks.size());
+    for (const auto &it : m_tasks)
+        answer.tasks.push_back(it.report);
+    return answer;
+}
+
+Answer JobRun::failedAnswer(Reason reason, std::string detail) const
+{
+    Answer answer{m_submission.key, Outcome::Failed, reason, std::move(detail), {}, {}};
+    answer.tasks.reserve(m_tasks.size());
+    for (const auto &it : m_tasks) {
+        answer.tasks.push_back(it.report);
+        const bool isBroken =
+            it.attempts > 0 && m_submission.idempotent && it.report.state == TaskState::NotRun;
+        if (it.attempt || isBroken)
+            answer.tasks.back().state = TaskState::MayHaveRun;
+    }
+    return answer;
+}
+
+Answer JobRun::finalAnswer() const
+{
+    return m_failure == Reason::None ? completeAnswer() : failedAnswer(m_failure, m_failureDetail);
+}
+
+AfterAttempt JobRun::fail(Reason reason, std::string detail)
+{
+    m_failure = reason;
+    m_failureDetail = std::move(detail);
+    return AfterAttempt::AnswerJob;
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/config/configuration.cpp
@@ -0,0 +1,20 @@
+#include "citronpitch/configuration.h"
+
+#include <algorithm>
+
+namespace Citronpitch {
+
+const ClassDeclaration *Configuration::findClass(std::string_view name) const
+{
+    const auto it =
+        std::find_if(classes.begin(), classes.end(), [&](const auto &c) { return c.name == name; });
+    return it == classes.end() ? nullptr : &*it;
+}
+
+const TeamDeclaration *Configuration::findTeam(std::string_view name) const
+{
+    const auto it = std::find_if(teams.begin(), teams.end(), [&](const auto &t) { return t.name == name; });
+    return it == teams.end() ? nullptr : &*it;
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/entryvm.cpp
@@ -0,0 +1,523 @@
+#include "citronpitch/entryvm.h"
+
+#include "citronpitch/jobkey.h"
+#include "citronpitch/wireconvert.h"
+
+#include "wire/peer.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Citronpitch {
+
+namespace wire = citronpitch::wire;
+
+namespace {
+
+constexpr Duration firstResend = std::chrono::seconds(1);
+constexpr Duration unreachableRetry = std::chrono::seconds(1);
+constexpr Duration drainRetry = std::chrono::seconds(2);
+
+/// How long after the deadline of a job the home's answer is still waited for.
+constexpr Duration answerGrace = std::chrono::milliseconds(500);
+
+/// How long a fetch or a cancellation waits for its home.
+constexpr Duration fetchTime = std::chrono::seconds(5);
+
+Answer unknownAnswer(const std::string &key, Reason reason, std::string detail,
+                     std::optional<TimePoint> retryAt)
+{
+    return {key, Outcome::Unknown, reason, std::move(detail), retryAt, {}};
+}
+
+Answer refusedAnswer(const std::string &key, const Refusal &refusal)
+{
+    return {key, Outcome::Refused, refusal.reason, refusal.detail, refusal.retryAt, {}};
+}
+
+Answer pendingAnswer(const std::string &key)
+{
+    return {key, Outcome::Pending, Reason::None, "the job is accepted and not answered yet", {}, {}};
+}
+
+} // namespace
+
+EntryVm::EntryVm(const EntryVmOptions &options)
+    : m_options(options)
+    , m_membership(options.self.name, options.vms, options.suspicionTime)
+    , m_claims(options.retention)
+{
+    for (const auto &it : options.vms)
+        m_vmNames.push_back(it.name);
+    updateShare();
+}
+
+void EntryVm::request(TimePoint now, CallerId caller, CallerRequest request)
+{
+    const auto &submission = request.submission;
+    const auto key = parseJobKey(submission.key);
+    const auto home = key ? homeOf(*key, submission.team, submission.key, m_vmNames) : std::string();
+    const Waiter waiter{{}, 0, caller};
+    if (home.empty()) {
+        reply(waiter,
+              unknownAnswer(submission.key, Reason::KeyNotKnown, "key: no entry VM is home to it", {}));
+        return;
+    }
+    if (home == m_options.self.name) {
+        handleAtHome(now, waiter, std::move(request));
+        return;
+    }
+    forward(now, home, caller, std::move(request));
+}
+
+void EntryVm::callerGone(CallerId caller)
+{
+    m_claims.leave({{}, 0, caller});
+    std::erase_if(m_forwards, [&](const auto &it) { return it.second.caller == caller; });
+}
+
+void EntryVm::announce(TimePoint now, const UpstreamAnnouncement &announcement)
+{
+    m_dispatcher.announce(now, announcement);
+    for (const auto &it : m_membership.others()) {
+        if (it.failureDomain != m_options.self.failureDomain)
+            continue;
+        auto message = newMessage(0);
+        toWire(announcement, message->mutable_upstream());
+        send(it.name, std::move(message));
+    }
+    place(now);
+}
+
+void EntryVm::attemptEnded(TimePoint now, AttemptId attempt, const AttemptResult &result)
+{
+    m_dispatcher.finish(now, attempt, result);
+    const auto it = m_attempts.find(attempt);
+    if (it != m_attempts.end()) {
+        const auto [job, task] = it->second;
+        m_attempts.erase(it);
+        auto &run = m_jobs.at(job);
+        const auto next = run.end(task, result);
+        if (next == AfterAttempt::PlaceAgain)
+            m_dispatcher.requeue(now, job, task);
+        else if (next == AfterAttempt::AnswerJob)
+            finishJob(now, job, run.finalAnswer());
+    }
+    place(now);
+}
+
+void EntryVm::peerMessage(TimePoint now, const wire::PeerMessage &message)
+{
+    const bool isForOtherLife =
+        message.receiver_incarnation() != 0 && message.receiver_incarnation() != m_options.incarnation;
+    if (!m_membership.heard(now, message.sender(), message.incarnation()) || isForOtherLife)
+        return;
+    switch (message.body_case()) {
+    case wire::PeerMessage::kHeartbeat: {
+        const auto &heartbeat = message.heartbeat();
+        m_membership.report(message.sender(), heartbeat.configuration_version(), heartbeat.free_slots(),
+                            heartbeat.queued_tasks(), heartbeat.leaving());
+        updateShare();
+        break;
+    }
+    case wire::PeerMessage::kForwardedRequest:
+        forwardedRequest(now, message);
+        break;
+    case wire::PeerMessage::kForwardedAnswer:
+        forwardedAnswer(message);
+        break;
+    case wire::PeerMessage::kUpstream:
+        if (const auto announcement = fromWire(message.upstream())) {
+            m_dispatcher.announce(now, *announcement);
+            place(now);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+void EntryVm::journalSynced(TimePoint now, std::uint64_t token)
+{
+    const auto it = m_awaitingSync.find(token);
+    if (it == m_awaitingSync.end())
+        return;
+    const auto job = it->second;
+    m_awaitingSync.erase(it);
+    if (m_jobs.contains(job))
+        enqueueJob(now, job);
+}
+
+void EntryVm::setConfiguration(TimePoint now, const Configuration &configuration)
+{
+    m_configuration = configuration;
+    m_dispatcher.setConfiguration(configuration);
+    place(now);
+}
+
+void EntryVm::tick(TimePoint now)
+{
+    for (const auto &it : m_membership.suspect(now)) {
+        failForwards(now, it);
+        updateShare();
+    }
+    failLateJobs(now);
+    resendForwards(now);
+    m_claims.expire(now);
+    if (now >= m_nextHeartbeat)
+        sendHeartbeats(now);
+    place(now);
+}
+
+void EntryVm::drain(TimePoint now)
+{
+    m_isDraining = true;
+    sendHeartbeats(now);
+}
+
+bool EntryVm::isIdle() const
+{
+    return m_jobs.empty() && m_forwards.empty();
+}
+
+std::vector<Action> EntryVm::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+const Dispatcher &EntryVm::dispatcher() const
+{
+    return m_dispatcher;
+}
+
+const Membership &EntryVm::membership() const
+{
+    return m_membership;
+}
+
+const Configuration &EntryVm::configuration() const
+{
+    return m_configuration;
+}
+
+void EntryVm::handleAtHome(TimePoint now, const Waiter &waiter, CallerRequest request)
+{
+    switch (request.kind) {
+    case RequestKind::Submit:
+        submitAtHome(now, waiter, std::move(request));
+        break;
+    case RequestKind::Fetch:
+        fetchAtHome(waiter, request);
+        break;
+    case RequestKind::Cancel:
+        cancelAtHome(now, waiter, request);
+        break;
+    }
+}
+
+void EntryVm::submitAtHome(TimePoint now, const Waiter &waiter, CallerRequest request)
+{
+    const auto &submission = request.submission;
+    switch (m_claims.state(submission.team, submission.key, submission.bodyHash)) {
+    case ClaimState::Free:
+        acceptJob(now, waiter, std::move(request));
+        break;
+    case ClaimState::Conflict:
+        reply(waiter,
+              refusedAnswer(submission.key,
+                            {Reason::KeyConflict, "key: it was used with another request body", {}}));
+        break;
+    default:
+        fetchAtHome(waiter, request);
+        break;
+    }
+}
+
+void EntryVm::fetchAtHome(const Waiter &waiter, const CallerRequest &request)
+{
+    const auto &team = request.submission.team;
+    const auto &key = request.submission.key;
+    switch (m_claims.state(team, key, std::nullopt)) {
+    case ClaimState::Answered:
+        reply(waiter, *m_claims.findAnswer(team, key));
+        break;
+    case ClaimState::Open:
+        if (request.wait)
+            m_claims.join(team, key, waiter);
+        else
+            reply(waiter, pendingAnswer(key));
+        break;
+    case ClaimState::Free:
+        reply(waiter, unknownAnswer(key, Reason::KeyNotKnown, "key: it is not known here", {}));
+        break;
+    default:
+        reply(waiter, unknownAnswer(key, Reason::KeyExpired, "key: its answer is no longer kept", {}));
+        break;
+    }
+}
+
+void EntryVm::cancelAtHome(TimePoint now, const Waiter &waiter, const CallerRequest &request)
+{
+    const auto &team = request.submission.team;
+    const auto &key = request.submission.key;
+    if (const auto job = m_claims.findJob(team, key)) {
+        const auto &run = m_jobs.at(*job);
+        finishJob(now, *job, run.failedAnswer(Reason::Cancelled, "cancelled by the caller"));
+    }
+    fetchAtHome(waiter, request);
+}
+
+void EntryVm::acceptJob(TimePoint now, const Waiter &waiter, CallerRequest request)
+{
+    auto &submission = request.submission;
+    if (m_isDraining) {
+        const Refusal refusal{Reason::ShuttingDown, "VM " + m_options.self.name + " is shutting down",
+                              now + drainRetry};
+        reply(waiter, refusedAnswer(submission.key, refusal));
+        return;
+    }
+    if (const auto refusal = m_dispatcher.refusal(now, submission)) {
+        reply(waiter, refusedAnswer(submission.key, *refusal));
+        return;
+    }
+    const JobId job = m_nextJob++;
+    const bool needsSync = !parseJobKey(submission.key)->date.has_value();
+    m_claims.claim(now, submission.team, submission.key, submission.bodyHash, job);
+    if (request.wait)
+        m_claims.join(submission.team, submission.key, waiter);
+    else
+        reply(waiter, pendingAnswer(submission.key));
+    auto record = std::make_shared<wire::ClaimJournalRecord>();
+    toWire(submission, record->mutable_claim()->mutable_submission());
+    record->mutable_claim()->set_claimed_at_us(microsecondsOf(now));
+    const auto token = needsSync ? m_nextSyncToken++ : 0;
+    m_actions.emplace_back(AppendClaimRecord{std::move(record), token});
+    m_deadlines.insert({submission.deadline, job});
+    m_jobs.emplace(job, JobRun(std::move(submission)));
+    if (needsSync)
+        m_awaitingSync.emplace(token, job);
+    else
+        enqueueJob(now, job);
+}
+
+void EntryVm::enqueueJob(TimePoint now, JobId job)
+{
+    m_dispatcher.add(now, job, m_jobs.at(job).submission());
+    place(now);
+}
+
+void EntryVm::forward(TimePoint now, const std::string &home, CallerId caller, CallerRequest request)
+{
+    if (!m_membership.isReachable(home)) {
+        const auto &key = request.submission.key;
+        reply({{}, 0, caller},
+              unknownAnswer(key, Reason::HomeUnreachable, "forward: VM " + home + " is out of reach",
+                            now + unreachableRetry));
+        return;
+    }
+    const auto deadline =
+        request.kind == RequestKind::Submit ? request.submission.deadline + answerGrace : now + fetchTime;
+    const auto number = m_nextForward++;
+    const auto it =
+        m_forwards
+            .emplace(number,
+                     Forward{home, caller, std::move(request), now + firstResend, firstResend, deadline})
+            .first;
+    sendForward(number, it->second);
+}
+
+void EntryVm::sendForward(std::uint64_t number, const Forward &forward)
+{
+    auto message = newMessage(0);
+    auto *request = message->mutable_forwarded_request();
+    request->set_request(number);
+    request->set_kind(static_cast<std::uint32_t>(forward.request.kind));
+    request->set_wait(forward.request.wait);
+    toWire(forward.request.submission, request->mutable_submission());
+    send(forward.home, std::move(message));
+}
+
+void EntryVm::forwardedRequest(TimePoint now, const wire::PeerMessage &message)
+{
+    const auto &forwarded = message.forwarded_request();
+    auto submission = fromWire(forwarded.submission());
+    if (!submission || forwarded.kind() >= requestKindNames.size())
+        return;
+    const Waiter waiter{message.sender(), message.incarnation(), forwarded.request()};
+    handleAtHome(now, waiter,
+                 {static_cast<RequestKind>(forwarded.kind()), std::move(*submission), forwarded.wait()});
+}
+
+void EntryVm::forwardedAnswer(const wire::PeerMessage &message)
+{
+    const auto &forwarded = message.forwarded_answer();
+    const auto it = m_forwards.find(forwarded.request());
+    const auto answer = fromWire(forwarded.answer());
+    if (it == m_forwards.end() || !answer || it->second.home != message.sender())
+        return;
+    const auto caller = it->second.caller;
+    m_forwards.erase(it);
+    reply({{}, 0, caller}, *answer);
+}
+
+void EntryVm::failForwards(TimePoint now, const std::string &home)
+{
+    for (auto it = m_forwards.begin(); it != m_forwards.end();) {
+        if (it->second.home != home) {
+            ++it;
+            continue;
+        }
+        const auto forward = it->second;
+        it = m_forwards.erase(it);
+        reply({{}, 0, forward.caller},
+              unknownAnswer(forward.request.submission.key, Reason::HomeUnreachable,
+                            "forward: VM " + home + " went out of reach", now + unreachableRetry));
+    }
+}
+
+void EntryVm::place(TimePoint now)
+{
+    const auto placements = m_dispatcher.place(now);
+    std::map<JobId, std::vector<std::uint32_t>> started;
+    for (const auto &it : placements)
+        started[it.job].push_back(it.task);
+    for (const auto &[job, tasks] : started) {
+        auto record = std::make_shared<wire::ClaimJournalRecord>();
+        const auto &submission = m_jobs.at(job).submission();
+        record->mutable_intent()->set_team(submission.team);
+        record->mutable_intent()->set_key(submission.key);
+        record->mutable_intent()->mutable_tasks()->Add(tasks.begin(), tasks.end());
+        m_actions.emplace_back(AppendClaimRecord{std::move(record), 0});
+    }
+    for (const auto &it : placements)
+        startAttempt(it);
+}
+
+void EntryVm::startAttempt(const Placement &placement)
+{
+    auto &run = m_jobs.at(placement.job);
+    run.start(placement.task, placement.attempt, placement.upstream);
+    m_attempts.emplace(placement.attempt, OpenAttempt{placement.job, placement.task});
+    const auto &submission = run.submission();
+    StartTask start;
+    start.attempt = placement.attempt;
+    start.upstream = placement.upstream;
+    start.address = placement.address;
+    start.port = placement.port;
+    start.attemptName = m_options.self.name + "." + std::to_string(m_options.incarnation) + "."
+        + std::to_string(placement.attempt);
+    start.className = submission.className;
+    start.payload = submission.tasks[placement.task].payload;
+    start.deadline = submission.deadline;
+    m_actions.emplace_back(std::move(start));
+}
+
+void EntryVm::finishJob(TimePoint now, JobId job, const Answer &answer)
+{
+    const auto it = m_jobs.find(job);
+    const auto submission = it->second.submission();
+    for (const auto attempt : it->second.openAttempts()) {
+        m_attempts.erase(attempt);
+        m_actions.emplace_back(StopTask{attempt});
+    }
+    m_dispatcher.remove(job);
+    m_deadlines.erase({submission.deadline, job});
+    m_jobs.erase(it);
+    auto record = std::make_shared<wire::ClaimJournalRecord>();
+    record->mutable_answer()->set_team(submission.team);
+    record->mutable_answer()->set_key(submission.key);
+    record->mutable_answer()->set_answered_at_us(microsecondsOf(now));
+    toWire(answer, record->mutable_answer()->mutable_answer());
+    m_actions.emplace_back(AppendClaimRecord{std::move(record), 0});
+    for (const auto &waiter : m_claims.answer(now, submission.team, submission.key, answer))
+        reply(waiter, answer);
+}
+
+void EntryVm::failLateJobs(TimePoint now)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->deadline <= now) {
+        const auto job = m_deadlines.begin()->job;
+        finishJob(now, job,
+                  m_jobs.at(job).failedAnswer(Reason::DeadlinePassed, "the deadline of the job passed"));
+    }
+}
+
+void EntryVm::resendForwards(TimePoint now)
+{
+    for (auto it = m_forwards.begin(); it != m_forwards.end();) {
+        auto &forward = it->second;
+        if (forward.deadline <= now) {
+            const Waiter waiter{{}, 0, forward.caller};
+            const auto answer = unknownAnswer(forward.request.submission.key, Reason::HomeUnreachable,
+                                              "forward: VM " + forward.home + " did not answer in time",
+                                              now + unreachableRetry);
+            it = m_forwards.erase(it);
+            reply(waiter, answer);
+            continue;
+        }
+        if (forward.resendAt <= now) {
+            forward.resendAfter *= 2;
+            forward.resendAt = now + forward.resendAfter;
+            sendForward(it->first, forward);
+        }
+        ++it;
+    }
+}
+
+void EntryVm::sendHeartbeats(TimePoint now)
+{
+    m_nextHeartbeat = now + m_options.heartbeatPeriod;
+    for (const auto &it : m_membership.others()) {
+        auto message = newMessage(0);
+        auto *heartbeat = message->mutable_heartbeat();
+        heartbeat->set_configuration_version(m_configuration.version);
+        heartbeat->set_free_slots(m_dispatcher.freeSlots(now));
+        heartbeat->set_queued_tasks(m_dispatcher.queuedTasks());
+        heartbeat->set_leaving(m_isDraining);
+        send(it.name, std::move(message));
+    }
+}
+
+void EntryVm::updateShare()
+{
+    std::uint32_t part = 0;
+    std::uint32_t parts = 0;
+    for (const auto &it : m_options.vms) {
+        if (it.failureDomain != m_options.self.failureDomain)
+            continue;
+        if (it.name == m_options.self.name)
+            part = parts;
+        else if (!m_membership.isReachable(it.name))
+            continue;
+        ++parts;
+    }
+    m_dispatcher.setShare(part, parts);
+}
+
+void EntryVm::reply(const Waiter &waiter, const Answer &answer)
+{
+    if (waiter.vm.empty()) {
+        m_actions.emplace_back(AnswerCaller{waiter.request, answer});
+        return;
+    }
+    auto message = newMessage(waiter.incarnation);
+    message->mutable_forwarded_answer()->set_request(waiter.request);
+    toWire(answer, message->mutable_forwarded_answer()->mutable_answer());
+    send(waiter.vm, std::move(message));
+}
+
+void EntryVm::send(const std::string &vm, std::shared_ptr<wire::PeerMessage> message)
+{
+    m_actions.emplace_back(SendPeer{vm, std::move(message)});
+}
+
+std::shared_ptr<wire::PeerMessage> EntryVm::newMessage(std::uint64_t receiverIncarnation) const
+{
+    auto message = std::make_shared<wire::PeerMessage>();
+    message->set_sender(m_options.self.name);
+    message->set_incarnation(m_options.incarnation);
+    message->set_receiver_incarnation(receiverIncarnation);
+    return message;
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/daemon/callerapi.cpp
@@ -0,0 +1,253 @@
+#include "daemon/callerapi.h"
+
+#include "citronpitch/jobkey.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <initializer_list>
+
+namespace Citronpitch {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::string_view jobsPath = "/v1/jobs";
+
+leaf::error_id badInput(std::string where, std::string what)
+{
+    return leaf::new_error(StepError{"read request", std::move(where), std::move(what)});
+}
+
+/// Fails on a field that is not among @p allowed.
+leaf::result<void> checkFields(const Json &object, const std::string &where,
+                               std::initializer_list<std::string_view> allowed)
+{
+    if (!object.is_object())
+        return badInput(where, "an object is expected");
+    for (const auto &[name, value] : object.items()) {
+        if (std::find(allowed.begin(), allowed.end(), name) == allowed.end())
+            return badInput(where, "unknown field \"" + name + "\"");
+    }
+    return {};
+}
+
+leaf::result<std::string> textField(const Json &object, const std::string &where, const char *name)
+{
+    const auto it = object.find(name);
+    if (it == object.end() || !it->is_string() || it->get_ref<const std::string &>().empty())
+        return badInput(where, std::string("field \"") + name + "\" must be a non-empty text");
+    return it->get<std::string>();
+}
+
+leaf::result<std::uint64_t> numberField(const Json &object, const std::string &where, const char *name,
+                                        std::uint64_t fallback, std::uint64_t maximum)
+{
+    const auto it = object.find(name);
+    if (it == object.end())
+        return fallback;
+    if (!it->is_number_unsigned() || it->get<std::uint64_t>() > maximum)
+        return badInput(where,
+                        std::string("field \"") + name + "\" must be a whole number up to "
+                            + std::to_string(maximum));
+    return it->get<std::uint64_t>();
+}
+
+leaf::result<Resources> parseNeed(const Json &task, const std::string &where)
+{
+    const auto it = task.find("need");
+    if (it == task.end())
+        return Resources();
+    const auto place = where + ".need";
+    BOOST_LEAF_CHECK(checkFields(*it, place, {"millicores", "memoryBytes", "accelerators"}));
+    Resources need;
+    BOOST_LEAF_ASSIGN(const auto millicores, numberField(*it, place, "millicores", 0, 1'000'000));
+    BOOST_LEAF_ASSIGN(need.memoryBytes, numberField(*it, place, "memoryBytes", 0, std::uint64_t{1} << 50));
+    BOOST_LEAF_ASSIGN(const auto accelerators, numberField(*it, place, "accelerators", 0, 1000));
+    need.millicores = static_cast<std::uint32_t>(millicores);
+    need.accelerators = static_cast<std::uint32_t>(accelerators);
+    return need;
+}
+
+leaf::result<TaskSpec> parseTask(const Json &from, const std::string &where)
+{
+    constexpr std::uint64_t maximumDeclaredMs = 86'400'000;
+    BOOST_LEAF_CHECK(checkFields(from, where, {"payload", "declaredMs", "need"}));
+    TaskSpec task;
+    const auto payload = from.find("payload");
+    if (payload != from.end())
+        task.payload = payload->is_string() ? payload->get<std::string>() : payload->dump();
+    if (task.payload.size() > maximumPayloadBytes)
+        return badInput(where, "the payload has more than " + std::to_string(maximumPayloadBytes) + " bytes");
+    BOOST_LEAF_ASSIGN(const auto declared, numberField(from, where, "declaredMs", 0, maximumDeclaredMs));
+    task.declaredTime = std::chrono::milliseconds(declared);
+    BOOST_LEAF_ASSIGN(task.need, parseNeed(from, where));
+    return task;
+}
+
+/// Hash of what makes two submissions the same work; the deadline does not.
+std::uint64_t workHash(const Submission &submission)
+{
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(), &XXH3_freeState);
+    XXH3_64bits_reset(state.get());
+    const auto addText = [&](const std::string &text) {
+        const std::uint64_t size = text.size();
+        XXH3_64bits_update(state.get(), &size, sizeof size);
+        XXH3_64bits_update(state.get(), text.data(), text.size());
+    };
+    addText(submission.className);
+    addText(submission.idempotent ? "idempotent" : "");
+    for (const auto &it : submission.tasks) {
+        addText(it.payload);
+        const std::array<std::uint64_t, 3> need{it.need.millicores, it.need.memoryBytes,
+                                                it.need.accelerators};
+        XXH3_64bits_update(state.get(), need.data(), sizeof need);
+    }
+    return XXH3_64bits_digest(state.get());
+}
+
+leaf::result<void> parseTasks(const Json &body, Submission &submission)
+{
+    const auto tasks = body.find("tasks");
+    if (tasks == body.end() || !tasks->is_array() || tasks->empty())
+        return badInput("body", "field \"tasks\" must be a non-empty list");
+    if (tasks->size() > maximumTasksPerJob)
+        return badInput("body", "a job has at most " + std::to_string(maximumTasksPerJob) + " tasks");
+    for (const auto &it : *tasks) {
+        BOOST_LEAF_ASSIGN(auto task, parseTask(it, "tasks[" + std::to_string(submission.tasks.size()) + "]"));
+        submission.tasks.push_back(std::move(task));
+    }
+    return {};
+}
+
+leaf::result<Submission> parseSubmission(const HttpRequest &request, TimePoint defaultDeadline)
+{
+    constexpr std::uint64_t latestDeadlineMs = 4'102'444'800'000;
+    Json body;
+    try {
+        body = Json::parse(request.body);
+    } catch (const Json::parse_error &e) {
+        return badInput("body, byte " + std::to_string(e.byte), e.what());
+    }
+    BOOST_LEAF_CHECK(checkFields(body, "body", {"team", "class", "deadline", "idempotent", "tasks"}));
+    Submission submission;
+    BOOST_LEAF_ASSIGN(submission.team, textField(body, "body", "team"));
+    BOOST_LEAF_ASSIGN(submission.className, textField(body, "body", "class"));
+    const auto fallback = static_cast<std::uint64_t>(microsecondsOf(defaultDeadline) / 1000);
+    BOOST_LEAF_ASSIGN(const auto deadline, numberField(body, "body", "deadline", fallback, latestDeadlineMs));
+    submission.deadline = TimePoint(std::chrono::milliseconds(deadline));
+    const auto idempotent = body.find("idempotent");
+    if (idempotent != body.end() && !idempotent->is_boolean())
+        return badInput("body", "field \"idempotent\" must be true or false");
+    submission.idempotent = idempotent != body.end() && idempotent->get<bool>();
+    BOOST_LEAF_CHECK(parseTasks(body, submission));
+    submission.bodyHash = workHash(submission);
+    return submission;
+}
+
+int statusOf(const Answer &answer)
+{
+    switch (answer.outcome) {
+    case Outcome::Pending:
+        return 202;
+    case Outcome::Complete:
+        return 200;
+    case Outcome::Failed:
+        return 500;
+    case Outcome::Unknown:
+        return answer.reason == Reason::KeyNotKnown ? 404 : 504;
+    case Outcome::Refused:
+        break;
+    }
+    switch (answer.reason) {
+    case Reason::KeyConflict:
+        return 409;
+    case Reason::QuotaExceeded:
+        return 429;
+    case Reason::UnknownClass:
+    case Reason::RetiredClass:
+    case Reason::UnknownTeam:
+    case Reason::NeverFits:
+    case Reason::DeadlinePassed:
+        return 422;
+    default:
+        return 503;
+    }
+}
+
+Json taskJson(const TaskReport &report)
+{
+    Json task{{"state", nameIn(taskStateNames, report.state)}};
+    if (report.status != 0)
+        task["status"] = report.status;
+    if (!report.result.empty())
+        task["result"] = report.result;
+    if (!report.upstream.empty())
+        task["upstream"] = report.upstream;
+    return task;
+}
+
+} // namespace
+
+leaf::result<CallerRequest> parseCallerRequest(const HttpRequest &request, TimePoint defaultDeadline)
+{
+    CallerRequest parsed;
+    if (request.method == "POST") {
+        BOOST_LEAF_ASSIGN(parsed.submission, parseSubmission(request, defaultDeadline));
+        if (const auto *key = request.findHeader("Idempotency-Key"))
+            parsed.submission.key = *key;
+        const auto *preference = request.findHeader("Prefer");
+        parsed.wait = preference == nullptr || preference->find("respond-async") == std::string::npos;
+    } else {
+        parsed.kind = request.method == "DELETE" ? RequestKind::Cancel : RequestKind::Fetch;
+        if (request.path.size() <= jobsPath.size() + 1)
+            return badInput("path", "a key is expected after /v1/jobs/");
+        parsed.submission.key = request.path.substr(jobsPath.size() + 1);
+        const auto *team = request.findQuery("team");
+        if (team == nullptr || team->empty())
+            return badInput("query", "parameter \"team\" is expected");
+        parsed.submission.team = *team;
+        const auto *wait = request.findQuery("wait");
+        parsed.wait = wait != nullptr && *wait == "true";
+    }
+    const auto &key = parsed.submission.key;
+    if (!key.empty() && !parseJobKey(key))
+        return badInput("Idempotency-Key", "a key is 1 to 200 printable ASCII characters without spaces");
+    return parsed;
+}
+
+HttpResponse answerResponse(TimePoint now, const Answer &answer)
+{
+    Json body{{"key", answer.key}, {"outcome", nameIn(outcomeNames, answer.outcome)}};
+    if (answer.reason != Reason::None)
+        body["reason"] = nameIn(reasonNames, answer.reason);
+    if (!answer.detail.empty())
+        body["detail"] = answer.detail;
+    if (answer.outcome == Outcome::Refused)
+        body["ran"] = "not run";
+    HttpResponse response;
+    response.status = statusOf(answer);
+    if (answer.retryAt) {
+        const auto wait = std::chrono::ceil<std::chrono::seconds>(*answer.retryAt - now);
+        response.headers.push_back({"Retry-After", std::to_string(std::max<std::int64_t>(wait.count(), 1))});
+        body["retryAt"] = microsecondsOf(*answer.retryAt) / 1000;
+    }
+    if (!answer.tasks.empty()) {
+        auto &tasks = body["tasks"] = Json::array();
+        for (const auto &it : answer.tasks)
+            tasks.push_back(taskJson(it));
+    }
+    response.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return response;
+}
+
+HttpResponse errorResponse(int status, const std::string &text)
+{
+    return {status, Json{{"error", text}}.dump(-1, ' ', false, Json::error_handler_t::replace), {}};
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/daemon/controlapi.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "citronpitch/entryvm.h"
+#include "citronpitch/steperror.h"
+#include "net/httptypes.h"
+
+#include <boost/leaf.hpp>
+
+namespace Citronpitch {
+
+/// Reads an announcement of the upstreams' interface, docs/API.md; @p lease is when the lease it asks for
+/// ends.
+boost::leaf::result<UpstreamAnnouncement> parseAnnouncement(const HttpRequest &request, TimePoint lease);
+
+/// State of this entry VM and what it knows of the others, as JSON.
+std::string statusText(const EntryVm &vm, const std::string &name);
+
+/// The upstreams that this entry VM knows, as JSON.
+std::string upstreamsText(const EntryVm &vm);
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,293 @@
+#include "daemon/daemon.h"
+
+#include "citronpitch/jobkey.h"
+#include "daemon/callerapi.h"
+#include "daemon/controlapi.h"
+#include "log/eventlog.h"
+
+#include "wire/peer.pb.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+
+namespace Citronpitch {
+
+namespace leaf = boost::leaf;
+namespace wire = citronpitch::wire;
+
+namespace {
+
+constexpr auto tickPeriod = std::chrono::milliseconds(5);
+constexpr int keysPerRequest = 100;
+
+/// How long connections are still taken after readiness has fallen, so that the balancer can notice.
+constexpr Duration listenAfterDrain = std::chrono::seconds(1);
+
+TimePoint wallClock()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+}
+
+EntryVmOptions optionsOf(const Settings &settings, TimePoint start)
+{
+    EntryVmOptions options;
+    options.self = {settings.name, settings.failureDomain};
+    options.incarnation = static_cast<std::uint64_t>(microsecondsOf(start));
+    for (const auto &it : settings.vms)
+        options.vms.push_back(it.identity);
+    options.heartbeatPeriod = settings.heartbeatPeriod;
+    options.suspicionTime = settings.suspicionTime;
+    options.retention = settings.answerRetention;
+    return options;
+}
+
+} // namespace
+
+Daemon::Daemon(const Settings &settings)
+    : m_settings(settings)
+    , m_steadyStart(std::chrono::steady_clock::now())
+    , m_wallStart(wallClock())
+    , m_vm(optionsOf(settings, m_wallStart))
+    , m_upstreams(m_io,
+                  [this](AttemptId attempt, const AttemptResult &result) {
+                      m_vm.attemptEnded(now(), attempt, result);
+                      carryOut();
+                  })
+    , m_links(m_io, settings.name, settings.peers, settings.vms,
+              [this](std::string_view bytes) { peerReceived(bytes); })
+    , m_callerServer(m_io, settings.callers, settings.limits,
+                     [this](const HttpRequest &request, HttpResponder respond) {
+                         return handleCaller(request, std::move(respond));
+                     })
+    , m_controlServer(m_io, settings.control, settings.limits,
+                      [this](const HttpRequest &request, const HttpResponder &respond) {
+                          return handleControl(request, respond);
+                      })
+    , m_tickTimer(m_io)
+    , m_signals(m_io, SIGTERM, SIGINT)
+    , m_random(std::random_device{}())
+{
+    m_vm.setConfiguration(now(), settings.initialConfiguration);
+    waitForSignal();
+    scheduleTick();
+}
+
+int Daemon::run()
+{
+    logEvent(Event::Started, {{"vm", m_settings.name}, {"failureDomain", m_settings.failureDomain}});
+    m_io.run();
+    logEvent(Event::Stopped, {{"vm", m_settings.name}});
+    return 0;
+}
+
+HttpGone Daemon::handleCaller(const HttpRequest &request, HttpResponder respond)
+{
+    if (request.path == "/healthz") {
+        respond({200, R"({"healthy":true})", {}});
+        return nullptr;
+    }
+    if (request.path == "/readyz") {
+        respond({m_isDraining ? 503 : 200, m_isDraining ? R"({"ready":false})" : R"({"ready":true})", {}});
+        return nullptr;
+    }
+    if (request.path == "/v1/keys" && request.method == "POST") {
+        issueKeys(respond);
+        return nullptr;
+    }
+    const bool isJobs = request.path == "/v1/jobs" && request.method == "POST";
+    const bool isJob =
+        request.path.starts_with("/v1/jobs/") && (request.method == "GET" || request.method == "DELETE");
+    if (isJobs || isJob)
+        return submit(request, std::move(respond));
+    respond(errorResponse(404, "no resource " + request.method + " " + request.path));
+    return nullptr;
+}
+
+HttpGone Daemon::submit(const HttpRequest &request, HttpResponder respond)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<HttpGone> {
+            BOOST_LEAF_ASSIGN(auto parsed, parseCallerRequest(request, now() + m_settings.defaultDeadline));
+            if (parsed.submission.key.empty())
+                parsed.submission.key = newKey();
+            const auto caller = m_nextCaller++;
+            m_callers.emplace(caller, std::move(respond));
+            m_vm.request(now(), caller, std::move(parsed));
+            carryOut();
+            return HttpGone([this, caller] {
+                m_callers.erase(caller);
+                m_vm.callerGone(caller);
+            });
+        },
+        [&](const StepError &error) -> HttpGone {
+            respond(errorResponse(400, error.text()));
+            return nullptr;
+        },
+        [&]() -> HttpGone {
+            respond(errorResponse(500, "internal error"));
+            return nullptr;
+        });
+}
+
+HttpGone Daemon::handleControl(const HttpRequest &request, const HttpResponder &respond)
+{
+    if (request.path == "/v1/status") {
+        respond({200, statusText(m_vm, m_settings.name), {}});
+        return nullptr;
+    }
+    if (request.path == "/v1/upstreams" && request.method == "GET") {
+        respond({200, upstreamsText(m_vm), {}});
+        return nullptr;
+    }
+    if (request.path.starts_with("/v1/upstreams/") && request.method == "PUT") {
+        announce(request, respond);
+        return nullptr;
+    }
+    respond(errorResponse(404, "no resource " + request.method + " " + request.path));
+    return nullptr;
+}
+
+void Daemon::announce(const HttpRequest &request, const HttpResponder &respond)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(const auto announcement,
+                              parseAnnouncement(request, now() + m_settings.upstreamLease));
+            m_vm.announce(now(), announcement);
+            const nlohmann::json body{{"leaseDeadline", microsecondsOf(announcement.leaseDeadline) / 1000}};
+            respond({200, body.dump(), {}});
+            carryOut();
+            return {};
+        },
+        [&](const StepError &error) { respond(errorResponse(400, error.text())); },
+        [&] { respond(errorResponse(500, "internal error")); });
+}
+
+void Daemon::issueKeys(const HttpResponder &respond)
+{
+    auto keys = nlohmann::json::array();
+    for (int i = 0; i < keysPerRequest; ++i)
+        keys.push_back(newKey());
+    respond({200, nlohmann::json{{"keys", keys}}.dump(), {}});
+}
+
+void Daemon::peerReceived(std::string_view bytes)
+{
+    wire::PeerMessage message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        logEvent(Event::PeerMessageMalformed, {{"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    m_vm.peerMessage(now(), message);
+    carryOut();
+}
+
+void Daemon::carryOut()
+{
+    if (m_isCarryingOut)
+        return;
+    m_isCarryingOut = true;
+    for (auto actions = m_vm.takeActions(); !actions.empty(); actions = m_vm.takeActions()) {
+        for (const auto &it : actions)
+            std::visit([this](const auto &action) { carryOut(action); }, it);
+    }
+    m_isCarryingOut = false;
+}
+
+void Daemon::carryOut(const StartTask &action)
+{
+    m_upstreams.start(action);
+}
+
+void Daemon::carryOut(const StopTask &action)
+{
+    m_upstreams.stop(action.attempt);
+}
+
+void Daemon::carryOut(const AnswerCaller &action)
+{
+    const auto it = m_callers.find(action.caller);
+    if (it == m_callers.end())
+        return;
+    const auto respond = std::move(it->second);
+    m_callers.erase(it);
+    respond(answerResponse(now(), action.answer));
+}
+
+void Daemon::carryOut(const SendPeer &action)
+{
+    m_links.send(action.vm, action.message->SerializeAsString());
+}
+
+void Daemon::carryOut(const AppendClaimRecord &action)
+{
+    if (action.syncToken != 0)
+        m_vm.journalSynced(now(), action.syncToken);
+}
+
+void Daemon::scheduleTick()
+{
+    m_tickTimer.expires_after(tickPeriod);
+    m_tickTimer.async_wait([this](boost::system::error_code ec) {
+        if (ec)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void Daemon::tick()
+{
+    m_vm.tick(now());
+    carryOut();
+    if (!m_isDraining)
+        return;
+    if (!m_hasStoppedListening && now() >= m_listenUntil) {
+        m_hasStoppedListening = true;
+        m_callerServer.drain();
+    }
+    const bool isDone = m_hasStoppedListening && m_vm.isIdle() && m_callerServer.connections() == 0;
+    if (!isDone && now() < m_drainDeadline)
+        return;
+    if (!isDone)
+        logEvent(Event::DrainTimedOut, {{"vm", m_settings.name}});
+    m_io.stop();
+}
+
+void Daemon::waitForSignal()
+{
+    m_signals.async_wait([this](boost::system::error_code ec, int) {
+        if (ec)
+            return;
+        drain();
+        waitForSignal();
+    });
+}
+
+void Daemon::drain()
+{
+    if (m_isDraining)
+        return;
+    logEvent(Event::DrainStarted, {{"vm", m_settings.name}});
+    m_isDraining = true;
+    m_listenUntil = now() + listenAfterDrain;
+    m_drainDeadline = now() + m_settings.drainTimeout;
+    m_vm.drain(now());
+    carryOut();
+}
+
+std::string Daemon::newKey()
+{
+    const auto high = m_random();
+    const auto low = m_random();
+    return issueJobKey(m_settings.name, now(), high, low);
+}
+
+TimePoint Daemon::now() const
+{
+    const auto elapsed = std::chrono::steady_clock::now() - m_steadyStart;
+    return m_wallStart + std::chrono::duration_cast<Duration>(elapsed);
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "citronpitch/entryvm.h"
+#include "net/httpserver.h"
+#include "net/peerlinks.h"
+#include "net/upstreamclient.h"
+#include "settings/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <random>
+
+namespace Citronpitch {
+
+/**
+ * @brief One entry VM's process: connects the decisions of EntryVm with sockets, files and timers.
+ *
+ * Runs on one event loop. Used by main().
+ */
+class Daemon
+{
+public:
+    explicit Daemon(const Settings &settings);
+
+    /// Serves until a graceful shutdown has ended. Returns the exit code of the process.
+    int run();
+
+private:
+    HttpGone handleCaller(const HttpRequest &request, HttpResponder respond);
+    HttpGone submit(const HttpRequest &request, HttpResponder respond);
+    HttpGone handleControl(const HttpRequest &request, const HttpResponder &respond);
+    void announce(const HttpRequest &request, const HttpResponder &respond);
+    void issueKeys(const HttpResponder &respond);
+    void peerReceived(std::string_view bytes);
+    void carryOut();
+    void carryOut(const StartTask &action);
+    void carryOut(const StopTask &action);
+    void carryOut(const AnswerCaller &action);
+    void carryOut(const SendPeer &action);
+    void carryOut(const AppendClaimRecord &action);
+    void scheduleTick();
+    void tick();
+    void waitForSignal();
+    void drain();
+    std::string newKey();
+    TimePoint now() const;
+
+    Settings m_settings;
+    std::chrono::steady_clock::time_point m_steadyStart;
+    TimePoint m_wallStart;
+    boost::asio::io_context m_io;
+    EntryVm m_vm;
+    UpstreamClient m_upstreams;
+    PeerLinks m_links;
+    HttpServer m_callerServer;
+    HttpServer m_controlServer;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::signal_set m_signals;
+    std::map<CallerId, HttpResponder> m_callers;
+    std::mt19937_64 m_random;
+    CallerId m_nextCaller = 1;
+    TimePoint m_drainDeadline;
+    TimePoint m_listenUntil;
+    bool m_isCarryingOut = false;
+    bool m_isDraining = false;
+    bool m_hasStoppedListening = false;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/net/httpconnection.cpp
@@ -0,0 +1,165 @@
+#include "net/httpconnection.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace Citronpitch {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint64_t maximumResponseBytes = std::uint64_t{64} << 20;
+constexpr auto connectTimeout = std::chrono::seconds(1);
+
+} // namespace
+
+HttpConnection::HttpConnection(HttpClient &client, boost::asio::io_context &io, Endpoint endpoint)
+    : m_client(&client)
+    , m_stream(io)
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+const Endpoint &HttpConnection::endpoint() const
+{
+    return m_endpoint;
+}
+
+bool HttpConnection::isOpen() const
+{
+    return !m_isClosed;
+}
+
+void HttpConnection::start(ExchangeId exchange, const ClientRequest &request, ExchangeEnded ended)
+{
+    m_exchange = exchange;
+    m_ended = std::move(ended);
+    m_timeout = request.timeout;
+    m_isWritten = false;
+    m_request = {};
+    m_request.version(11);
+    m_request.method_string(request.method);
+    m_request.target(request.target);
+    m_request.set(http::field::host, m_endpoint.address);
+    for (const auto &it : request.headers)
+        m_request.set(it.name, it.value);
+    m_request.body() = request.body;
+    m_request.prepare_payload();
+    if (m_isConnected)
+        write();
+    else
+        connect();
+}
+
+void HttpConnection::close()
+{
+    end({m_isWritten ? ExchangeEnd::Broken : ExchangeEnd::NotSent, {}}, false);
+}
+
+void HttpConnection::abandon()
+{
+    m_client = nullptr;
+    m_isClosed = true;
+    m_stream.close();
+}
+
+void HttpConnection::connect()
+{
+    beast::error_code ec;
+    const auto address = boost::asio::ip::make_address(m_endpoint.address, ec);
+    if (ec) {
+        boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->close(); });
+        return;
+    }
+    m_stream.expires_after(connectTimeout);
+    m_stream.async_connect(Tcp::endpoint(address, m_endpoint.port),
+                           [self = shared_from_this()](beast::error_code result) {
+                               if (self->m_isClosed)
+                                   return;
+                               if (result) {
+                                   self->close();
+                                   return;
+                               }
+                               self->m_isConnected = true;
+                               beast::error_code ignored;
+                               self->m_stream.socket().set_option(Tcp::no_delay(true), ignored);
+                               self->write();
+                           });
+}
+
+void HttpConnection::write()
+{
+    if (m_timeout.count() > 0)
+        m_stream.expires_after(m_timeout);
+    else
+        m_stream.expires_never();
+    m_isWritten = true;
+    http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+        if (self->m_isClosed)
+            return;
+        if (ec) {
+            self->m_isWritten = n > 0;
+            self->close();
+            return;
+        }
+        self->read();
+    });
+}
+
+void HttpConnection::read()
+{
+    m_parser.emplace();
+    m_parser->body_limit(maximumResponseBytes);
+    http::async_read(m_stream, m_buffer, *m_parser,
+                     [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                         if (self->m_isClosed)
+                             return;
+                         if (ec)
+                             self->close();
+                         else
+                             self->finish();
+                     });
+}
+
+void HttpConnection::finish()
+{
+    auto message = m_parser->release();
+    ClientResponse response;
+    response.end = ExchangeEnd::Answered;
+    response.response.status = static_cast<int>(message.result_int());
+    for (const auto &it : message)
+        response.response.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+    response.response.body = std::move(message.body());
+    end(response, message.keep_alive());
+}
+
+void HttpConnection::watchForEnd()
+{
+    m_stream.expires_never();
+    m_stream.socket().async_wait(Tcp::socket::wait_read, [self = shared_from_this()](beast::error_code ec) {
+        if (!ec && !self->m_isClosed && self->m_exchange == 0)
+            self->close();
+    });
+}
+
+void HttpConnection::end(const ClientResponse &response, bool keep)
+{
+    if (m_isClosed)
+        return;
+    const auto exchange = std::exchange(m_exchange, 0);
+    const auto ended = std::exchange(m_ended, nullptr);
+    const auto self = shared_from_this();
+    if (keep) {
+        watchForEnd();
+    } else {
+        m_isClosed = true;
+        m_stream.close();
+        m_client->closed(self);
+    }
+    if (exchange != 0)
+        m_client->ended(self, exchange, ended, response);
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/net/httpserver.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "net/httptypes.h"
+#include "settings/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Citronpitch {
+
+class HttpSession;
+
+/**
+ * @brief Takes HTTP/1.1 connections on one address and hands each request to a handler.
+ *
+ * Enforces the limits on bodies, headers, connections and idle time. Used by Daemon for callers, for
+ * upstreams and for operators, and by the fake upstream.
+ */
+class HttpServer
+{
+public:
+    /// Listens at once; throws boost::system::system_error where the address can't be had.
+    HttpServer(boost::asio::io_context &io, const Endpoint &endpoint, const CallerLimits &limits,
+               HttpHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// Takes no more connections, closes idle ones, and closes the others after their response.
+    void drain();
+
+    /// Port that is listened on.
+    std::uint16_t port() const;
+
+    /// Connections that are open.
+    std::size_t connections() const;
+
+private:
+    friend class HttpSession;
+
+    void accept();
+    void take(boost::asio::ip::tcp::socket socket);
+    void remove(const std::shared_ptr<HttpSession> &session);
+
+    boost::asio::io_context &m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    CallerLimits m_limits;
+    HttpHandler m_handler;
+    std::set<std::shared_ptr<HttpSession>> m_sessions;
+    std::map<std::string, std::uint32_t> m_connectionsPerAddress;
+    bool m_isDraining = false;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/net/httpsession.cpp
@@ -0,0 +1,181 @@
+#include "net/httpsession.h"
+
+#include "net/httpserver.h"
+
+namespace Citronpitch {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+HttpSession::HttpSession(HttpServer &server, boost::asio::ip::tcp::socket socket, std::string remoteAddress)
+    : m_server(&server)
+    , m_stream(std::move(socket))
+    , m_remoteAddress(std::move(remoteAddress))
+{
+}
+
+void HttpSession::start()
+{
+    read();
+}
+
+void HttpSession::drain()
+{
+    m_isDraining = true;
+    if (!m_isHandling)
+        close();
+}
+
+const std::string &HttpSession::remoteAddress() const
+{
+    return m_remoteAddress;
+}
+
+void HttpSession::abandon()
+{
+    m_server = nullptr;
+    m_isClosed = true;
+    m_stream.close();
+}
+
+void HttpSession::read()
+{
+    const auto &limits = m_server->m_limits;
+    m_parser.emplace();
+    m_parser->header_limit(limits.maximumHeaderBytes);
+    m_parser->body_limit(limits.maximumBodyBytes);
+    // The first byte may take the idle time; the rest of the request has the read time.
+    if (m_buffer.size() > 0) {
+        readRest();
+        return;
+    }
+    m_stream.expires_after(limits.idleTimeout);
+    m_stream.async_read_some(m_buffer.prepare(4096),
+                             [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                                 if (self->m_isClosed)
+                                     return;
+                                 if (ec) {
+                                     self->close();
+                                     return;
+                                 }
+                                 self->m_buffer.commit(n);
+                                 self->readRest();
+                             });
+}
+
+void HttpSession::readRest()
+{
+    m_isHandling = true;
+    m_stream.expires_after(m_server->m_limits.readTimeout);
+    http::async_read(m_stream, m_buffer, *m_parser,
+                     [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                         if (self->m_isClosed)
+                             return;
+                         if (ec)
+                             self->rejectInput(ec);
+                         else
+                             self->handle();
+                     });
+}
+
+void HttpSession::handle()
+{
+    m_stream.expires_never();
+    const auto message = m_parser->release();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.remoteAddress = m_remoteAddress;
+    for (const auto &it : message)
+        request.headers.push_back({std::string(it.name_string()), std::string(it.value())});
+    request.body = message.body();
+    m_isDraining = m_isDraining || !message.keep_alive();
+    if (!splitTarget({message.target().data(), message.target().size()}, request)) {
+        write({400, R"({"error":"the request target is malformed"})", {}}, false);
+        return;
+    }
+    const auto number = ++m_requestNumber;
+    m_gone = m_server->m_handler(request, [self = shared_from_this(), number](HttpResponse response) {
+        if (self->m_isClosed || self->m_requestNumber != number || !self->m_isHandling)
+            return;
+        self->respond(std::move(response));
+    });
+    if (m_isHandling && m_gone)
+        watchForEnd();
+}
+
+void HttpSession::watchForEnd()
+{
+    const auto number = m_requestNumber;
+    m_stream.socket().async_wait(
+        boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this(), number](beast::error_code ec) {
+            if (ec || self->m_isClosed || self->m_requestNumber != number || !self->m_isHandling)
+                return;
+            beast::error_code ignored;
+            if (self->m_stream.socket().available(ignored) == 0)
+                self->close();
+        });
+}
+
+void HttpSession::respond(HttpResponse response)
+{
+    m_gone = nullptr;
+    write(std::move(response), !m_isDraining);
+}
+
+void HttpSession::rejectInput(beast::error_code ec)
+{
+    const bool isInputError = ec == http::error::body_limit || ec == http::error::header_limit
+        || (ec.category() == http::make_error_code(http::error::end_of_stream).category()
+            && ec != http::error::end_of_stream && ec != http::error::partial_message);
+    if (!isInputError && ec != beast::error::timeout) {
+        close();
+        return;
+    }
+    int status = 400;
+    if (ec == http::error::body_limit)
+        status = 413;
+    else if (ec == http::error::header_limit)
+        status = 431;
+    else if (ec == beast::error::timeout)
+        status = 408;
+    write({status, R"({"error":"read request: )" + ec.message() + "\"}", {}}, false);
+}
+
+void HttpSession::write(HttpResponse response, bool keepAlive)
+{
+    m_isHandling = true;
+    m_response = Response(static_cast<http::status>(response.status), 11);
+    m_response.set(http::field::content_type, response.contentType);
+    for (const auto &it : response.headers)
+        m_response.set(it.name, it.value);
+    m_response.body() = std::move(response.body);
+    m_response.keep_alive(keepAlive);
+    m_response.prepare_payload();
+    m_stream.expires_after(m_server->m_limits.readTimeout);
+    http::async_write(m_stream, m_response,
+                      [self = shared_from_this(), keepAlive](beast::error_code ec, std::size_t) {
+                          if (self->m_isClosed)
+                              return;
+                          self->m_isHandling = false;
+                          if (ec || !keepAlive || self->m_isDraining)
+                              self->close();
+                          else
+                              self->read();
+                      });
+}
+
+void HttpSession::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    beast::error_code ignored;
+    m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    m_stream.close();
+    if (m_gone)
+        std::exchange(m_gone, nullptr)();
+    if (m_server != nullptr)
+        m_server->remove(shared_from_this());
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/net/peerlinks.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "settings/settings.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Citronpitch {
+
+/// Told the bytes of a message that arrived of another entry VM.
+using PeerReceived = std::function<void(std::string_view)>;
+
+/**
+ * @brief Links to the other entry VMs over ZeroMQ.
+ *
+ * A message is sent only on a link that stands; nothing is queued for one that does not, and nothing relies
+ * on delivery. Used by Daemon.
+ */
+class PeerLinks
+{
+public:
+    /// Binds @p own; throws zmq::error_t where the address can't be had.
+    PeerLinks(boost::asio::io_context &io, const std::string &name, const Endpoint &own,
+              const std::vector<VmSettings> &vms, PeerReceived received);
+    ~PeerLinks();
+    PeerLinks(const PeerLinks &) = delete;
+    PeerLinks &operator=(const PeerLinks &) = delete;
+
+    /// Sends @p bytes to @p vm. Returns false when the link does not stand and the message was dropped.
+    bool send(const std::string &vm, std::string_view bytes);
+
+private:
+    class Sockets;
+
+    std::unique_ptr<Sockets> m_sockets;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/tests/support/childprocess.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace Citronpitch {
+
+/**
+ * @brief A process that a test or the demo started; it is killed when the object goes.
+ */
+class ChildProcess
+{
+public:
+    /// Starts @p program with @p arguments; standard output and error go to @p logFile.
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
+                 const std::string &logFile);
+    ~ChildProcess();
+    ChildProcess(ChildProcess &&other) noexcept;
+    ChildProcess(const ChildProcess &) = delete;
+    ChildProcess &operator=(const ChildProcess &) = delete;
+    ChildProcess &operator=(ChildProcess &&) = delete;
+
+    /// Sends signal @p number.
+    void signal(int number) const;
+
+    /// Waits until the process has ended and returns its exit code, or minus the signal that ended it.
+    int wait();
+
+    bool hasEnded();
+    pid_t id() const;
+
+    /// Resident memory in bytes; zero when the process has ended.
+    std::size_t residentBytes() const;
+
+    /// Processor time used so far, in seconds.
+    double processorSeconds() const;
+
+private:
+    pid_t m_id = -1;
+    int m_exitCode = 0;
+};
+
+} // namespace Citronpitch
