Limits of callers and checks of announcements, with clear errors

Cause: a slow, hostile or malformed connection had no bound on shared memory and no clear error. Responses end their connections once a shutdown has begun, and connections that wait to be accepted are served before the listener closes. Ruled out: the stream's own timeout for 408, since it closes the socket before a response can be written. Measured: the nine tests of CallerLimitsTest pass; slowRequestIsEndedAndCostsOthersNothing failed before the timer.

--- a/src/daemon/callerapi.cpp
+++ b/src/daemon/callerapi.cpp
@@ -1,13 +1,13 @@
 #include "daemon/callerapi.h"
 
 #include "citronpitch/jobkey.h"
+#include "daemon/jsonfields.h"
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
 #include <array>
-#include <initializer_list>
+#include <memory>
 
 namespace Citronpitch {
 
@@ -16,45 +16,17 @@
 
 namespace {
 
-constexpr std::string_view jobsPath = "/v1/jobs";
-
-leaf::error_id badInput(std::string where, std::string what)
-{
-    return leaf::new_error(StepError{"read request", std::move(where), std::move(what)});
-}
+constexpr std::uint64_t maximumMillicores = 1'000'000;
+constexpr std::uint64_t maximumMemoryBytes = std::uint64_t{1} << 50;
+constexpr std::uint64_t maximumAccelerators = 1000;
 
-/// Fails on a field that is not among @p allowed.
-leaf::result<void> checkFields(const Json &object, const std::string &where,
-                               std::initializer_list<std::string_view> allowed)
-{
-    if (!object.is_object())
-        return badInput(where, "an object is expected");
-    for (const auto &[name, value] : object.items()) {
-        if (std::find(allowed.begin(), allowed.end(), name) == allowed.end())
-            return badInput(where, "unknown field \"" + name + "\"");
-    }
-    return {};
-}
+constexpr std::string_view jobsPath = "/v1/jobs";
 
-leaf::result<std::string> textField(const Json &object, const std::string &where, const char *name)
-{
-    const auto it = object.find(name);
-    if (it == object.end() || !it->is_string() || it->get_ref<const std::string &>().empty())
-        return badInput(where, std::string("field \"") + name + "\" must be a non-empty text");
-    return it->get<std::string>();
-}
+constexpr const char *step = "read request";
 
-leaf::result<std::uint64_t> numberField(const Json &object, const std::string &where, const char *name,
-                                        std::uint64_t fallback, std::uint64_t maximum)
+leaf::error_id badInput(std::string where, std::string what)
 {
-    const auto it = object.find(name);
-    if (it == object.end())
-        return fallback;
-    if (!it->is_number_unsigned() || it->get<std::uint64_t>() > maximum)
-        return badInput(where,
-                        std::string("field \"") + name + "\" must be a whole number up to "
-                            + std::to_string(maximum));
-    return it->get<std::uint64_t>();
+    return leaf::new_error(StepError{step, std::move(where), std::move(what)});
 }
 
 leaf::result<Resources> parseNeed(const Json &task, const std::string &where)
@@ -62,28 +34,23 @@
     const auto it = task.find("need");
     if (it == task.end())
         return Resources();
-    const auto place = where + ".need";
-    BOOST_LEAF_CHECK(checkFields(*it, place, {"millicores", "memoryBytes", "accelerators"}));
-    Resources need;
-    BOOST_LEAF_ASSIGN(const auto millicores, numberField(*it, place, "millicores", 0, 1'000'000));
-    BOOST_LEAF_ASSIGN(need.memoryBytes, numberField(*it, place, "memoryBytes", 0, std::uint64_t{1} << 50));
-    BOOST_LEAF_ASSIGN(const auto accelerators, numberField(*it, place, "accelerators", 0, 1000));
-    need.millicores = static_cast<std::uint32_t>(millicores);
-    need.accelerators = static_cast<std::uint32_t>(accelerators);
-    return need;
+    const JsonFields fields(*it, step, where + ".need");
+    BOOST_LEAF_CHECK(fields.allowOnly({"millicores", "memoryBytes", "accelerators"}));
+    return parseResources(fields);
 }
 
 leaf::result<TaskSpec> parseTask(const Json &from, const std::string &where)
 {
     constexpr std::uint64_t maximumDeclaredMs = 86'400'000;
-    BOOST_LEAF_CHECK(checkFields(from, where, {"payload", "declaredMs", "need"}));
+    const JsonFields fields(from, step, where);
+    BOOST_LEAF_CHECK(fields.allowOnly({"payload", "declaredMs", "need"}));
     TaskSpec task;
-    const auto payload = from.find("payload");
-    if (payload != from.end())
+    const auto *payload = fields.find("payload");
+    if (payload != nullptr)
         task.payload = payload->is_string() ? payload->get<std::string>() : payload->dump();
     if (task.payload.size() > maximumPayloadBytes)
-        return badInput(where, "the payload has more than " + std::to_string(maximumPayloadBytes) + " bytes");
-    BOOST_LEAF_ASSIGN(const auto declared, numberField(from, where, "declaredMs", 0, maximumDeclaredMs));
+        return fields.error("the payload has more than " + std::to_string(maximumPayloadBytes) + " bytes");
+    BOOST_LEAF_ASSIGN(const auto declared, fields.number("declaredMs", 0, 0, maximumDeclaredMs));
     task.declaredTime = std::chrono::milliseconds(declared);
     BOOST_LEAF_ASSIGN(task.need, parseNeed(from, where));
     return task;
@@ -127,23 +94,16 @@
 leaf::result<Submission> parseSubmission(const HttpRequest &request, TimePoint defaultDeadline)
 {
     constexpr std::uint64_t latestDeadlineMs = 4'102'444'800'000;
-    Json body;
-    try {
-        body = Json::parse(request.body);
-    } catch (const Json::parse_error &e) {
-        return badInput("body, byte " + std::to_string(e.byte), e.what());
-    }
-    BOOST_LEAF_CHECK(checkFields(body, "body", {"team", "class", "deadline", "idempotent", "tasks"}));
+    BOOST_LEAF_ASSIGN(const auto body, parseJson(request.body, step));
+    const JsonFields fields(body, step, "body");
+    BOOST_LEAF_CHECK(fields.allowOnly({"team", "class", "deadline", "idempotent", "tasks"}));
     Submission submission;
-    BOOST_LEAF_ASSIGN(submission.team, textField(body, "body", "team"));
-    BOOST_LEAF_ASSIGN(submission.className, textField(body, "body", "class"));
+    BOOST_LEAF_ASSIGN(submission.team, fields.text("team"));
+    BOOST_LEAF_ASSIGN(submission.className, fields.text("class"));
     const auto fallback = static_cast<std::uint64_t>(microsecondsOf(defaultDeadline) / 1000);
-    BOOST_LEAF_ASSIGN(const auto deadline, numberField(body, "body", "deadline", fallback, latestDeadlineMs));
+    BOOST_LEAF_ASSIGN(const auto deadline, fields.number("deadline", fallback, 0, latestDeadlineMs));
     submission.deadline = TimePoint(std::chrono::milliseconds(deadline));
-    const auto idempotent = body.find("idempotent");
-    if (idempotent != body.end() && !idempotent->is_boolean())
-        return badInput("body", "field \"idempotent\" must be true or false");
-    submission.idempotent = idempotent != body.end() && idempotent->get<bool>();
+    BOOST_LEAF_ASSIGN(submission.idempotent, fields.flag("idempotent"));
     BOOST_LEAF_CHECK(parseTasks(body, submission));
     submission.bodyHash = workHash(submission);
     return submission;
@@ -193,6 +153,17 @@
 
 } // namespace
 
+leaf::result<Resources> parseResources(const JsonFields &fields)
+{
+    Resources resources;
+    BOOST_LEAF_ASSIGN(const auto millicores, fields.number("millicores", 0, 0, maximumMillicores));
+    BOOST_LEAF_ASSIGN(resources.memoryBytes, fields.number("memoryBytes", 0, 0, maximumMemoryBytes));
+    BOOST_LEAF_ASSIGN(const auto accelerators, fields.number("accelerators", 0, 0, maximumAccelerators));
+    resources.millicores = static_cast<std::uint32_t>(millicores);
+    resources.accelerators = static_cast<std::uint32_t>(accelerators);
+    return resources;
+}
+
 leaf::result<CallerRequest> parseCallerRequest(const HttpRequest &request, TimePoint defaultDeadline)
 {
     CallerRequest parsed;
--- a/src/daemon/controlapi.cpp
+++ b/src/daemon/controlapi.cpp
@@ -1,6 +1,11 @@
 #include "daemon/controlapi.h"
 
-#include <nlohmann/json.hpp>
+#include "daemon/callerapi.h"
+#include "daemon/jsonfields.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <limits>
 
 namespace Citronpitch {
 
@@ -11,22 +16,47 @@
 
 constexpr std::string_view upstreamsPath = "/v1/upstreams/";
 
-Resources parseResources(const Json &from)
+constexpr const char *step = "announce";
+constexpr std::uint64_t maximumSlots = 100'000;
+constexpr std::uint64_t maximumPort = 65'535;
+
+leaf::result<void> checkAddress(const JsonFields &fields, const std::string &address)
+{
+    boost::system::error_code ec;
+    boost::asio::ip::make_address(address, ec);
+    if (ec)
+        return fields.error("field \"address\" must be an IP number");
+    return {};
+}
+
+leaf::result<Resources> parseCapacity(const Json &from, const std::string &name)
 {
-    return {from.value("millicores", 0U), from.value("memoryBytes", std::uint64_t{0}),
-            from.value("accelerators", 0U)};
+    const auto it = from.find("capacity");
+    if (it == from.end())
+        return Resources();
+    const JsonFields fields(*it, step, name + ".capacity");
+    BOOST_LEAF_CHECK(fields.allowOnly({"millicores", "memoryBytes", "accelerators"}));
+    return parseResources(fields);
 }
 
-UpstreamAnnouncement parseFields(const Json &from)
+leaf::result<UpstreamAnnouncement> parseFields(const Json &from, const std::string &name)
 {
+    const JsonFields fields(from, step, name);
+    BOOST_LEAF_CHECK(
+        fields.allowOnly({"address", "port", "slots", "rack", "incarnation", "capacity", "leaving"}));
     UpstreamAnnouncement announcement;
-    announcement.address = from.at("address").get<std::string>();
-    announcement.port = from.at("port").get<std::uint16_t>();
-    announcement.slots = from.at("slots").get<std::uint32_t>();
-    announcement.rack = from.value("rack", std::string());
-    announcement.incarnation = from.at("incarnation").get<std::uint64_t>();
-    announcement.capacity = parseResources(from.value("capacity", Json::object()));
-    announcement.leaving = from.value("leaving", false);
+    announcement.name = name;
+    BOOST_LEAF_ASSIGN(announcement.address, fields.text("address"));
+    BOOST_LEAF_CHECK(checkAddress(fields, announcement.address));
+    BOOST_LEAF_ASSIGN(const auto port, fields.requiredNumber("port", 1, maximumPort));
+    BOOST_LEAF_ASSIGN(const auto slots, fields.requiredNumber("slots", 1, maximumSlots));
+    announcement.port = static_cast<std::uint16_t>(port);
+    announcement.slots = static_cast<std::uint32_t>(slots);
+    BOOST_LEAF_ASSIGN(announcement.rack, fields.optionalText("rack"));
+    BOOST_LEAF_ASSIGN(announcement.incarnation,
+                      fields.requiredNumber("incarnation", 1, std::numeric_limits<std::uint64_t>::max()));
+    BOOST_LEAF_ASSIGN(announcement.capacity, parseCapacity(from, name));
+    BOOST_LEAF_ASSIGN(announcement.leaving, fields.flag("leaving"));
     return announcement;
 }
 
@@ -51,14 +81,10 @@
     const auto name = request.path.substr(std::min(upstreamsPath.size(), request.path.size()));
     if (name.empty())
         return leaf::new_error(StepError{"announce", "path", "a name is expected after /v1/upstreams/"});
-    try {
-        auto announcement = parseFields(Json::parse(request.body));
-        announcement.name = name;
-        announcement.leaseDeadline = lease;
-        return announcement;
-    } catch (const Json::exception &e) {
-        return leaf::new_error(StepError{"announce", name, e.what()});
-    }
+    BOOST_LEAF_ASSIGN(const auto body, parseJson(request.body, step));
+    BOOST_LEAF_ASSIGN(auto announcement, parseFields(body, name));
+    announcement.leaseDeadline = lease;
+    return announcement;
 }
 
 std::string statusText(const EntryVm &vm, const std::string &name)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -273,6 +273,7 @@
     m_isDraining = true;
     m_listenUntil = now() + listenAfterDrain;
     m_drainDeadline = now() + m_settings.drainTimeout;
+    m_callerServer.closeAfterResponses();
     m_vm.drain(now());
     carryOut();
 }
--- /dev/null
+++ b/src/daemon/jsonfields.cpp
@@ -0,0 +1,93 @@
+#include "daemon/jsonfields.h"
+
+#include <algorithm>
+
+namespace Citronpitch {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+JsonFields::JsonFields(const Json &object, std::string step, std::string place)
+    : m_object(object)
+    , m_step(std::move(step))
+    , m_place(std::move(place))
+{
+}
+
+leaf::result<void> JsonFields::allowOnly(std::initializer_list<std::string_view> allowed) const
+{
+    if (!m_object.is_object())
+        return error("an object is expected");
+    for (const auto &[name, value] : m_object.items()) {
+        if (std::find(allowed.begin(), allowed.end(), name) == allowed.end())
+            return error("unknown field \"" + name + "\"");
+    }
+    return {};
+}
+
+leaf::result<std::string> JsonFields::text(const char *name) const
+{
+    BOOST_LEAF_ASSIGN(auto value, optionalText(name));
+    if (value.empty())
+        return error(std::string("field \"") + name + "\" must be a non-empty text");
+    return value;
+}
+
+leaf::result<std::string> JsonFields::optionalText(const char *name) const
+{
+    const auto *field = find(name);
+    if (field == nullptr)
+        return std::string();
+    if (!field->is_string())
+        return error(std::string("field \"") + name + "\" must be a text");
+    return field->get<std::string>();
+}
+
+leaf::result<std::uint64_t> JsonFields::number(const char *name, std::uint64_t fallback,
+                                               std::uint64_t minimum, std::uint64_t maximum) const
+{
+    return find(name) == nullptr ? fallback : requiredNumber(name, minimum, maximum);
+}
+
+leaf::result<std::uint64_t> JsonFields::requiredNumber(const char *name, std::uint64_t minimum,
+                                                       std::uint64_t maximum) const
+{
+    const auto *field = find(name);
+    const bool isNumber = field != nullptr && field->is_number_unsigned();
+    if (!isNumber || field->get<std::uint64_t>() < minimum || field->get<std::uint64_t>() > maximum)
+        return error(std::string("field \"") + name + "\" must be a whole number from "
+                     + std::to_string(minimum) + " to " + std::to_string(maximum));
+    return field->get<std::uint64_t>();
+}
+
+leaf::result<bool> JsonFields::flag(const char *name) const
+{
+    const auto *field = find(name);
+    if (field == nullptr)
+        return false;
+    if (!field->is_boolean())
+        return error(std::string("field \"") + name + "\" must be true or false");
+    return field->get<bool>();
+}
+
+const Json *JsonFields::find(const char *name) const
+{
+    const auto it = m_object.find(name);
+    return it == m_object.end() ? nullptr : &*it;
+}
+
+leaf::error_id JsonFields::error(std::string what) const
+{
+    return leaf::new_error(StepError{m_step, m_place, std::move(what)});
+}
+
+leaf::result<Json> parseJson(const std::string &text, const std::string &step)
+{
+    try {
+        return Json::parse(text);
+    } catch (const Json::parse_error &e) {
+        return leaf::new_error(StepError{step, "body, byte " + std::to_string(e.byte), e.what()});
+    }
+}
+
+} // namespace Citronpitch
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -8,6 +8,13 @@
 
 using Tcp = boost::asio::ip::tcp;
 
+namespace {
+
+/// Connections over the limit that still get a response which says so.
+constexpr std::size_t refusalConnections = 100;
+
+} // namespace
+
 HttpServer::HttpServer(boost::asio::io_context &io, const Endpoint &endpoint, const CallerLimits &limits,
                        HttpHandler handler)
     : m_io(io)
@@ -24,16 +31,37 @@
         it->abandon();
 }
 
+void HttpServer::closeAfterResponses()
+{
+    m_isLastResponse = true;
+    for (const auto &it : m_sessions)
+        it->closeAfterResponse();
+}
+
 void HttpServer::drain()
 {
+    closeAfterResponses();
+    const auto idleSessions = m_sessions;
+    takeWaiting();
     m_isDraining = true;
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
-    const auto sessions = m_sessions;
-    for (const auto &it : sessions)
+    for (const auto &it : idleSessions)
         it->drain();
 }
 
+void HttpServer::takeWaiting()
+{
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        Tcp::socket socket(m_io);
+        m_acceptor.accept(socket, ec);
+        if (!ec)
+            take(std::move(socket));
+    }
+}
+
 std::uint16_t HttpServer::port() const
 {
     return m_acceptor.local_endpoint().port();
@@ -62,14 +90,31 @@
     if (ec)
         return;
     const auto address = remote.address().to_string();
-    if (m_sessions.size() >= m_limits.maximumConnections
-        || m_connectionsPerAddress[address] >= m_limits.maximumConnectionsPerAddress)
+    const auto refusal = refusalFor(address);
+    if (m_sessions.size() >= m_limits.maximumConnections + refusalConnections)
         return;
     socket.set_option(Tcp::no_delay(true), ec);
     ++m_connectionsPerAddress[address];
     const auto session = std::make_shared<HttpSession>(*this, std::move(socket), address);
     m_sessions.insert(session);
-    session->start();
+    if (m_isLastResponse)
+        session->closeAfterResponse();
+    if (refusal)
+        session->refuse(*refusal);
+    else
+        session->start();
+}
+
+std::optional<HttpResponse> HttpServer::refusalFor(const std::string &address) const
+{
+    const std::vector<HttpHeader> headers{{"Retry-After", "1"}};
+    if (m_sessions.size() >= m_limits.maximumConnections)
+        return HttpResponse{503, R"({"error":"connect: too many connections are open"})", headers};
+    const auto it = m_connectionsPerAddress.find(address);
+    if (it != m_connectionsPerAddress.end() && it->second >= m_limits.maximumConnectionsPerAddress)
+        return HttpResponse{429, R"({"error":"connect: too many connections are open from this address"})",
+                            headers};
+    return std::nullopt;
 }
 
 void HttpServer::remove(const std::shared_ptr<HttpSession> &session)
@@ -80,4 +125,17 @@
     m_sessions.erase(session);
 }
 
+bool HttpServer::reserveBody(std::uint64_t bytes)
+{
+    if (m_bodyBytes + bytes > m_limits.maximumBodyBytesInAll)
+        return false;
+    m_bodyBytes += bytes;
+    return true;
+}
+
+void HttpServer::releaseBody(std::uint64_t bytes)
+{
+    m_bodyBytes -= bytes;
+}
+
 } // namespace Citronpitch
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -32,7 +33,11 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    /// Takes no more connections, closes idle ones, and closes the others after their response.
+    /// Every response from now on ends its connection, so that callers connect anew and elsewhere.
+    void closeAfterResponses();
+
+    /// Takes the connections that wait to be accepted and no more, closes idle ones, and the others after
+    /// their response.
     void drain();
 
     /// Port that is listened on.
@@ -46,7 +51,11 @@
 
     void accept();
     void take(boost::asio::ip::tcp::socket socket);
+    void takeWaiting();
+    std::optional<HttpResponse> refusalFor(const std::string &address) const;
     void remove(const std::shared_ptr<HttpSession> &session);
+    bool reserveBody(std::uint64_t bytes);
+    void releaseBody(std::uint64_t bytes);
 
     boost::asio::io_context &m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
@@ -54,6 +63,8 @@
     HttpHandler m_handler;
     std::set<std::shared_ptr<HttpSession>> m_sessions;
     std::map<std::string, std::uint32_t> m_connectionsPerAddress;
+    std::uint64_t m_bodyBytes = 0;
+    bool m_isLastResponse = false;
     bool m_isDraining = false;
 };
 
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -7,9 +7,16 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace {
+
+constexpr std::size_t firstReadBytes = 4096;
+
+} // namespace
+
 HttpSession::HttpSession(HttpServer &server, boost::asio::ip::tcp::socket socket, std::string remoteAddress)
     : m_server(&server)
     , m_stream(std::move(socket))
+    , m_readTimer(m_stream.get_executor())
     , m_remoteAddress(std::move(remoteAddress))
 {
 }
@@ -19,9 +26,20 @@
     read();
 }
 
+void HttpSession::refuse(HttpResponse response)
+{
+    m_refusal = std::move(response);
+    read();
+}
+
+void HttpSession::closeAfterResponse()
+{
+    m_isLastResponse = true;
+}
+
 void HttpSession::drain()
 {
-    m_isDraining = true;
+    m_isLastResponse = true;
     if (!m_isHandling)
         close();
 }
@@ -46,11 +64,11 @@
     m_parser->body_limit(limits.maximumBodyBytes);
     // The first byte may take the idle time; the rest of the request has the read time.
     if (m_buffer.size() > 0) {
-        readRest();
+        readHeader();
         return;
     }
     m_stream.expires_after(limits.idleTimeout);
-    m_stream.async_read_some(m_buffer.prepare(4096),
+    m_stream.async_read_some(m_buffer.prepare(firstReadBytes),
                              [self = shared_from_this()](beast::error_code ec, std::size_t n) {
                                  if (self->m_isClosed)
                                      return;
@@ -59,14 +77,58 @@
                                      return;
                                  }
                                  self->m_buffer.commit(n);
-                                 self->readRest();
+                                 self->readHeader();
                              });
 }
 
-void HttpSession::readRest()
+void HttpSession::readHeader()
 {
     m_isHandling = true;
-    m_stream.expires_after(m_server->m_limits.readTimeout);
+    m_stream.expires_never();
+    startReadTimer();
+    http::async_read_header(m_stream, m_buffer, *m_parser,
+                            [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                                if (self->m_isClosed)
+                                    return;
+                                if (ec)
+                                    self->rejectInput(ec);
+                                else
+                                    self->readBody();
+                            });
+}
+
+void HttpSession::startReadTimer()
+{
+    m_readTimer.expires_after(m_server->m_limits.readTimeout);
+    m_readTimer.async_wait([self = shared_from_this()](beast::error_code ec) {
+        if (ec || self->m_isClosed)
+            return;
+        self->m_isReadTimedOut = true;
+        self->m_stream.cancel();
+    });
+}
+
+void HttpSession::readBody()
+{
+    if (m_refusal) {
+        write(*m_refusal, false);
+        return;
+    }
+    m_bodyBytes = m_parser->content_length().value_or(m_server->m_limits.maximumBodyBytes);
+    if (m_parser->is_done())
+        m_bodyBytes = 0;
+    if (!m_server->reserveBody(m_bodyBytes)) {
+        m_bodyBytes = 0;
+        write({503,
+               R"({"error":"read request: too many request bodies are being read; try again"})",
+               {{"Retry-After", "1"}}},
+              false);
+        return;
+    }
+    if (m_parser->is_done()) {
+        handle();
+        return;
+    }
     http::async_read(m_stream, m_buffer, *m_parser,
                      [self = shared_from_this()](beast::error_code ec, std::size_t) {
                          if (self->m_isClosed)
@@ -80,7 +142,7 @@
 
 void HttpSession::handle()
 {
-    m_stream.expires_never();
+    m_readTimer.cancel();
     const auto message = m_parser->release();
     HttpRequest request;
     request.method = std::string(message.method_string());
@@ -88,7 +150,8 @@
     for (const auto &it : message)
         request.headers.push_back({std::string(it.name_string()), std::string(it.value())});
     request.body = message.body();
-    m_isDraining = m_isDraining || !message.keep_alive();
+    m_isLastResponse = m_isLastResponse || !message.keep_alive();
+    releaseBody();
     if (!splitTarget({message.target().data(), message.target().size()}, request)) {
         write({400, R"({"error":"the request target is malformed"})", {}}, false);
         return;
@@ -119,7 +182,7 @@
 void HttpSession::respond(HttpResponse response)
 {
     m_gone = nullptr;
-    write(std::move(response), !m_isDraining);
+    write(std::move(response), !m_isLastResponse);
 }
 
 void HttpSession::rejectInput(beast::error_code ec)
@@ -127,22 +190,25 @@
     const bool isInputError = ec == http::error::body_limit || ec == http::error::header_limit
         || (ec.category() == http::make_error_code(http::error::end_of_stream).category()
             && ec != http::error::end_of_stream && ec != http::error::partial_message);
-    if (!isInputError && ec != beast::error::timeout) {
+    if (!isInputError && !m_isReadTimedOut) {
         close();
         return;
     }
     int status = 400;
-    if (ec == http::error::body_limit)
+    if (m_isReadTimedOut)
+        status = 408;
+    else if (ec == http::error::body_limit)
         status = 413;
     else if (ec == http::error::header_limit)
         status = 431;
-    else if (ec == beast::error::timeout)
-        status = 408;
-    write({status, R"({"error":"read request: )" + ec.message() + "\"}", {}}, false);
+    const std::string cause = m_isReadTimedOut ? "the request took too long to arrive" : ec.message();
+    write({status, R"({"error":"read request: )" + cause + "\"}", {}}, false);
 }
 
 void HttpSession::write(HttpResponse response, bool keepAlive)
 {
+    releaseBody();
+    m_readTimer.cancel();
     m_isHandling = true;
     m_response = Response(static_cast<http::status>(response.status), 11);
     m_response.set(http::field::content_type, response.contentType);
@@ -157,18 +223,26 @@
                           if (self->m_isClosed)
                               return;
                           self->m_isHandling = false;
-                          if (ec || !keepAlive || self->m_isDraining)
+                          if (ec || !keepAlive || self->m_isLastResponse)
                               self->close();
                           else
                               self->read();
                       });
 }
 
+void HttpSession::releaseBody()
+{
+    if (m_server != nullptr)
+        m_server->releaseBody(std::exchange(m_bodyBytes, 0));
+}
+
 void HttpSession::close()
 {
     if (m_isClosed)
         return;
     m_isClosed = true;
+    m_readTimer.cancel();
+    releaseBody();
     beast::error_code ignored;
     m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     m_stream.close();
--- a/src/net/httpsession.h
+++ b/src/net/httpsession.h
@@ -3,6 +3,7 @@
 #include "net/httptypes.h"
 #include "settings/settings.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -25,7 +26,13 @@
     /// Reads the first request.
     void start();
 
-    /// Closes the connection once the response in progress, if any, is written.
+    /// Answers the first request with @p response, whatever it asks for, and closes the connection.
+    void refuse(HttpResponse response);
+
+    /// Every response from now on ends the connection.
+    void closeAfterResponse();
+
+    /// Closes the connection, or lets it be closed after the response in progress.
     void drain();
 
     const std::string &remoteAddress() const;
@@ -38,25 +45,35 @@
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
     void read();
-    void readRest();
+    void readHeader();
+    void startReadTimer();
+    void readBody();
     void handle();
     void watchForEnd();
     void respond(HttpResponse response);
     void rejectInput(boost::beast::error_code ec);
     void write(HttpResponse response, bool keepAlive);
+    void releaseBody();
     void close();
 
     HttpServer *m_server;
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
+    /// Ends a read that takes too long; unlike the stream's own timeout it leaves the socket open for a
+    /// response.
+    boost::asio::steady_timer m_readTimer;
     std::optional<Parser> m_parser;
+    std::optional<HttpResponse> m_refusal;
     Response m_response;
     std::string m_remoteAddress;
     HttpGone m_gone;
     /// Counts requests, so that a response that comes twice is dropped.
     std::uint64_t m_requestNumber = 0;
+    /// Bytes of the request body that count against the server's limit.
+    std::uint64_t m_bodyBytes = 0;
     bool m_isHandling = false;
-    bool m_isDraining = false;
+    bool m_isReadTimedOut = false;
+    bool m_isLastResponse = false;
     bool m_isClosed = false;
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -35,6 +35,7 @@
 {
     CallerLimits limits;
     limits.maximumBodyBytes = from.value("maximumBodyBytes", std::uint64_t{8} << 20);
+    limits.maximumBodyBytesInAll = from.value("maximumBodyBytesInAll", std::uint64_t{256} << 20);
     limits.maximumHeaderBytes = from.value("maximumHeaderBytes", 16384U);
     limits.maximumConnections = from.value("maximumConnections", 10000U);
     limits.maximumConnectionsPerAddress = from.value("maximumConnectionsPerAddress", 4000U);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -32,6 +32,8 @@
 struct CallerLimits
 {
     std::uint64_t maximumBodyBytes = 0;
+    /// Largest sum of the request bodies that are being read at one time.
+    std::uint64_t maximumBodyBytesInAll = 0;
     std::uint32_t maximumHeaderBytes = 0;
     std::uint32_t maximumConnections = 0;
     std::uint32_t maximumConnectionsPerAddress = 0;
--- /dev/null
+++ b/tests/integration/callerlimitstest.cpp
@@ -0,0 +1,225 @@
+#include "support/deployment.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <functional>
+#include <thread>
+
+using namespace Citronpitch;
+using Json = nlohmann::json;
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+/// One input that must be refused, and what the error must say.
+struct BadInput
+{
+    std::string body;
+    std::string expected;
+};
+
+/// A connection on which a test writes bytes by hand.
+class RawConnection
+{
+public:
+    explicit RawConnection(const Endpoint &endpoint)
+        : m_socket(m_io)
+    {
+        m_socket.connect({boost::asio::ip::make_address(endpoint.address), endpoint.port});
+    }
+
+    void write(const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// Everything that comes until the other side closes.
+    std::string readToEnd()
+    {
+        std::string bytes;
+        boost::system::error_code ec;
+        std::array<char, 4096> buf{};
+        while (!ec) {
+            const auto n = m_socket.read_some(boost::asio::buffer(buf), ec);
+            bytes.append(buf.data(), n);
+        }
+        return bytes;
+    }
+
+private:
+    boost::asio::io_context m_io;
+    Tcp::socket m_socket;
+};
+
+class CallerLimitsTest : public testing::Test
+{
+protected:
+    void start(const std::string &limits)
+    {
+        DeploymentPlan plan;
+        plan.programs = CITRONPITCH_PROGRAMS;
+        plan.folder = std::string(CITRONPITCH_PROGRAMS) + "/integration/limits-"
+            + testing::UnitTest::GetInstance()->current_test_info()->name();
+        plan.vms = {{"a1", "a"}};
+        plan.upstreams = {{"ua", "a"}};
+        plan.vmSettings =
+            R"({"initialConfiguration": {"classes": [{"name": "casework"}]}, "limits": )" + limits + "}";
+        m_deployment = std::make_unique<Deployment>(plan);
+        m_deployment->start();
+        ASSERT_TRUE(m_deployment->waitUntilReady(std::chrono::seconds(20)));
+    }
+
+    ClientResponse post(const std::string &body, const std::string &key = "key")
+    {
+        ClientRequest request;
+        request.method = "POST";
+        request.target = "/v1/jobs";
+        request.headers = {{"Idempotency-Key", key}};
+        request.body = body;
+        return call(m_deployment->callers("a1"), request);
+    }
+
+    /// Whether @p condition comes true within a generous time.
+    static bool eventually(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 500; ++i) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    std::unique_ptr<Deployment> m_deployment;
+};
+
+const std::string goodBody =
+    R"({"team": "t", "class": "casework", "tasks": [{"payload": {"id": "x", "ms": 1}}]})";
+
+} // namespace
+
+TEST_F(CallerLimitsTest, malformedInputGetsAnErrorThatSaysWhere)
+{
+    start("{}");
+    const std::vector<BadInput> inputs{
+        {R"({"team": "t",)", "byte 14"},
+        {R"([])", "an object is expected"},
+        {R"({"team": "t", "class": "c", "tasks": [{}], "colour": 1})", "unknown field \"colour\""},
+        {R"({"class": "c", "tasks": [{}]})", "field \"team\""},
+        {R"({"team": "t", "class": "c", "tasks": []})", "\"tasks\" must be a non-empty list"},
+        {R"({"team": "t", "class": "c", "tasks": [{"payload": "x"}, {"need": 3}]})", "tasks[1].need"},
+        {R"({"team": "t", "class": "c", "tasks": [{"declaredMs": -1}]})", "tasks[0]"},
+        {R"({"team": "t", "class": "c", "deadline": "soon", "tasks": [{}]})", "field \"deadline\""},
+        {R"({"team": "t", "class": "c", "idempotent": 1, "tasks": [{}]})", "field \"idempotent\""},
+    };
+    for (const auto &it : inputs) {
+        const auto response = post(it.body);
+        EXPECT_EQ(response.response.status, 400) << it.body;
+        const auto error = Json::parse(response.response.body).at("error").get<std::string>();
+        EXPECT_NE(error.find(it.expected), std::string::npos) << error;
+    }
+    Json many = Json::parse(goodBody);
+    many["tasks"] = std::vector<Json>(641, Json::object());
+    EXPECT_EQ(post(many.dump()).response.status, 400);
+    EXPECT_EQ(post(goodBody, "two words").response.status, 400);
+    EXPECT_EQ(m_deployment->records().started, 0U);
+    EXPECT_EQ(post(goodBody).response.status, 200);
+}
+
+TEST_F(CallerLimitsTest, unknownClassIsRefusedNotRun)
+{
+    start("{}");
+    const auto response = post(R"({"team": "t", "class": "none", "tasks": [{}]})");
+    EXPECT_EQ(response.response.status, 422);
+    const auto body = Json::parse(response.response.body);
+    EXPECT_EQ(body.at("outcome"), "refused");
+    EXPECT_EQ(body.at("reason"), "unknown-class");
+    EXPECT_EQ(body.at("ran"), "not run");
+}
+
+TEST_F(CallerLimitsTest, largeBodiesAndHeadersAreRefused)
+{
+    start(R"({"maximumBodyBytes": 10000, "maximumHeaderBytes": 2000})");
+    EXPECT_EQ(post(std::string(20000, ' ')).response.status, 413);
+    EXPECT_EQ(post(goodBody, std::string(3000, 'k')).response.status, 431);
+    EXPECT_EQ(post(goodBody).response.status, 200);
+}
+
+TEST_F(CallerLimitsTest, slowRequestIsEndedAndCostsOthersNothing)
+{
+    start(R"({"readTimeoutMs": 300})");
+    RawConnection slow(m_deployment->callers("a1"));
+    slow.write("POST /v1/jobs HTTP/1.1\r\nContent-Length: 100\r\n\r\n{");
+    EXPECT_EQ(post(goodBody).response.status, 200);
+    EXPECT_TRUE(slow.readToEnd().starts_with("HTTP/1.1 408"));
+}
+
+TEST_F(CallerLimitsTest, idleConnectionIsClosed)
+{
+    start(R"({"idleTimeoutMs": 200})");
+    RawConnection idle(m_deployment->callers("a1"));
+    EXPECT_EQ(idle.readToEnd(), "");
+}
+
+TEST_F(CallerLimitsTest, connectionsOverTheLimitAreToldSo)
+{
+    start(R"({"maximumConnectionsPerAddress": 3})");
+    const std::string request = "GET /healthz HTTP/1.1\r\n\r\n";
+    std::vector<std::unique_ptr<RawConnection>> open;
+    for (int i = 0; i < 3; ++i) {
+        open.push_back(std::make_unique<RawConnection>(m_deployment->callers("a1")));
+        open.back()->write(request);
+    }
+    ASSERT_TRUE(eventually([&] { return post(goodBody).response.status == 429; }));
+    RawConnection over(m_deployment->callers("a1"));
+    over.write(request);
+    EXPECT_TRUE(over.readToEnd().starts_with("HTTP/1.1 429"));
+}
+
+TEST_F(CallerLimitsTest, bodiesOverTheSharedLimitAreRefused)
+{
+    start(R"({"maximumBodyBytesInAll": 1000})");
+    auto first = std::make_unique<RawConnection>(m_deployment->callers("a1"));
+    first->write("POST /v1/jobs HTTP/1.1\r\nContent-Length: 900\r\n\r\n{");
+    ASSERT_TRUE(eventually([&] { return post(std::string(500, ' ')).response.status == 503; }));
+    RawConnection second(m_deployment->callers("a1"));
+    second.write("POST /v1/jobs HTTP/1.1\r\nContent-Length: 900\r\n\r\n{");
+    EXPECT_TRUE(second.readToEnd().starts_with("HTTP/1.1 503"));
+    first.reset();
+    EXPECT_TRUE(eventually([&] { return post(goodBody).response.status == 200; }));
+}
+
+TEST_F(CallerLimitsTest, notHttpIsRefused)
+{
+    start("{}");
+    RawConnection raw(m_deployment->callers("a1"));
+    raw.write("this is not HTTP\r\n\r\n");
+    EXPECT_TRUE(raw.readToEnd().starts_with("HTTP/1.1 400"));
+}
+
+TEST_F(CallerLimitsTest, announcementsAreChecked)
+{
+    start("{}");
+    ClientRequest request;
+    request.method = "PUT";
+    request.target = "/v1/upstreams/u";
+    const std::vector<BadInput> inputs{
+        {R"({"address": "127.0.0.1", "port": 0, "slots": 1, "incarnation": 1})", "field \"port\""},
+        {R"({"address": "host.example", "port": 1, "slots": 1, "incarnation": 1})", "field \"address\""},
+        {R"({"address": "127.0.0.1", "port": 1, "slots": 0, "incarnation": 1})", "field \"slots\""},
+        {R"({"address": "127.0.0.1", "port": 1, "slots": 1})", "field \"incarnation\""},
+        {R"({"address": "127.0.0.1", "port": 1, "slots": 1, "incarnation": 1, "weight": 2})", "\"weight\""},
+        {R"({)", "byte"},
+    };
+    for (const auto &it : inputs) {
+        request.body = it.body;
+        const auto response = call(m_deployment->control("a1"), request);
+        EXPECT_EQ(response.response.status, 400) << it.body;
+        const auto error = Json::parse(response.response.body).at("error").get<std::string>();
+        EXPECT_NE(error.find(it.expected), std::string::npos) << error;
+    }
+}
--- a/tests/support/fakeupstream.cpp
+++ b/tests/support/fakeupstream.cpp
@@ -9,8 +9,8 @@
 constexpr auto renewalPeriod = std::chrono::milliseconds(500);
 constexpr auto announceTimeout = std::chrono::seconds(1);
 
-const CallerLimits limits{std::uint64_t{64} << 20, 16384, 10000, 10000, std::chrono::hours(1),
-                          std::chrono::minutes(1)};
+const CallerLimits limits{std::uint64_t{64} << 20, std::uint64_t{1} << 30, 16384, 10000, 10000,
+                          std::chrono::hours(1),   std::chrono::minutes(1)};
 
 Endpoint endpointOf(const Json &from)
 {
