Prove the path behind faults: broken, late and cut connections; links whose state is known

Cause: a forward over a link that had ended was resent only after 1 s and given up only after the suspicion time. Change: the link to each VM is a Boost.MSM state machine fed by the socket's events; forwards are resent when the link stands again and given up 500 ms after it ended. Integration tests with real processes behind the proxy. Found on the way: children inherited the proxy's sockets, so closed connections stayed open; the tests took ports of other processes; a reference into a temporary made the readiness check of the tests pass early. All three mended.

--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -75,6 +75,9 @@
     /// A message of another entry VM arrived.
     void peerMessage(TimePoint now, const citronpitch::wire::PeerMessage &message);
 
+    /// The link to @p vm stands from now on, or has ended.
+    void linkChanged(TimePoint now, const std::string &vm, bool isUp);
+
     /// The journal has synced the record with @p token.
     void journalSynced(TimePoint now, std::uint64_t token);
 
@@ -133,6 +136,7 @@
     void forwardedRequest(TimePoint now, const citronpitch::wire::PeerMessage &message);
     void forwardedAnswer(const citronpitch::wire::PeerMessage &message);
     void failForwards(TimePoint now, const std::string &home);
+    void failForwardsOfEndedLinks(TimePoint now);
     void place(TimePoint now);
     void startAttempt(const Placement &placement);
     void finishJob(TimePoint now, JobId job, const Answer &answer);
@@ -155,6 +159,8 @@
     std::map<AttemptId, OpenAttempt> m_attempts;
     std::map<std::uint64_t, JobId> m_awaitingSync;
     std::map<std::uint64_t, Forward> m_forwards;
+    /// When forwards over a link that has ended are given up, by VM.
+    std::map<std::string, TimePoint> m_endedLinks;
     std::vector<Action> m_actions;
     TimePoint m_nextHeartbeat;
     JobId m_nextJob = 1;
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -18,6 +18,9 @@
 constexpr Duration unreachableRetry = std::chrono::seconds(1);
 constexpr Duration drainRetry = std::chrono::seconds(2);
 
+/// How long a link that has ended may take to stand again before forwards over it are given up.
+constexpr Duration reconnectGrace = std::chrono::milliseconds(500);
+
 /// How long after the deadline of a job the home's answer is still waited for.
 constexpr Duration answerGrace = std::chrono::milliseconds(500);
 
@@ -137,6 +140,19 @@
     }
 }
 
+void EntryVm::linkChanged(TimePoint now, const std::string &vm, bool isUp)
+{
+    if (!isUp) {
+        m_endedLinks.emplace(vm, now + reconnectGrace);
+        return;
+    }
+    m_endedLinks.erase(vm);
+    for (const auto &[number, forward] : m_forwards) {
+        if (forward.home == vm)
+            sendForward(number, forward);
+    }
+}
+
 void EntryVm::journalSynced(TimePoint now, std::uint64_t token)
 {
     const auto it = m_awaitingSync.find(token);
@@ -161,6 +177,7 @@
         failForwards(now, it);
         updateShare();
     }
+    failForwardsOfEndedLinks(now);
     failLateJobs(now);
     resendForwards(now);
     m_claims.expire(now);
@@ -308,7 +325,9 @@
 
 void EntryVm::forward(TimePoint now, const std::string &home, CallerId caller, CallerRequest request)
 {
-    if (!m_membership.isReachable(home)) {
+    const auto ended = m_endedLinks.find(home);
+    const bool isLinkEnded = ended != m_endedLinks.end() && ended->second <= now;
+    if (!m_membership.isReachable(home) || isLinkEnded) {
         const auto &key = request.submission.key;
         reply({{}, 0, caller},
               unknownAnswer(key, Reason::HomeUnreachable, "forward: VM " + home + " is out of reach",
@@ -375,6 +394,14 @@
     }
 }
 
+void EntryVm::failForwardsOfEndedLinks(TimePoint now)
+{
+    for (const auto &[vm, deadline] : m_endedLinks) {
+        if (deadline <= now)
+            failForwards(now, vm);
+    }
+}
+
 void EntryVm::place(TimePoint now)
 {
     const auto placements = m_dispatcher.place(now);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -54,8 +54,13 @@
                       m_vm.attemptEnded(now(), attempt, result);
                       carryOut();
                   })
-    , m_links(m_io, settings.name, settings.peers, settings.vms,
-              [this](std::string_view bytes) { peerReceived(bytes); })
+    , m_links(
+          m_io, settings.name, settings.peers, settings.vms,
+          [this](std::string_view bytes) { peerReceived(bytes); },
+          [this](const std::string &vm, bool isUp) {
+              m_vm.linkChanged(now(), vm, isUp);
+              carryOut();
+          })
     , m_callerServer(m_io, settings.callers, settings.limits,
                      [this](const HttpRequest &request, HttpResponder respond) {
                          return handleCaller(request, std::move(respond));
--- /dev/null
+++ b/src/net/linkstate.cpp
@@ -0,0 +1,127 @@
+#include "net/linkstate.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace Citronpitch {
+
+namespace msm = boost::msm;
+
+namespace {
+
+struct Connected
+{
+};
+struct Disconnected
+{
+};
+struct Closed
+{
+};
+
+/// The transitions; fixed at compile time since they follow the socket's events and are no operator's
+/// concern.
+struct LinkDefinition : msm::front::state_machine_def<LinkDefinition>
+{
+    struct Down : msm::front::state<>
+    {
+    };
+    struct Up : msm::front::state<>
+    {
+    };
+    struct Ended : msm::front::terminate_state<>
+    {
+    };
+
+    struct ReportUp
+    {
+        template <typename Event, typename Machine, typename Source, typename Target>
+        void operator()(const Event &, Machine &machine, Source &, Target &) const
+        {
+            machine.enter(LinkPhase::Up);
+        }
+    };
+    struct ReportDown
+    {
+        template <typename Event, typename Machine, typename Source, typename Target>
+        void operator()(const Event &, Machine &machine, Source &, Target &) const
+        {
+            machine.enter(LinkPhase::Down);
+        }
+    };
+    struct ReportClosed
+    {
+        template <typename Event, typename Machine, typename Source, typename Target>
+        void operator()(const Event &, Machine &machine, Source &, Target &) const
+        {
+            machine.enter(LinkPhase::Closed);
+        }
+    };
+
+    using initial_state = Down;
+    template <typename Source, typename Event, typename Target, typename Action>
+    using Row = msm::front::Row<Source, Event, Target, Action, msm::front::none>;
+    struct transition_table // NOLINT(readability-identifier-naming): the name that MSM looks for
+        : boost::mpl::vector<Row<Down, Connected, Up, ReportUp>, //
+                             Row<Up, Disconnected, Down, ReportDown>, //
+                             Row<Down, Closed, Ended, ReportClosed>, //
+                             Row<Up, Closed, Ended, ReportClosed>>
+    {
+    };
+
+    /// Events that change nothing in a state, such as a second end of the same connection.
+    template <typename Machine, typename Event>
+    void no_transition(const Event &, Machine &, int) // NOLINT(readability-identifier-naming): likewise
+    {
+    }
+
+    void enter(LinkPhase next)
+    {
+        phase = next;
+        if (changed)
+            changed(next);
+    }
+
+    LinkChanged changed;
+    LinkPhase phase = LinkPhase::Down;
+};
+
+} // namespace
+
+class LinkState::Machine : public msm::back::state_machine<LinkDefinition>
+{
+};
+
+LinkState::LinkState(LinkChanged changed)
+    : m_machine(std::make_unique<Machine>())
+{
+    m_machine->changed = std::move(changed);
+    m_machine->start();
+}
+
+LinkState::~LinkState() = default;
+LinkState::LinkState(LinkState &&other) noexcept = default;
+LinkState &LinkState::operator=(LinkState &&other) noexcept = default;
+
+void LinkState::connected()
+{
+    m_machine->process_event(Connected());
+}
+
+void LinkState::disconnected()
+{
+    m_machine->process_event(Disconnected());
+}
+
+void LinkState::closed()
+{
+    m_machine->process_event(Closed());
+}
+
+LinkPhase LinkState::phase() const
+{
+    return m_machine->phase;
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/net/peerlink.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "net/linkstate.h"
+#include "settings/settings.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace zmq {
+class context_t;
+class socket_t;
+} // namespace zmq
+
+namespace Citronpitch {
+
+/**
+ * @brief Sending side of the link to one other entry VM: a ZeroMQ socket, and its state from the socket's
+ * events.
+ *
+ * Used by PeerLinks.
+ */
+class PeerLink
+{
+public:
+    /// @p name is this VM's name, which the other side routes by.
+    PeerLink(boost::asio::io_context &io, zmq::context_t &context, const std::string &name,
+             const VmSettings &vm, LinkChanged changed);
+    ~PeerLink();
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+
+    /// Sends @p bytes. Returns false when no connection stands and the message was dropped.
+    bool send(std::string_view bytes);
+
+    LinkPhase phase() const;
+
+private:
+    class Sockets;
+
+    std::unique_ptr<Sockets> m_sockets;
+};
+
+/// Options that every socket between entry VMs has: no lingering, bounded queues, heartbeats.
+void preparePeerSocket(zmq::socket_t &socket);
+
+} // namespace Citronpitch
--- a/src/net/peerlinks.cpp
+++ b/src/net/peerlinks.cpp
@@ -1,5 +1,7 @@
 #include "net/peerlinks.h"
 
+#include "net/peerlink.h"
+
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
 #include <zmq.hpp>
@@ -10,20 +12,9 @@
 
 namespace {
 
-constexpr int sendLimitMessages = 20000;
-constexpr int heartbeatMilliseconds = 500;
-constexpr int heartbeatTimeoutMilliseconds = 2000;
-constexpr int reconnectMilliseconds = 50;
-constexpr int reconnectLimitMilliseconds = 500;
-
 /// Messages read before other events get their turn.
 constexpr int messagesPerTurn = 200;
 
-std::string addressOf(const Endpoint &endpoint)
-{
-    return "tcp://" + endpoint.address + ":" + std::to_string(endpoint.port);
-}
-
 } // namespace
 
 /// The ZeroMQ sockets; apart, so that no other file sees their headers.
@@ -31,7 +22,8 @@
 {
 public:
     Sockets(boost::asio::io_context &io, PeerReceived received)
-        : m_context(1)
+        : m_io(io)
+        , m_context(1)
         , m_inbound(m_context, zmq::socket_type::router)
         , m_readable(io)
         , m_received(std::move(received))
@@ -46,44 +38,30 @@
 
     void bind(const Endpoint &own)
     {
-        prepare(m_inbound);
+        preparePeerSocket(m_inbound);
         m_inbound.set(zmq::sockopt::router_handover, 1);
-        m_inbound.bind(addressOf(own));
+        m_inbound.bind("tcp://" + own.address + ":" + std::to_string(own.port));
         m_readable.assign(m_inbound.get(zmq::sockopt::fd));
         readTurn();
     }
 
-    void connect(const std::string &name, const VmSettings &vm)
+    void connect(const std::string &name, const VmSettings &vm, const PeerLinkChanged &changed)
     {
-        auto &socket =
-            m_outbound.emplace(vm.identity.name, zmq::socket_t(m_context, zmq::socket_type::dealer))
-                .first->second;
-        prepare(socket);
-        socket.set(zmq::sockopt::routing_id, name);
-        socket.set(zmq::sockopt::immediate, 1);
-        socket.set(zmq::sockopt::reconnect_ivl, reconnectMilliseconds);
-        socket.set(zmq::sockopt::reconnect_ivl_max, reconnectLimitMilliseconds);
-        socket.connect(addressOf(vm.peers));
+        const auto other = vm.identity.name;
+        auto link = std::make_unique<PeerLink>(m_io, m_context, name, vm, [other, changed](LinkPhase phase) {
+            if (changed && phase != LinkPhase::Closed)
+                changed(other, phase == LinkPhase::Up);
+        });
+        m_links.emplace(other, std::move(link));
     }
 
     bool send(const std::string &vm, std::string_view bytes)
     {
-        const auto it = m_outbound.find(vm);
-        if (it == m_outbound.end())
-            return false;
-        return it->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+        const auto it = m_links.find(vm);
+        return it != m_links.end() && it->second->send(bytes);
     }
 
 private:
-    static void prepare(zmq::socket_t &socket)
-    {
-        socket.set(zmq::sockopt::linger, 0);
-        socket.set(zmq::sockopt::sndhwm, sendLimitMessages);
-        socket.set(zmq::sockopt::rcvhwm, sendLimitMessages);
-        socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMilliseconds);
-        socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMilliseconds);
-    }
-
     /// Reads what has arrived. The descriptor signals changes only, so it is waited for when nothing is left.
     void readTurn()
     {
@@ -115,22 +93,24 @@
                               });
     }
 
+    boost::asio::io_context &m_io;
     zmq::context_t m_context;
     zmq::socket_t m_inbound;
-    std::map<std::string, zmq::socket_t> m_outbound;
+    std::map<std::string, std::unique_ptr<PeerLink>> m_links;
     boost::asio::posix::stream_descriptor m_readable;
     PeerReceived m_received;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 PeerLinks::PeerLinks(boost::asio::io_context &io, const std::string &name, const Endpoint &own,
-                     const std::vector<VmSettings> &vms, PeerReceived received)
+                     const std::vector<VmSettings> &vms, PeerReceived received,
+                     const PeerLinkChanged &changed)
     : m_sockets(std::make_unique<Sockets>(io, std::move(received)))
 {
     m_sockets->bind(own);
     for (const auto &it : vms) {
         if (it.identity.name != name)
-            m_sockets->connect(name, it);
+            m_sockets->connect(name, it, changed);
     }
 }
 
--- a/tests/integration/callerlimitstest.cpp
+++ b/tests/integration/callerlimitstest.cpp
@@ -1,12 +1,10 @@
 #include "support/deployment.h"
+#include "support/submissions.h"
 
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 
 #include <array>
-#include <functional>
-#include <thread>
 
 using namespace Citronpitch;
 using Json = nlohmann::json;
@@ -83,17 +81,6 @@
         return call(m_deployment->callers("a1"), request);
     }
 
-    /// Whether @p condition comes true within a generous time.
-    static bool eventually(const std::function<bool()> &condition)
-    {
-        for (int i = 0; i < 500; ++i) {
-            if (condition())
-                return true;
-            std::this_thread::sleep_for(std::chrono::milliseconds(20));
-        }
-        return false;
-    }
-
     std::unique_ptr<Deployment> m_deployment;
 };
 
--- a/tests/integration/pathtest.cpp
+++ b/tests/integration/pathtest.cpp
@@ -1,9 +1,8 @@
 #include "support/deployment.h"
+#include "support/submissions.h"
 
 #include <gtest/gtest.h>
-#include <nlohmann/json.hpp>
 
-#include <csignal>
 #include <thread>
 
 using namespace Citronpitch;
@@ -24,22 +23,7 @@
 
 ClientRequest submission(const std::string &key, int tasks, int milliseconds)
 {
-    Json list = Json::array();
-    for (int i = 0; i < tasks; ++i)
-        list.push_back(
-            {{"payload", Json{{"id", key + "/" + std::to_string(i)}, {"ms", milliseconds}}.dump()}});
-    ClientRequest request;
-    request.method = "POST";
-    request.target = "/v1/jobs";
-    request.headers = {{"Idempotency-Key", key}};
-    request.body = Json{{"team", "t"}, {"class", "casework"}, {"tasks", list}}.dump();
-    request.timeout = std::chrono::seconds(30);
-    return request;
-}
-
-Json bodyOf(const ClientResponse &response)
-{
-    return Json::parse(response.response.body, nullptr, false);
+    return submissionOf({key, tasks, milliseconds});
 }
 
 } // namespace
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -34,6 +34,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                      0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // The sockets of a proxy in this process would else stay open in the child.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int result = posix_spawn(&m_id, program.c_str(), &actions, nullptr, values.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (result != 0)
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -23,9 +23,12 @@
     return {{"address", endpoint.address}, {"port", endpoint.port}};
 }
 
-Endpoint freeEndpoint()
+/// Differs between processes that run at one time, so that they never take each other's ports.
+std::string ownLoopbackAddress()
 {
-    return {"127.0.0.1", freePort()};
+    const auto id = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string((id >> 14 & 0x7f) + 1) + "." + std::to_string(id >> 7 & 0x7f) + "."
+        + std::to_string((id & 0x7f) + 1);
 }
 
 void writeFile(const std::string &path, const Json &content)
@@ -35,22 +38,22 @@
 
 } // namespace
 
-std::uint16_t freePort()
+Endpoint freeEndpoint()
 {
     // Below the range from which the system takes the ports of outgoing connections.
     constexpr std::uint16_t firstPort = 10000;
     constexpr std::uint16_t lastPort = 32000;
-    static std::uint16_t next =
-        static_cast<std::uint16_t>(firstPort + (::getpid() * 97) % (lastPort - firstPort));
+    static std::uint16_t next = firstPort;
     using Tcp = boost::asio::ip::tcp;
     boost::asio::io_context io;
+    const auto address = ownLoopbackAddress();
     for (;;) {
         next = next >= lastPort ? firstPort : static_cast<std::uint16_t>(next + 1);
         Tcp::acceptor acceptor(io, Tcp::v4());
         boost::system::error_code ec;
-        acceptor.bind(Tcp::endpoint(boost::asio::ip::make_address_v4("127.0.0.1"), next), ec);
+        acceptor.bind(Tcp::endpoint(boost::asio::ip::make_address_v4(address), next), ec);
         if (!ec)
-            return next;
+            return {address, next};
     }
 }
 
@@ -234,7 +237,8 @@
     const auto upstreams = call(control(vm.name), request);
     if (status.end != ExchangeEnd::Answered || upstreams.end != ExchangeEnd::Answered)
         return false;
-    for (const auto &it : Json::parse(status.response.body).at("vms")) {
+    const auto statusBody = Json::parse(status.response.body);
+    for (const auto &it : statusBody.at("vms")) {
         if (it.at("state") != "alive")
             return false;
     }
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -112,8 +112,8 @@
     std::map<std::string, std::unique_ptr<ChildProcess>> m_processes;
 };
 
-/// A loopback port that nothing listens on at the moment.
-std::uint16_t freePort();
+/// A loopback address of this process alone, with a port that nothing listens on at the moment.
+Endpoint freeEndpoint();
 
 /// Sends one request and waits for its end.
 ClientResponse call(const Endpoint &endpoint, const ClientRequest &request);
