Choose the placement policy by settings, with three baselines

Cause: the policy is to be compared with round robin, random and least outstanding in the same program. The setting "placement" names one; the baselines queue first in, first out and share only the slots. Ruled out: a balancer of its own as a second program, whose delays would differ for other reasons than its choices.

--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -3,9 +3,11 @@
 #include "citronpitch/claimbook.h"
 #include "citronpitch/configuration.h"
 #include "citronpitch/job.h"
+#include "citronpitch/placementpolicy.h"
 #include "citronpitch/upstream.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -14,6 +16,8 @@
 
 namespace Citronpitch {
 
+struct BaselineCandidate;
+
 /// Decision to run one task on one upstream.
 struct Placement
 {
@@ -42,6 +46,14 @@
     std::uint32_t busySlots = 0;
 };
 
+/// How a Dispatcher decides.
+struct DispatcherOptions
+{
+    PlacementPolicy placement = PlacementPolicy::Target;
+    /// Seed of PlacementPolicy::Random.
+    std::uint64_t seed = 0;
+};
+
 /**
  * @brief Decides which waiting task runs next and on which upstream.
  *
@@ -51,6 +63,8 @@
 class Dispatcher
 {
 public:
+    explicit Dispatcher(const DispatcherOptions &options = {});
+
     /// Takes over the declared classes and teams; takes effect on queued tasks at once.
     void setConfiguration(const Configuration &configuration);
 
@@ -117,7 +131,10 @@
     std::uint32_t ownSlots(const Upstream &upstream) const;
     bool isUsable(TimePoint now, const Upstream &upstream) const;
     Upstream *choose(TimePoint now);
+    Upstream *chooseForBaseline(TimePoint now);
 
+    DispatcherOptions m_options;
+    std::function<std::size_t(const std::vector<BaselineCandidate> &)> m_baseline;
     Configuration m_configuration;
     std::uint32_t m_part = 0;
     std::uint32_t m_parts = 1;
--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -28,6 +28,8 @@
     Duration suspicionTime = std::chrono::milliseconds(1500);
     /// How long answers are kept.
     Duration retention = std::chrono::hours(1);
+    /// How waiting tasks are ordered and upstreams chosen.
+    DispatcherOptions dispatching;
 };
 
 /// What a caller asks for with a key.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -1,10 +1,18 @@
 #include "citronpitch/dispatcher.h"
 
+#include "core/dispatch/baseline.h"
+
 #include <algorithm>
 #include <functional>
 
 namespace Citronpitch {
 
+Dispatcher::Dispatcher(const DispatcherOptions &options)
+    : m_options(options)
+    , m_baseline(baselineChoice(options.placement, options.seed))
+{
+}
+
 void Dispatcher::setConfiguration(const Configuration &configuration)
 {
     m_configuration = configuration;
@@ -53,7 +61,8 @@
 void Dispatcher::requeue(TimePoint, JobId job, std::uint32_t task)
 {
     auto &queued = m_jobs[job];
-    m_waiting.insert({queued.deadline, m_nextOrder++, job, task});
+    const auto deadline = m_baseline ? TimePoint() : queued.deadline;
+    m_waiting.insert({deadline, m_nextOrder++, job, task});
     ++queued.waiting;
 }
 
@@ -138,6 +147,8 @@
 
 Dispatcher::Upstream *Dispatcher::choose(TimePoint now)
 {
+    if (m_baseline)
+        return chooseForBaseline(now);
     Upstream *best = nullptr;
     for (auto &[name, upstream] : m_upstreams) {
         if (!isUsable(now, upstream))
@@ -148,4 +159,19 @@
     return best;
 }
 
+Dispatcher::Upstream *Dispatcher::chooseForBaseline(TimePoint now)
+{
+    std::vector<BaselineCandidate> candidates;
+    std::vector<Upstream *> upstreams;
+    std::size_t position = 0;
+    for (auto &[name, upstream] : m_upstreams) {
+        ++position;
+        if (!isUsable(now, upstream))
+            continue;
+        candidates.push_back({position, upstream.busy});
+        upstreams.push_back(&upstream);
+    }
+    return upstreams.empty() ? nullptr : upstreams[m_baseline(candidates)];
+}
+
 } // namespace Citronpitch
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -46,6 +46,7 @@
     : m_options(options)
     , m_membership(options.self.name, options.vms, options.suspicionTime)
     , m_claims(options.retention)
+    , m_dispatcher(options.dispatching)
 {
     for (const auto &it : options.vms)
         m_vmNames.push_back(it.name);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,6 +39,7 @@
     options.heartbeatPeriod = settings.heartbeatPeriod;
     options.suspicionTime = settings.suspicionTime;
     options.retention = settings.answerRetention;
+    options.dispatching.placement = settings.placement;
     return options;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -62,6 +62,15 @@
     return configuration;
 }
 
+PlacementPolicy parsePlacement(const Json &from)
+{
+    const auto name = from.value("placement", std::string("target"));
+    const auto policy = valueIn(placementPolicyNames, name);
+    if (!policy)
+        throw Json::other_error::create(501, "placement: there is no policy \"" + name + "\"", &from);
+    return *policy;
+}
+
 Settings parseAll(const Json &from)
 {
     Settings settings;
@@ -80,6 +89,7 @@
     settings.answerRetention = milliseconds(from, "answerRetentionMs", 3600000);
     settings.defaultDeadline = milliseconds(from, "defaultDeadlineMs", 30000);
     settings.drainTimeout = milliseconds(from, "drainTimeoutMs", 30000);
+    settings.placement = parsePlacement(from);
     settings.initialConfiguration = parseConfiguration(from.value("initialConfiguration", Json::object()));
     return settings;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -2,6 +2,7 @@
 
 #include "citronpitch/configuration.h"
 #include "citronpitch/membership.h"
+#include "citronpitch/placementpolicy.h"
 #include "citronpitch/steperror.h"
 
 #include <boost/leaf.hpp>
@@ -56,6 +57,8 @@
     Duration answerRetention{};
     Duration defaultDeadline{};
     Duration drainTimeout{};
+    /// How waiting tasks are ordered and upstreams chosen; other than the default only for comparison.
+    PlacementPolicy placement = PlacementPolicy::Target;
     /// Classes and teams in force before any change is accepted.
     Configuration initialConfiguration;
 };
--- /dev/null
+++ b/tests/integration/placementsettingstest.cpp
@@ -0,0 +1,44 @@
+#include "settings/settings.h"
+
+#include <gtest/gtest.h>
+
+using namespace Citronpitch;
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+std::string settingsText(const std::string &more)
+{
+    return R"({"name": "a1", "failureDomain": "a", "callers": {"address": "127.0.0.1", "port": 1},
+        "control": {"address": "127.0.0.1", "port": 2}, "peers": {"address": "127.0.0.1", "port": 3}, "vms": [])"
+        + more + "}";
+}
+
+/// Placement that @p text asks for, or the text of the error.
+std::string placementOf(const std::string &text)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+            BOOST_LEAF_ASSIGN(const auto settings, parseSettings(text, "test"));
+            return std::string(nameIn(placementPolicyNames, settings.placement));
+        },
+        [](const StepError &error) { return error.text(); }, [] { return std::string("other error"); });
+}
+
+} // namespace
+
+TEST(PlacementSettingsTest, aBaselineIsChosenByName)
+{
+    EXPECT_EQ(placementOf(settingsText("")), "target");
+    for (const auto &it : placementPolicyNames) {
+        const std::string name(it.name);
+        EXPECT_EQ(placementOf(settingsText(R"(, "placement": ")" + name + '"')), name);
+    }
+}
+
+TEST(PlacementSettingsTest, anUnknownNameIsAnError)
+{
+    EXPECT_NE(placementOf(settingsText(R"(, "placement": "best")")).find("no policy \"best\""),
+              std::string::npos);
+}
