--- /dev/null
+++ b/src/charts/statechart.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "charts/chartdefinition.h"
+#include "citronpitch/nametable.h"
+
+#include <boost/leaf/error.hpp>
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Citronpitch {
+
+/**
+ * @brief A chart file bound to the states, events and actions of the code; interprets it.
+ *
+ * The object holds no state of its own: one chart serves any number of machines, each of which keeps its
+ * State. Used by the classes whose lives are drawn in charts/.
+ */
+template <typename State, std::size_t stateCount, typename Event, std::size_t eventCount, typename Action,
+          std::size_t actionCount>
+class StateChart
+{
+public:
+    using StateNames = std::array<EnumName<State>, stateCount>;
+    using EventNames = std::array<EnumName<Event>, eventCount>;
+    using ActionNames = std::array<EnumName<Action>, actionCount>;
+
+    /// Where an event leads to, and what is done on the way.
+    struct Step
+    {
+        State target{};
+        std::vector<Action> actions;
+    };
+
+    /**
+     * Binds @p chart to the names of the code.
+     *
+     * Fails on a name that the code lacks, on a state, event or action of the code that the chart never
+     * names, and on two transitions for one event.
+     */
+    static boost::leaf::result<StateChart> bind(const ChartDefinition &chart, const StateNames &stateNames,
+                                                const EventNames &eventNames, const ActionNames &actionNames)
+    {
+        StateChart bound;
+        const auto initial = valueIn(stateNames, chart.initial);
+        if (!initial)
+            return error(chart, "initial state \"" + chart.initial + "\" is unknown");
+        bound.m_initial = *initial;
+        Uses uses;
+        for (const auto &it : chart.states) {
+            const auto state = valueIn(stateNames, it.name);
+            if (!state)
+                return error(chart, "state \"" + it.name + "\" is unknown");
+            uses.states.at(static_cast<std::size_t>(*state)) = true;
+            for (const auto &transition : it.transitions) {
+                BOOST_LEAF_CHECK(
+                    bound.add(chart, *state, transition, stateNames, eventNames, actionNames, uses));
+            }
+        }
+        BOOST_LEAF_CHECK(checkUse(chart, "state", stateNames, uses.states));
+        BOOST_LEAF_CHECK(checkUse(chart, "event", eventNames, uses.events));
+        BOOST_LEAF_CHECK(checkUse(chart, "action", actionNames, uses.actions));
+        return bound;
+    }
+
+    State initial() const
+    {
+        return m_initial;
+    }
+
+    /// Step that @p event causes in @p state, or null where the chart has none and the event is ignored.
+    const Step *find(State state, Event event) const
+    {
+        const auto &step = m_steps[static_cast<std::size_t>(state)][static_cast<std::size_t>(event)];
+        return step ? &*step : nullptr;
+    }
+
+private:
+    /// Which of the code's names the chart has used.
+    struct Uses
+    {
+        std::array<bool, stateCount> states{};
+        std::array<bool, eventCount> events{};
+        std::array<bool, actionCount> actions{};
+    };
+
+    static boost::leaf::error_id error(const ChartDefinition &chart, std::string detail)
+    {
+        return boost::leaf::new_error(StepError{"bind chart", chart.name, std::move(detail)});
+    }
+
+    template <typename Names, std::size_t count>
+    static boost::leaf::result<void> checkUse(const ChartDefinition &chart, const std::string &kind,
+                                              const Names &names, const std::array<bool, count> &used)
+    {
+        for (const auto &it : names) {
+            if (!used.at(static_cast<std::size_t>(it.value)))
+                return error(chart, kind + " \"" + std::string(it.name) + "\" is not in the chart");
+        }
+        return {};
+    }
+
+    boost::leaf::result<void> add(const ChartDefinition &chart, State state,
+                                  const ChartTransition &transition, const StateNames &stateNames,
+                                  const EventNames &eventNames, const ActionNames &actionNames, Uses &uses)
+    {
+        const auto event = valueIn(eventNames, transition.event);
+        const auto target = valueIn(stateNames, transition.target);
+        if (!event)
+            return error(chart, "event \"" + transition.event + "\" is unknown");
+        if (!target)
+            return error(chart, "target \"" + transition.target + "\" is unknown");
+        Step step{*target, {}};
+        for (const auto &it : transition.actions) {
+            const auto action = valueIn(actionNames, it);
+            if (!action)
+                return error(chart, "action \"" + it + "\" is unknown");
+            uses.actions.at(static_cast<std::size_t>(*action)) = true;
+            step.actions.push_back(*action);
+        }
+        uses.events.at(static_cast<std::size_t>(*event)) = true;
+        auto &place = m_steps.at(static_cast<std::size_t>(state)).at(static_cast<std::size_t>(*event));
+        if (place)
+            return error(chart, "two transitions for event \"" + transition.event + "\"");
+        place = std::move(step);
+        return {};
+    }
+
+    State m_initial{};
+    std::array<std::array<std::optional<Step>, eventCount>, stateCount> m_steps;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/tests/unit/statecharttest.cpp
@@ -0,0 +1,75 @@
+#include "core/dispatch/upstreamlife.h"
+
+#include <boost/leaf.hpp>
+#include <gtest/gtest.h>
+
+using namespace Citronpitch;
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+enum class Light { Red, Green };
+enum class Signal { Go, Halt };
+enum class Deed { Ring };
+
+constexpr std::array lightNames{EnumName<Light>{Light::Red, "red"}, EnumName<Light>{Light::Green, "green"}};
+constexpr std::array signalNames{EnumName<Signal>{Signal::Go, "go"}, EnumName<Signal>{Signal::Halt, "halt"}};
+constexpr std::array deedNames{EnumName<Deed>{Deed::Ring, "ring"}};
+
+using LightChart = StateChart<Light, 2, Signal, 2, Deed, 1>;
+
+const std::string red =
+    R"({"name": "red", "transitions": [{"event": "go", "target": "green", "actions": ["ring"]}]})";
+const std::string green =
+    R"({"name": "green", "transitions": [{"event": "halt", "target": "red", "actions": []}]})";
+
+std::string chart(const std::string &states)
+{
+    return R"({"name": "light", "initial": "red", "states": [)" + states + "]}";
+}
+
+/// Error of binding @p text, or nothing.
+std::string errorOf(const std::string &text)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+            BOOST_LEAF_ASSIGN(const auto definition, parseChart(text));
+            BOOST_LEAF_CHECK(LightChart::bind(definition, lightNames, signalNames, deedNames));
+            return std::string();
+        },
+        [](const StepError &error) { return error.text(); }, [] { return std::string("other error"); });
+}
+
+} // namespace
+
+TEST(StateChartTest, interpretsWhatTheFileSays)
+{
+    const auto bound = leaf::try_handle_all(
+        [&]() -> leaf::result<LightChart> {
+            BOOST_LEAF_ASSIGN(const auto definition, parseChart(chart(red + "," + green)));
+            return LightChart::bind(definition, lightNames, signalNames, deedNames);
+        },
+        []() -> LightChart { throw std::logic_error("the chart is sound"); });
+    const auto *step = bound.find(bound.initial(), Signal::Go);
+    ASSERT_NE(step, nullptr);
+    EXPECT_EQ(step->target, Light::Green);
+    EXPECT_EQ(step->actions, std::vector<Deed>{Deed::Ring});
+    EXPECT_EQ(bound.find(Light::Red, Signal::Halt), nullptr);
+}
+
+TEST(StateChartTest, refusesWhatTheCodeDoesNotHave)
+{
+    EXPECT_EQ(errorOf(chart(red + "," + green)), "");
+    EXPECT_NE(errorOf(chart(red)), "") << "a state is missing";
+    EXPECT_NE(errorOf(chart(red + "," + R"({"name": "green", "transitions": []})")), "")
+        << "an event is unused";
+    EXPECT_NE(errorOf(chart(red + "," + red + "," + green)), "") << "two transitions for one event";
+    EXPECT_NE(errorOf(chart(red + "," + green + R"(,{"name": "blue", "transitions": []})")), "");
+    EXPECT_NE(errorOf("{"), "");
+}
+
+TEST(StateChartTest, theUpstreamChartFitsTheCode)
+{
+    EXPECT_EQ(upstreamChart().initial(), UpstreamState::Serving);
+}
