Learn service times per upstream and class

A time is the sum, in logarithms, of the class, the upstream's speed and the pair. Declared times are followed only where they explain the spread.

--- /dev/null
+++ b/src/core/dispatch/servicetimes.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "citronpitch/timepoint.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace Citronpitch {
+
+/// Number of an upstream in the table of the failure domain; used again after the upstream is forgotten.
+using UpstreamIndex = std::uint32_t;
+
+/// Number of a class of work; never used again.
+using ClassIndex = std::uint32_t;
+
+/**
+ * @brief Learned service times per upstream and class.
+ *
+ * A time is modelled in logarithms as the sum of the class's time, the upstream's speed and what is special
+ * to the pair. The class's time follows the declared times when these are seen to predict it, and otherwise
+ * ignores them. Only successes are learned from. Used by Dispatcher.
+ */
+class ServiceTimes
+{
+public:
+    /// Learns from a task of class @p of that succeeded on @p upstream after @p took.
+    void succeeded(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared, Duration took);
+
+    /// Expected time of a task of class @p of with the declared time @p declared (zero: none) on @p upstream.
+    Duration expected(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared) const;
+
+    /// Expected time on an upstream of ordinary speed.
+    Duration expected(ClassIndex of, Duration declared) const;
+
+    /// Time after which a task that has not ended is taken for stuck.
+    Duration stuckAfter(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared) const;
+
+    /// Starts afresh for an upstream.
+    void forgetUpstream(UpstreamIndex upstream);
+
+private:
+    /// Mean and variance of logarithms, with more weight on the recent ones.
+    struct LogMean
+    {
+        double mean = 0;
+        double variance = 0;
+        std::uint32_t samples = 0;
+        void add(double value);
+    };
+
+    /// How much longer than usual something takes, as a logarithm.
+    struct Residual
+    {
+        double value = 0;
+        std::uint32_t samples = 0;
+        void add(double error);
+        /// Value, drawn towards zero while there are few samples.
+        double cautious(double priorSamples) const;
+    };
+
+    /// Mean of the cautious residuals that have samples: what is ordinary.
+    struct ResidualMean
+    {
+        double sum = 0;
+        std::uint32_t count = 0;
+        double value() const;
+    };
+
+    struct ClassModel
+    {
+        LogMean plain;
+        /// Logarithm of the time divided by the declared one.
+        LogMean relative;
+        std::vector<Residual> pairs;
+        ResidualMean ordinaryPair;
+    };
+
+    struct Speed
+    {
+        Residual residual;
+        TimePoint learnedAt;
+    };
+
+    /// Learns @p error in @p residual, which is one of those that @p ordinary is the mean of.
+    static void learn(Residual &residual, ResidualMean &ordinary, double error, double priorSamples);
+    static void forget(Residual &residual, ResidualMean &ordinary, double priorSamples);
+    double ordinaryLog(ClassIndex of) const;
+    double classLog(ClassIndex of, Duration declared) const;
+    double speedLog(TimePoint now, UpstreamIndex upstream) const;
+    double pairLog(ClassIndex of, UpstreamIndex upstream) const;
+    bool followsDeclared(const ClassModel &model, Duration declared) const;
+
+    std::vector<ClassModel> m_classes;
+    std::vector<Speed> m_speeds;
+    ResidualMean m_ordinarySpeed;
+};
+
+} // namespace Citronpitch
