--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -7,17 +7,13 @@
 #include "citronpitch/upstream.h"
 
 #include <cstdint>
-#include <functional>
-#include <map>
+#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace Citronpitch {
 
-struct BaselineCandidate;
-
 /// Decision to run one task on one upstream.
 struct Placement
 {
@@ -44,6 +40,17 @@
     /// Slots that this entry VM may use.
     std::uint32_t ownSlots = 0;
     std::uint32_t busySlots = 0;
+    /// State in charts/upstream.json.
+    std::string state;
+};
+
+/// How a class does against its target, as this entry VM sees it.
+struct ClassStatus
+{
+    std::string name;
+    /// Recent misses over those that the target allows; more than one is behind.
+    double burn = 0;
+    std::uint32_t queuedTasks = 0;
 };
 
 /// How a Dispatcher decides.
@@ -52,6 +59,8 @@
     PlacementPolicy placement = PlacementPolicy::Target;
     /// Seed of PlacementPolicy::Random.
     std::uint64_t seed = 0;
+    /// Number of entry VMs over which the quota of a team is spread.
+    std::uint32_t entryVms = 1;
 };
 
 /**
@@ -64,6 +73,9 @@
 {
 public:
     explicit Dispatcher(const DispatcherOptions &options = {});
+    ~Dispatcher();
+    Dispatcher(Dispatcher &&other) noexcept;
+    Dispatcher &operator=(Dispatcher &&other) noexcept;
 
     /// Takes over the declared classes and teams; takes effect on queued tasks at once.
     void setConfiguration(const Configuration &configuration);
@@ -73,7 +85,7 @@
      *
      * The entry VMs of a failure domain hold different numbers, so that together they use each slot once.
      */
-    void setShare(std::uint32_t part, std::uint32_t parts);
+    void setShare(TimePoint now, std::uint32_t part, std::uint32_t parts);
 
     /// Adds an upstream, renews its lease, or notes that it is leaving. An older incarnation is ignored.
     void announce(TimePoint now, const UpstreamAnnouncement &announcement);
@@ -84,11 +96,17 @@
     /// Queues every task of a job.
     void add(TimePoint now, JobId job, const Submission &submission);
 
-    /// Queues one task again after an attempt that did not start it.
-    void requeue(TimePoint now, JobId job, std::uint32_t task);
+    /// Queues one task again after an attempt that did not start it, or that may be repeated.
+    void requeue(TimePoint now, JobId job, const Submission &submission, std::uint32_t task);
 
-    /// Drops the waiting tasks of a job; its attempts in flight keep their slots until they end.
-    void remove(JobId job);
+    /// Whether a task that may have run may be tried again now; takes the retry from the budget.
+    bool takeRetry();
+
+    /**
+     * Drops the waiting tasks of a job that is answered; its attempts in flight keep their slots until they
+     * end.
+     */
+    void remove(TimePoint now, JobId job);
 
     /// Chooses upstreams for as many waiting tasks as there are usable slots.
     std::vector<Placement> place(TimePoint now);
@@ -96,54 +114,16 @@
     /// Frees the slot of an attempt and learns from how it ended.
     void finish(TimePoint now, AttemptId attempt, const AttemptResult &result);
 
+    /// The known upstreams, by name.
     std::vector<UpstreamStatus> upstreams() const;
+    /// The declared classes.
+    std::vector<ClassStatus> classes(TimePoint now) const;
     std::uint32_t freeSlots(TimePoint now) const;
     std::uint32_t queuedTasks() const;
 
 private:
-    struct Upstream
-    {
-        UpstreamAnnouncement announcement;
-        std::uint32_t busy = 0;
-    };
-
-    struct Waiting
-    {
-        TimePoint deadline;
-        std::uint64_t order = 0;
-        JobId job = 0;
-        std::uint32_t task = 0;
-        auto operator<=>(const Waiting &) const = default;
-    };
-
-    struct Attempt
-    {
-        std::string upstream;
-        TimePoint startedAt;
-    };
-
-    struct QueuedJob
-    {
-        TimePoint deadline;
-        std::uint32_t waiting = 0;
-    };
-
-    std::uint32_t ownSlots(const Upstream &upstream) const;
-    bool isUsable(TimePoint now, const Upstream &upstream) const;
-    Upstream *choose(TimePoint now);
-    Upstream *chooseForBaseline(TimePoint now);
-
-    DispatcherOptions m_options;
-    std::function<std::size_t(const std::vector<BaselineCandidate> &)> m_baseline;
-    Configuration m_configuration;
-    std::uint32_t m_part = 0;
-    std::uint32_t m_parts = 1;
-    std::map<std::string, Upstream, std::less<>> m_upstreams;
-    std::map<JobId, QueuedJob> m_jobs;
-    std::set<Waiting> m_waiting;
-    std::map<AttemptId, Attempt> m_attempts;
-    std::uint64_t m_nextOrder = 1;
-    AttemptId m_nextAttempt = 1;
+    struct State;
+    std::unique_ptr<State> m_state;
 };
 
 } // namespace Citronpitch
--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -141,7 +141,7 @@
     void failLateJobs(TimePoint now);
     void resendForwards(TimePoint now);
     void sendHeartbeats(TimePoint now);
-    void updateShare();
+    void updateShare(TimePoint now);
     void reply(const Waiter &waiter, const Answer &answer);
     void send(const std::string &vm, std::shared_ptr<citronpitch::wire::PeerMessage> message);
     std::shared_ptr<citronpitch::wire::PeerMessage> newMessage(std::uint64_t receiverIncarnation) const;
--- a/include/citronpitch/jobrun.h
+++ b/include/citronpitch/jobrun.h
@@ -4,6 +4,7 @@
 #include "citronpitch/job.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -35,8 +36,14 @@
     /// Notes that the start message of @p task may be sent to @p upstream from now on.
     void start(std::uint32_t task, AttemptId attempt, const std::string &upstream);
 
-    /// Notes how the attempt of @p task ended.
-    AfterAttempt end(std::uint32_t task, const AttemptResult &result);
+    /**
+     * Notes how the attempt of @p task ended.
+     *
+     * @p takeRetry is asked before an idempotent single request that may have run is tried again; without it
+     * nothing limits retries but their number.
+     */
+    AfterAttempt end(std::uint32_t task, const AttemptResult &result,
+                     const std::function<bool()> &takeRetry = nullptr);
 
     /// Attempts whose end is not known.
     std::vector<AttemptId> openAttempts() const;
@@ -61,6 +68,7 @@
         TaskReport report;
     };
 
+    bool mayRetry(const Task &task, const std::function<bool()> &takeRetry) const;
     AfterAttempt fail(Reason reason, std::string detail);
 
     Submission m_submission;
--- a/src/core/claims/jobrun.cpp
+++ b/src/core/claims/jobrun.cpp
@@ -39,14 +39,15 @@
     it.report.upstream = upstream;
 }
 
-AfterAttempt JobRun::end(std::uint32_t task, const AttemptResult &result)
+AfterAttempt JobRun::end(std::uint32_t task, const AttemptResult &result,
+                         const std::function<bool()> &takeRetry)
 {
     auto &it = m_tasks.at(task);
     it.attempt.reset();
     if (result.end == AttemptEnd::NotSent || result.end == AttemptEnd::Declined)
         return AfterAttempt::PlaceAgain;
     if (result.end == AttemptEnd::Broken) {
-        if (m_submission.idempotent && it.attempts < maximumAttempts)
+        if (mayRetry(it, takeRetry))
             return AfterAttempt::PlaceAgain;
         it.report.state = TaskState::MayHaveRun;
         return fail(Reason::OutcomeOfTaskUnknown,
@@ -104,6 +105,12 @@
     return m_failure == Reason::None ? completeAnswer() : failedAnswer(m_failure, m_failureDetail);
 }
 
+bool JobRun::mayRetry(const Task &task, const std::function<bool()> &takeRetry) const
+{
+    const bool isRepeatable = m_submission.idempotent && m_tasks.size() == 1;
+    return isRepeatable && task.attempts < maximumAttempts && (!takeRetry || takeRetry());
+}
+
 AfterAttempt JobRun::fail(Reason reason, std::string detail)
 {
     m_failure = reason;
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -1,177 +1,247 @@
 #include "citronpitch/dispatcher.h"
 
-#include "core/dispatch/baseline.h"
+#include "core/dispatch/admission.h"
+#include "core/dispatch/dispatcherstate.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace Citronpitch {
 
+namespace {
+
+/// When to come back to an entry VM that does not know the upstreams yet.
+constexpr Duration upstreamsUnknownRetry = std::chrono::seconds(1);
+
+/// Quotas of @p teams as far as one of @p entryVms entry VMs keeps to them.
+std::vector<TeamDeclaration> quotaParts(std::vector<TeamDeclaration> teams, std::uint32_t entryVms)
+{
+    for (auto &it : teams)
+        it.quotaTasks = (it.quotaTasks + entryVms - 1) / entryVms;
+    return teams;
+}
+
+/// First need among @p tasks that no upstream can ever meet, as a position in the list.
+std::optional<std::size_t> firstUnfit(const UpstreamTable &upstreams, const std::vector<TaskSpec> &tasks)
+{
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        const bool isAsBefore = i > 0 && tasks[i].need == tasks[i - 1].need;
+        if (!isAsBefore && !upstreams.canEverRun(tasks[i].need))
+            return i;
+    }
+    return std::nullopt;
+}
+
+std::string needText(const Resources &need)
+{
+    return std::to_string(need.millicores) + " millicores, " + std::to_string(need.memoryBytes)
+        + " bytes of memory and " + std::to_string(need.accelerators) + " accelerators";
+}
+
+} // namespace
+
 Dispatcher::Dispatcher(const DispatcherOptions &options)
-    : m_options(options)
-    , m_baseline(baselineChoice(options.placement, options.seed))
+    : m_state(std::make_unique<State>(options))
 {
 }
 
+Dispatcher::~Dispatcher() = default;
+Dispatcher::Dispatcher(Dispatcher &&other) noexcept = default;
+Dispatcher &Dispatcher::operator=(Dispatcher &&other) noexcept = default;
+
 void Dispatcher::setConfiguration(const Configuration &configuration)
 {
-    m_configuration = configuration;
+    m_state->configuration = configuration;
+    const auto changed = m_state->classes.setDeclarations(configuration.classes);
+    for (const auto of : changed)
+        m_state->queue.reorder(of);
+    if (!m_state->isBaseline())
+        m_state->queue.setQuotas(quotaParts(configuration.teams, m_state->options.entryVms));
 }
 
-void Dispatcher::setShare(std::uint32_t part, std::uint32_t parts)
+void Dispatcher::setShare(TimePoint now, std::uint32_t part, std::uint32_t parts)
 {
-    m_part = part;
-    m_parts = std::max(parts, 1U);
+    if (m_state->share.setParts(part, parts))
+        m_state->refreshAll(now);
 }
 
-void Dispatcher::announce(TimePoint, const UpstreamAnnouncement &announcement)
+void Dispatcher::announce(TimePoint now, const UpstreamAnnouncement &announcement)
 {
-    auto &upstream = m_upstreams[announcement.name];
-    if (announcement.incarnation < upstream.announcement.incarnation)
+    const auto [upstream, effect] = m_state->upstreams.announce(announcement);
+    if (effect == AnnouncementEffect::Ignored)
         return;
-    const bool isLeaving =
-        announcement.incarnation == upstream.announcement.incarnation && upstream.announcement.leaving;
-    const auto lease = std::max(upstream.announcement.leaseDeadline, announcement.leaseDeadline);
-    upstream.announcement = announcement;
-    upstream.announcement.leaseDeadline = lease;
-    upstream.announcement.leaving = announcement.leaving || isLeaving;
+    if (effect == AnnouncementEffect::Added) {
+        m_state->health.add(upstream);
+        ++m_state->upstreamSet;
+    }
+    auto &entry = m_state->upstreams.at(upstream);
+    entry.own = m_state->share.base(entry);
+    m_state->wakeups.emplace(entry.announcement.leaseDeadline, upstream);
+    m_state->refresh(now, upstream);
 }
 
 std::optional<Refusal> Dispatcher::refusal(TimePoint now, const Submission &submission) const
 {
-    const auto *declared = m_configuration.findClass(submission.className);
+    const auto *declared = m_state->configuration.findClass(submission.className);
     if (declared == nullptr)
         return Refusal{Reason::UnknownClass, "no class named " + submission.className + " is declared", {}};
     if (declared->retired)
         return Refusal{Reason::RetiredClass, "class " + submission.className + " is retired", {}};
-    if (!m_configuration.teams.empty() && m_configuration.findTeam(submission.team) == nullptr)
+    const auto &configuration = m_state->configuration;
+    if (!configuration.teams.empty() && configuration.findTeam(submission.team) == nullptr)
         return Refusal{Reason::UnknownTeam, "no team named " + submission.team + " is declared", {}};
     if (submission.deadline <= now)
         return Refusal{Reason::DeadlinePassed, "the deadline had passed when the job arrived", {}};
-    return std::nullopt;
+    return m_state->isBaseline() ? std::nullopt : m_state->refuseLoad(now, submission);
+}
+
+std::optional<Refusal> Dispatcher::State::refuseLoad(TimePoint now, const Submission &submission) const
+{
+    if (upstreams.byName().empty()) {
+        const auto retryAt = spreadReturn(now + upstreamsUnknownRetry, upstreamsUnknownRetry, submission);
+        return Refusal{Reason::Overloaded, "admission: no upstream has announced itself here yet", retryAt};
+    }
+    if (const auto unfit = firstUnfit(upstreams, submission.tasks)) {
+        const auto text = "admission: task " + std::to_string(*unfit) + " needs "
+            + needText(submission.tasks[*unfit].need) + ", and no upstream here offers that";
+        return Refusal{Reason::NeverFits, text, {}};
+    }
+    const auto of = classes.find(submission.className).value_or(0);
+    AdmissionLoad load;
+    load.alone = aloneTime(of, submission);
+    load.workAhead = queue.workBefore(dueTime({of, {}, now, submission.deadline, load.alone}));
+    load.parallel = parallel;
+    load.queuedOfClass = queue.queuedOfClass(of);
+    load.queuedOfTeam = queue.queuedOfTeam(submission.team);
+    load.queued = queue.size();
+    load.isTeamOverQuota = queue.isOverQuota(submission.team);
+    return refuseOverload(now, submission, load);
 }
 
 void Dispatcher::add(TimePoint now, JobId job, const Submission &submission)
 {
-    m_jobs[job].deadline = submission.deadline;
-    for (std::uint32_t i = 0; i < submission.tasks.size(); ++i)
-        requeue(now, job, i);
+    const auto of = m_state->classes.numberOf(submission.className);
+    const auto alone = m_state->aloneTime(of, submission);
+    JobTrace trace;
+    trace.tasks = static_cast<std::uint32_t>(submission.tasks.size());
+    for (const auto &it : submission.tasks)
+        trace.declared.push_back(it.declaredTime);
+    m_state->jobs.insert_or_assign(job, std::move(trace));
+    m_state->queue.addJob(job, {of, submission.team, now, submission.deadline, alone});
+    for (auto i = static_cast<std::uint32_t>(submission.tasks.size()); i > 0; --i)
+        requeue(now, job, submission, i - 1);
+}
+
+void Dispatcher::requeue(TimePoint, JobId job, const Submission &submission, std::uint32_t task)
+{
+    const auto *queued = m_state->queue.findJob(job);
+    if (queued == nullptr)
+        return;
+    const auto &spec = submission.tasks[task];
+    m_state->queue.addTask(job, {task, spec.need, m_state->times.expected(queued->of, spec.declaredTime)});
 }
 
-void Dispatcher::requeue(TimePoint, JobId job, std::uint32_t task)
+bool Dispatcher::takeRetry()
 {
-    auto &queued = m_jobs[job];
-    const auto deadline = m_baseline ? TimePoint() : queued.deadline;
-    m_waiting.insert({deadline, m_nextOrder++, job, task});
-    ++queued.waiting;
+    return m_state->isBaseline() || m_state->retries.take();
 }
 
-void Dispatcher::remove(JobId job)
+void Dispatcher::remove(TimePoint now, JobId job)
 {
-    const auto it = m_jobs.find(job);
-    if (it == m_jobs.end())
+    const auto trace = m_state->jobs.find(job);
+    if (trace == m_state->jobs.end())
         return;
-    if (it->second.waiting > 0)
-        std::erase_if(m_waiting, [&](const Waiting &waiting) { return waiting.job == job; });
-    m_jobs.erase(it);
+    for (const auto it : trace->second.open)
+        m_state->attempts.abandon(it);
+    if (const auto *queued = m_state->queue.findJob(job)) {
+        auto &entry = m_state->classes.at(queued->of);
+        const bool isComplete = trace->second.succeeded == trace->second.tasks;
+        const bool isLate = now - queued->arrival > entry.declaration.targetTime;
+        if (entry.hasTarget() && (isComplete || isLate))
+            entry.burn.note(now, isComplete && !isLate);
+    }
+    m_state->queue.removeJob(job);
+    m_state->jobs.erase(trace);
 }
 
 std::vector<Placement> Dispatcher::place(TimePoint now)
 {
+    m_state->passTime(now);
     std::vector<Placement> placements;
-    while (!m_waiting.empty()) {
-        auto *upstream = choose(now);
-        if (upstream == nullptr)
+    if (m_state->queue.size() == 0 || m_state->freeUpstreams == 0)
+        return placements;
+    m_state->updateAdvances(now);
+    m_state->queue.beginRound();
+    while (m_state->freeUpstreams > 0) {
+        const auto head = m_state->queue.next();
+        if (!head)
             break;
-        const Waiting next = *m_waiting.begin();
-        m_waiting.erase(m_waiting.begin());
-        --m_jobs[next.job].waiting;
-        ++upstream->busy;
-        const auto &announcement = upstream->announcement;
-        const AttemptId attempt = m_nextAttempt++;
-        m_attempts[attempt] = {announcement.name, now};
-        placements.push_back(
-            {next.job, next.task, attempt, announcement.name, announcement.address, announcement.port});
+        if (head->deadline <= now) {
+            m_state->queue.dropTasks(head->job);
+            continue;
+        }
+        if (auto placement = m_state->startFrom(now, *head))
+            placements.push_back(std::move(*placement));
+        else
+            m_state->queue.hold(head->lane);
     }
     return placements;
 }
 
-void Dispatcher::finish(TimePoint, AttemptId attempt, const AttemptResult &)
+void Dispatcher::finish(TimePoint now, AttemptId attempt, const AttemptResult &result)
 {
-    const auto it = m_attempts.find(attempt);
-    if (it == m_attempts.end())
+    const auto ended = m_state->attempts.remove(attempt);
+    if (!ended)
         return;
-    const auto upstream = m_upstreams.find(it->second.upstream);
-    if (upstream != m_upstreams.end() && upstream->second.busy > 0)
-        --upstream->second.busy;
-    m_attempts.erase(it);
+    m_state->queue.ended(ended->team);
+    const auto job = m_state->jobs.find(ended->job);
+    if (job != m_state->jobs.end())
+        std::erase(job->second.open, attempt);
+    auto &entry = m_state->upstreams.at(ended->upstream);
+    if (entry.announcement.incarnation != ended->incarnation)
+        return;
+    entry.used -= ended->cost;
+    entry.busy -= entry.busy > 0 ? 1 : 0;
+    m_state->learn(now, *ended, result);
+    m_state->refresh(now, ended->upstream);
 }
 
 std::vector<UpstreamStatus> Dispatcher::upstreams() const
 {
     std::vector<UpstreamStatus> list;
-    for (const auto &[name, upstream] : m_upstreams)
-        list.push_back({upstream.announcement, ownSlots(upstream), upstream.busy});
+    for (const auto &[name, upstream] : m_state->upstreams.byName()) {
+        const auto &entry = m_state->upstreams.at(upstream);
+        const auto state = nameIn(upstreamStateNames, m_state->health.state(upstream));
+        list.push_back({entry.announcement, entry.own.slots, entry.busy, std::string(state)});
+    }
     return list;
 }
 
-std::uint32_t Dispatcher::freeSlots(TimePoint now) const
+std::vector<ClassStatus> Dispatcher::classes(TimePoint now) const
 {
-    std::uint32_t n = 0;
-    for (const auto &[name, upstream] : m_upstreams) {
-        if (isUsable(now, upstream))
-            n += ownSlots(upstream) - upstream.busy;
+    std::vector<ClassStatus> list;
+    for (ClassIndex of = 0; of < m_state->classes.size(); ++of) {
+        const auto &entry = m_state->classes.at(of);
+        if (entry.isDeclared)
+            list.push_back({entry.declaration.name, entry.burn.burn(now, entry.declaration),
+                            m_state->queue.queuedOfClass(of)});
     }
-    return n;
-}
-
-std::uint32_t Dispatcher::queuedTasks() const
-{
-    return static_cast<std::uint32_t>(m_waiting.size());
-}
-
-std::uint32_t Dispatcher::ownSlots(const Upstream &upstream) const
-{
-    const auto slots = upstream.announcement.slots;
-    const auto rotation =
-        static_cast<std::uint32_t>(std::hash<std::string>{}(upstream.announcement.name) % m_parts);
-    const auto position = (m_part + rotation) % m_parts;
-    return slots / m_parts + (position < slots % m_parts ? 1 : 0);
-}
-
-bool Dispatcher::isUsable(TimePoint now, const Upstream &upstream) const
-{
-    const auto &announcement = upstream.announcement;
-    return !announcement.leaving && announcement.leaseDeadline > now && upstream.busy < ownSlots(upstream);
+    return list;
 }
 
-Dispatcher::Upstream *Dispatcher::choose(TimePoint now)
+std::uint32_t Dispatcher::freeSlots(TimePoint now) const
 {
-    if (m_baseline)
-        return chooseForBaseline(now);
-    Upstream *best = nullptr;
-    for (auto &[name, upstream] : m_upstreams) {
-        if (!isUsable(now, upstream))
-            continue;
-        if (best == nullptr || upstream.busy < best->busy)
-            best = &upstream;
+    std::uint32_t n = 0;
+    for (const auto &[name, upstream] : m_state->upstreams.byName()) {
+        const auto &entry = m_state->upstreams.at(upstream);
+        if (entry.isFree && entry.announcement.leaseDeadline > now)
+            n += entry.parallel - std::min(entry.parallel, entry.busy);
     }
-    return best;
+    return n;
 }
 
-Dispatcher::Upstream *Dispatcher::chooseForBaseline(TimePoint now)
+std::uint32_t Dispatcher::queuedTasks() const
 {
-    std::vector<BaselineCandidate> candidates;
-    std::vector<Upstream *> upstreams;
-    std::size_t position = 0;
-    for (auto &[name, upstream] : m_upstreams) {
-        ++position;
-        if (!isUsable(now, upstream))
-            continue;
-        candidates.push_back({position, upstream.busy});
-        upstreams.push_back(&upstream);
-    }
-    return upstreams.empty() ? nullptr : upstreams[m_baseline(candidates)];
+    return m_state->queue.size();
 }
 
 } // namespace Citronpitch
--- /dev/null
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -0,0 +1,283 @@
+#include "core/dispatch/dispatcherstate.h"
+
+#include "core/dispatch/admission.h"
+
+#include <algorithm>
+
+namespace Citronpitch {
+
+namespace {
+
+/// How often estimates are taken over into a ranking.
+constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
+constexpr Duration advancePeriod = std::chrono::milliseconds(100);
+
+/// Upstreams whose lease ended this long ago are forgotten.
+constexpr Duration upstreamMemory = std::chrono::minutes(10);
+constexpr Duration forgetPeriod = std::chrono::minutes(1);
+
+/// Pause after a start that an upstream declined or that could not be sent; doubled each time in a row.
+constexpr Duration firstPause = std::chrono::milliseconds(5);
+constexpr std::uint32_t pauseDoublings = 7;
+
+constexpr int firstSuccess = 200;
+constexpr int firstRedirect = 300;
+
+/// Tasks that run side by side within @p own.
+std::uint32_t parallelOf(const Capacity &own)
+{
+    if (own.slots > 0)
+        return own.slots;
+    const auto cores = own.resources.millicores / defaultMillicores;
+    return std::max(cores, own.isEmpty() ? 0U : 1U);
+}
+
+/// Whether any task could fit into what is left.
+bool hasRoom(const UpstreamEntry &entry)
+{
+    const auto free = entry.free();
+    if (entry.whole.slots > 0)
+        return free.slots > 0;
+    return free.resources.millicores > 0 || (entry.whole.resources.millicores == 0 && !free.isEmpty());
+}
+
+void addAvoided(JobTrace &job, UpstreamIndex upstream)
+{
+    if (std::find(job.avoided.begin(), job.avoided.end(), upstream) == job.avoided.end())
+        job.avoided.push_back(upstream);
+}
+
+} // namespace
+
+Dispatcher::State::State(const DispatcherOptions &options)
+    : options(options)
+    , baseline(baselineChoice(options.placement, options.seed))
+    , queue([this](const QueuedJob &job) { return dueTime(job); })
+    , placer(upstreams)
+{
+}
+
+bool Dispatcher::State::isBaseline() const
+{
+    return options.placement != PlacementPolicy::Target;
+}
+
+TimePoint Dispatcher::State::dueTime(const QueuedJob &job) const
+{
+    if (isBaseline())
+        return {};
+    const auto &entry = classes.at(job.of);
+    if (!entry.hasTarget())
+        return job.deadline;
+    return std::min(job.arrival + entry.declaration.targetTime + job.alone, job.deadline);
+}
+
+Duration Dispatcher::State::aloneTime(ClassIndex of, const Submission &submission) const
+{
+    Duration work{};
+    Duration longest{};
+    for (const auto &it : submission.tasks) {
+        const auto expected = times.expected(of, it.declaredTime);
+        work += expected;
+        longest = std::max(longest, expected);
+    }
+    return std::max(longest, work / std::max(parallel, 1U));
+}
+
+void Dispatcher::State::refresh(TimePoint now, UpstreamIndex upstream)
+{
+    auto &entry = upstreams.at(upstream);
+    const bool isInService = !entry.announcement.leaving && entry.announcement.leaseDeadline > now;
+    const auto limit = isBaseline() ? std::nullopt : health.taskLimit(upstream);
+    const auto own = isInService ? parallelOf(entry.own) : 0;
+    const auto newParallel = limit ? std::min(own, *limit) : own;
+    const bool isFree =
+        newParallel > 0 && entry.blockedUntil <= now && hasRoom(entry) && (!limit || entry.busy < *limit);
+    if (newParallel != entry.parallel) {
+        parallel += newParallel - entry.parallel;
+        entry.parallel = newParallel;
+        ++upstreamSet;
+    }
+    if (isFree == entry.isFree)
+        return;
+    entry.isFree = isFree;
+    freeUpstreams += isFree ? 1 : -1;
+    for (ClassIndex of = 0; of < classes.size(); ++of)
+        classes.at(of).ranking.setFree(upstream, isFree);
+}
+
+void Dispatcher::State::refreshAll(TimePoint now)
+{
+    for (const auto &[name, upstream] : upstreams.byName()) {
+        auto &entry = upstreams.at(upstream);
+        entry.own = share.base(entry);
+        refresh(now, upstream);
+    }
+}
+
+void Dispatcher::State::passTime(TimePoint now)
+{
+    while (!wakeups.empty() && wakeups.begin()->first <= now) {
+        const auto upstream = wakeups.begin()->second;
+        wakeups.erase(wakeups.begin());
+        health.passTime(now, upstream);
+        refresh(now, upstream);
+    }
+    for (const auto &it : attempts.takeStuck(now))
+        observe(now, it, HealthSign::Stuck);
+    if (now - forgottenAt < forgetPeriod)
+        return;
+    forgottenAt = now;
+    for (const auto it : upstreams.forget(now - upstreamMemory)) {
+        health.remove(it);
+        times.forgetUpstream(it);
+        ++upstreamSet;
+    }
+}
+
+void Dispatcher::State::updateAdvances(TimePoint now)
+{
+    if (now - advancesUpdatedAt < advancePeriod)
+        return;
+    advancesUpdatedAt = now;
+    for (ClassIndex of = 0; of < classes.size(); ++of) {
+        const auto &entry = classes.at(of);
+        const auto advance = entry.hasTarget() ? entry.burn.advance(now, entry.declaration) : Duration();
+        queue.setAdvance(of, advance);
+    }
+}
+
+const UpstreamRanking &Dispatcher::State::rankingOf(TimePoint now, ClassIndex of)
+{
+    auto &entry = classes.at(of);
+    const bool isOld = entry.isRankingOld && now - entry.rankedAt >= rankingPeriod;
+    if (!isOld && entry.rankedSet == upstreamSet)
+        return entry.ranking;
+    std::vector<RankedUpstream> ranked;
+    ranked.reserve(upstreams.byName().size());
+    for (const auto &[name, upstream] : upstreams.byName()) {
+        const auto &it = upstreams.at(upstream);
+        if (it.parallel == 0)
+            continue;
+        const auto time = health.state(upstream) == UpstreamState::Serving
+            ? times.expected(now, of, upstream, {})
+            : Duration();
+        ranked.push_back({upstream, time, it.rack, it.parallel, it.isFree});
+    }
+    entry.ranking.rebuild(std::move(ranked));
+    entry.rankedAt = now;
+    entry.isRankingOld = false;
+    entry.rankedSet = upstreamSet;
+    return entry.ranking;
+}
+
+std::optional<Placement> Dispatcher::State::startFrom(TimePoint now, const LaneHead &head)
+{
+    if (isBaseline()) {
+        const auto upstream = chooseForBaseline(head.need);
+        return upstream ? std::optional(start(now, head, *upstream)) : std::nullopt;
+    }
+    const auto &ranking = rankingOf(now, head.lane.of);
+    const auto choice = placer.choose(ranking, head.need, jobs.at(head.job), 1);
+    if (choice.verdict == PlacerVerdict::Start)
+        return start(now, head, choice.upstream);
+    if (choice.verdict == PlacerVerdict::NoneFree)
+        return std::nullopt;
+    const auto last = queue.last(head.lane);
+    if (last.deadline <= now)
+        return std::nullopt;
+    const auto other = placer.choose(ranking, last.need, jobs.at(last.job), queue.size());
+    return other.verdict == PlacerVerdict::Start ? std::optional(start(now, last, other.upstream))
+                                                 : std::nullopt;
+}
+
+std::optional<UpstreamIndex> Dispatcher::State::chooseForBaseline(const Resources &need) const
+{
+    std::vector<BaselineCandidate> candidates;
+    std::vector<UpstreamIndex> indexes;
+    std::size_t position = 0;
+    for (const auto &[name, upstream] : upstreams.byName()) {
+        ++position;
+        const auto &entry = upstreams.at(upstream);
+        if (!entry.isFree || !entry.free().contains(costOf(need, entry.whole)))
+            continue;
+        candidates.push_back({position, entry.busy});
+        indexes.push_back(upstream);
+    }
+    return indexes.empty() ? std::nullopt : std::optional(indexes[baseline(candidates)]);
+}
+
+Placement Dispatcher::State::start(TimePoint now, const LaneHead &head, UpstreamIndex upstream)
+{
+    auto &entry = upstreams.at(upstream);
+    auto &job = jobs.at(head.job);
+    const auto task = queue.take(head);
+    InFlight attempt;
+    attempt.job = head.job;
+    attempt.of = head.lane.of;
+    attempt.team = queue.findJob(head.job)->team;
+    attempt.upstream = upstream;
+    attempt.incarnation = entry.announcement.incarnation;
+    attempt.cost = costOf(head.need, entry.whole);
+    attempt.declared = job.declared[task];
+    attempt.startedAt = now;
+    attempt.stuckAt = now + times.stuckAfter(now, attempt.of, upstream, attempt.declared);
+    queue.started(attempt.team);
+    retries.started();
+    entry.used += attempt.cost;
+    ++entry.busy;
+    if (entry.rack >= job.perRack.size())
+        job.perRack.resize(entry.rack + 1);
+    ++job.perRack[entry.rack];
+    const auto id = attempts.add(attempt);
+    job.open.push_back(id);
+    refresh(now, upstream);
+    const auto &announcement = entry.announcement;
+    return {head.job, task, id, announcement.name, announcement.address, announcement.port};
+}
+
+void Dispatcher::State::learn(TimePoint now, const InFlight &attempt, const AttemptResult &result)
+{
+    auto &entry = upstreams.at(attempt.upstream);
+    if (result.end == AttemptEnd::Answered) {
+        learnFromAnswer(now, attempt, result.status);
+        return;
+    }
+    const auto job = jobs.find(attempt.job);
+    if (job != jobs.end())
+        addAvoided(job->second, attempt.upstream);
+    if (result.end != AttemptEnd::Broken) {
+        entry.blockedUntil = now + firstPause * (1U << std::min(entry.declines++, pauseDoublings));
+        wakeups.emplace(entry.blockedUntil, attempt.upstream);
+    }
+    if (result.end != AttemptEnd::Declined && !attempt.isAbandoned)
+        observe(now, attempt, HealthSign::ConnectionFailed);
+}
+
+void Dispatcher::State::learnFromAnswer(TimePoint now, const InFlight &attempt, int status)
+{
+    upstreams.at(attempt.upstream).declines = 0;
+    const bool isSuccess = status >= firstSuccess && status < firstRedirect;
+    if (isSuccess) {
+        times.succeeded(now, attempt.of, attempt.upstream, attempt.declared, now - attempt.startedAt);
+        classes.at(attempt.of).isRankingOld = true;
+        const auto job = jobs.find(attempt.job);
+        if (job != jobs.end())
+            ++job->second.succeeded;
+    }
+    observe(now, attempt, isSuccess ? HealthSign::Succeeded : HealthSign::TaskFailed);
+}
+
+void Dispatcher::State::observe(TimePoint now, const InFlight &attempt, HealthSign sign)
+{
+    if (upstreams.at(attempt.upstream).announcement.incarnation != attempt.incarnation)
+        return;
+    if (!health.observe(now, attempt.upstream, attempt.of, sign))
+        return;
+    ++upstreamSet;
+    if (health.state(attempt.upstream) == UpstreamState::Ejected)
+        wakeups.emplace(health.backoffUntil(attempt.upstream), attempt.upstream);
+    refresh(now, attempt.upstream);
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/dispatch/dispatcherstate.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "citronpitch/dispatcher.h"
+#include "core/dispatch/attempttable.h"
+#include "core/dispatch/baseline.h"
+#include "core/dispatch/capacityshare.h"
+#include "core/dispatch/classtable.h"
+#include "core/dispatch/placer.h"
+#include "core/dispatch/retrybudget.h"
+#include "core/dispatch/taskqueue.h"
+#include "core/dispatch/upstreamhealth.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace Citronpitch {
+
+/**
+ * @brief The parts of a Dispatcher and what joins them.
+ *
+ * Each part knows one matter; this class passes events between them. Used by Dispatcher alone.
+ */
+struct Dispatcher::State
+{
+    explicit State(const DispatcherOptions &options);
+
+    bool isBaseline() const;
+
+    /// Moment at which a job is due: its target or its deadline, whichever is earlier.
+    TimePoint dueTime(const QueuedJob &job) const;
+
+    /// Work of a job if nothing else waited.
+    Duration aloneTime(ClassIndex of, const Submission &submission) const;
+
+    /// Why a job is refused that the configuration allows, or nothing.
+    std::optional<Refusal> refuseLoad(TimePoint now, const Submission &submission) const;
+
+    /// Computes again whether an upstream can take a start, and tells the rankings.
+    void refresh(TimePoint now, UpstreamIndex upstream);
+    void refreshAll(TimePoint now);
+
+    /// Handles leases, backoffs and stuck attempts that came due.
+    void passTime(TimePoint now);
+
+    /// Draws classes that are behind their target ahead.
+    void updateAdvances(TimePoint now);
+
+    /// Ranking of a class, built anew when it is out of date.
+    const UpstreamRanking &rankingOf(TimePoint now, ClassIndex of);
+
+    /// Starts the task that @p head names, or another one of its lane; nothing when the lane has to wait.
+    std::optional<Placement> startFrom(TimePoint now, const LaneHead &head);
+    std::optional<UpstreamIndex> chooseForBaseline(const Resources &need) const;
+    Placement start(TimePoint now, const LaneHead &head, UpstreamIndex upstream);
+
+    /// Learns from the end of an attempt.
+    void learn(TimePoint now, const InFlight &attempt, const AttemptResult &result);
+    void learnFromAnswer(TimePoint now, const InFlight &attempt, int status);
+    void observe(TimePoint now, const InFlight &attempt, HealthSign sign);
+
+    DispatcherOptions options;
+    BaselineChoice baseline;
+    Configuration configuration;
+    ClassTable classes;
+    UpstreamTable upstreams;
+    CapacityShare share;
+    ServiceTimes times;
+    UpstreamHealth health;
+    TaskQueue queue;
+    AttemptTable attempts;
+    RetryBudget retries;
+    Placer placer;
+    std::unordered_map<JobId, JobTrace> jobs;
+    /// When the state of an upstream has to be looked at again.
+    std::multimap<TimePoint, UpstreamIndex> wakeups;
+    std::uint32_t freeUpstreams = 0;
+    std::uint32_t parallel = 0;
+    /// Counts the changes in which upstreams take work, and how much.
+    std::uint64_t upstreamSet = 1;
+    TimePoint advancesUpdatedAt;
+    TimePoint forgottenAt;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/dispatch/placer.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/dispatch/taskqueue.h"
+#include "core/dispatch/upstreamranking.h"
+
+#include <optional>
+#include <vector>
+
+namespace Citronpitch {
+
+/// Where the tasks of one job went and what became of them.
+struct JobTrace
+{
+    std::uint32_t tasks = 0;
+    std::uint32_t succeeded = 0;
+    /// Declared time of each task.
+    std::vector<Duration> declared;
+    /// Tasks started in each rack, by its number.
+    std::vector<std::uint32_t> perRack;
+    /// Upstreams on which an attempt did not come to an answer.
+    std::vector<UpstreamIndex> avoided;
+    /// Attempts in flight.
+    std::vector<AttemptId> open;
+};
+
+/// What to do with the most urgent task of a lane.
+enum class PlacerVerdict {
+    Start,
+    /// No free upstream fits.
+    NoneFree,
+    /// Only slow upstreams are free, and one of the fast ones is free soon enough.
+    WaitForFaster,
+};
+
+/// Verdict on one task and, for Start, the upstream.
+struct PlacerChoice
+{
+    PlacerVerdict verdict = PlacerVerdict::NoneFree;
+    UpstreamIndex upstream = 0;
+};
+
+/**
+ * @brief Chooses the upstream for one task: the one on which it is expected to end first.
+ *
+ * Among equals it spreads the tasks of a job over racks. Used by Dispatcher.
+ */
+class Placer
+{
+public:
+    explicit Placer(const UpstreamTable &upstreams);
+
+    /**
+     * Chooses for a task that needs @p need.
+     *
+     * @p ahead is the number of waiting tasks that would take the faster upstreams first, this one included.
+     */
+    PlacerChoice choose(const UpstreamRanking &ranking, const Resources &need, const JobTrace &job,
+                        std::uint32_t ahead) const;
+
+private:
+    bool fits(UpstreamIndex upstream, const Resources &need) const;
+    bool isAvoided(UpstreamIndex upstream, const JobTrace &job) const;
+    std::size_t bestOfEqual(const UpstreamRanking &ranking, std::size_t first, const Resources &need,
+                            const JobTrace &job) const;
+
+    const UpstreamTable &m_upstreams;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/dispatch/retrybudget.cpp
@@ -0,0 +1,29 @@
+#include "core/dispatch/retrybudget.h"
+
+#include <algorithm>
+
+namespace Citronpitch {
+
+namespace {
+
+/// Hundredths of a retry that one start earns.
+constexpr std::uint32_t creditPerStart = 5;
+constexpr std::uint32_t creditPerRetry = 100;
+constexpr std::uint32_t largestCredit = 5000;
+
+} // namespace
+
+void RetryBudget::started()
+{
+    m_credit = std::min(m_credit + creditPerStart, largestCredit);
+}
+
+bool RetryBudget::take()
+{
+    if (m_credit < creditPerRetry)
+        return false;
+    m_credit -= creditPerRetry;
+    return true;
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/dispatch/upstreamranking.cpp
@@ -0,0 +1,120 @@
+#include "core/dispatch/upstreamranking.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <limits>
+#include <map>
+
+namespace Citronpitch {
+
+namespace {
+
+constexpr std::size_t bitsPerWord = 64;
+constexpr std::size_t notRanked = std::numeric_limits<std::size_t>::max();
+
+/// Times within one step of this ratio count as equal.
+constexpr double equalRatio = 1.25;
+
+int stepOf(Duration time)
+{
+    const double microseconds = std::max(static_cast<double>(time.count()), 1.0);
+    return static_cast<int>(std::floor(std::log(microseconds) / std::log(equalRatio)));
+}
+
+struct SortKey
+{
+    int step = 0;
+    /// How many upstreams of the same rack and step come before.
+    std::uint32_t turn = 0;
+    std::size_t position = 0;
+    auto operator<=>(const SortKey &) const = default;
+};
+
+} // namespace
+
+void UpstreamRanking::rebuild(std::vector<RankedUpstream> upstreams)
+{
+    struct RackStep
+    {
+        RackIndex rack = 0;
+        int step = 0;
+        auto operator<=>(const RackStep &) const = default;
+    };
+    std::map<RackStep, std::uint32_t> turns;
+    std::vector<SortKey> keys;
+    keys.reserve(upstreams.size());
+    UpstreamIndex highest = 0;
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+        const int step = stepOf(upstreams[i].time);
+        keys.push_back({step, turns[{upstreams[i].rack, step}]++, i});
+        highest = std::max(highest, upstreams[i].upstream);
+    }
+    std::sort(keys.begin(), keys.end());
+    m_ranked.clear();
+    m_steps.clear();
+    m_rates.assign(1, 0);
+    m_free.assign(upstreams.size() / bitsPerWord + 1, 0);
+    m_rankOf.assign(upstreams.empty() ? 0 : highest + 1, notRanked);
+    for (const auto &it : keys) {
+        const auto &upstream = upstreams[it.position];
+        const double time = std::max(static_cast<double>(upstream.time.count()), 1.0);
+        m_rankOf[upstream.upstream] = m_ranked.size();
+        m_ranked.push_back(upstream);
+        m_steps.push_back(it.step);
+        m_rates.push_back(m_rates.back() + upstream.parallel / time);
+        setFree(upstream.upstream, upstream.isFree);
+    }
+}
+
+void UpstreamRanking::setFree(UpstreamIndex upstream, bool isFree)
+{
+    if (upstream >= m_rankOf.size() || m_rankOf[upstream] == notRanked)
+        return;
+    const auto rank = m_rankOf[upstream];
+    const auto bit = std::uint64_t{1} << (rank % bitsPerWord);
+    auto &word = m_free[rank / bitsPerWord];
+    word = isFree ? word | bit : word & ~bit;
+}
+
+std::optional<std::size_t> UpstreamRanking::nextFree(std::size_t rank) const
+{
+    if (rank >= m_ranked.size())
+        return std::nullopt;
+    auto index = rank / bitsPerWord;
+    auto word = m_free[index] & (~std::uint64_t{0} << (rank % bitsPerWord));
+    while (word == 0) {
+        if (++index == m_free.size())
+            return std::nullopt;
+        word = m_free[index];
+    }
+    return index * bitsPerWord + static_cast<std::size_t>(std::countr_zero(word));
+}
+
+const RankedUpstream &UpstreamRanking::at(std::size_t rank) const
+{
+    return m_ranked[rank];
+}
+
+std::size_t UpstreamRanking::size() const
+{
+    return m_ranked.size();
+}
+
+bool UpstreamRanking::areEqual(std::size_t left, std::size_t right) const
+{
+    return m_steps[left] == m_steps[right];
+}
+
+std::size_t UpstreamRanking::fasterThan(Duration time) const
+{
+    const auto it = std::lower_bound(m_steps.begin(), m_steps.end(), stepOf(time));
+    return static_cast<std::size_t>(it - m_steps.begin());
+}
+
+double UpstreamRanking::rateOf(std::size_t ranks) const
+{
+    return m_rates[ranks];
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/dispatch/upstreamtable.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "core/dispatch/capacity.h"
+#include "core/dispatch/servicetimes.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Citronpitch {
+
+/// Number of a rack of the failure domain.
+using RackIndex = std::uint32_t;
+
+/// One upstream of the failure domain and what this entry VM has in flight on it.
+struct UpstreamEntry
+{
+    UpstreamAnnouncement announcement;
+    Capacity whole;
+    /// Part of @ref whole that this entry VM may use.
+    Capacity own;
+    /// Part of @ref own that attempts of this incarnation take.
+    Capacity used;
+    /// Attempts in flight on this incarnation.
+    std::uint32_t busy = 0;
+    RackIndex rack = 0;
+    /// Starts that the upstream declined one after the other.
+    std::uint32_t declines = 0;
+    /// No start before this moment.
+    TimePoint blockedUntil;
+    /// Whether a start is possible now; kept by Dispatcher.
+    bool isFree = false;
+    /// Tasks side by side that this entry VM counts on; zero while the upstream takes no work.
+    std::uint32_t parallel = 0;
+
+    /// What is left of @ref own.
+    Capacity free() const;
+};
+
+/// What an announcement changed.
+enum class AnnouncementEffect {
+    /// It is of an ended incarnation.
+    Ignored,
+    Renewed,
+    /// The upstream is new, or has a new incarnation.
+    Added,
+};
+
+/**
+ * @brief The upstreams of the failure domain by name and by number.
+ *
+ * Knows incarnations, leases and leaving; nothing of health or speed. Used by Dispatcher.
+ */
+class UpstreamTable
+{
+public:
+    struct Announced
+    {
+        UpstreamIndex upstream = 0;
+        AnnouncementEffect effect = AnnouncementEffect::Ignored;
+    };
+
+    /// Takes over @p announcement unless its incarnation has ended.
+    Announced announce(const UpstreamAnnouncement &announcement);
+
+    /// Forgets the idle upstreams whose lease ended before @p moment, and returns their numbers.
+    std::vector<UpstreamIndex> forget(TimePoint moment);
+
+    std::optional<UpstreamIndex> find(std::string_view name) const;
+    UpstreamEntry &at(UpstreamIndex upstream);
+    const UpstreamEntry &at(UpstreamIndex upstream) const;
+
+    /// Numbers of the known upstreams, by name.
+    const std::map<std::string, UpstreamIndex, std::less<>> &byName() const;
+
+    /// Whether any known upstream could ever run a task that needs @p need.
+    bool canEverRun(const Resources &need) const;
+
+private:
+    struct Shape
+    {
+        Capacity capacity;
+        std::uint32_t upstreams = 0;
+    };
+
+    RackIndex rackNumber(const std::string &rack);
+    void count(const Capacity &shape);
+    void uncount(const Capacity &shape);
+
+    std::vector<UpstreamEntry> m_entries;
+    std::vector<UpstreamIndex> m_unused;
+    std::map<std::string, UpstreamIndex, std::less<>> m_names;
+    std::map<std::string, RackIndex, std::less<>> m_racks;
+    std::vector<Shape> m_shapes;
+};
+
+} // namespace Citronpitch
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -50,7 +50,7 @@
 {
     for (const auto &it : options.vms)
         m_vmNames.push_back(it.name);
-    updateShare();
+    updateShare({});
 }
 
 void EntryVm::request(TimePoint now, CallerId caller, CallerRequest request)
@@ -98,9 +98,9 @@
         const auto [job, task] = it->second;
         m_attempts.erase(it);
         auto &run = m_jobs.at(job);
-        const auto next = run.end(task, result);
+        const auto next = run.end(task, result, [this] { return m_dispatcher.takeRetry(); });
         if (next == AfterAttempt::PlaceAgain)
-            m_dispatcher.requeue(now, job, task);
+            m_dispatcher.requeue(now, job, run.submission(), task);
         else if (next == AfterAttempt::AnswerJob)
             finishJob(now, job, run.finalAnswer());
     }
@@ -118,7 +118,7 @@
         const auto &heartbeat = message.heartbeat();
         m_membership.report(message.sender(), heartbeat.configuration_version(), heartbeat.free_slots(),
                             heartbeat.queued_tasks(), heartbeat.leaving());
-        updateShare();
+        updateShare(now);
         break;
     }
     case wire::PeerMessage::kForwardedRequest:
@@ -160,7 +160,7 @@
 {
     for (const auto &it : m_membership.suspect(now)) {
         failForwards(now, it);
-        updateShare();
+        updateShare(now);
     }
     failLateJobs(now);
     resendForwards(now);
@@ -421,7 +421,7 @@
         m_attempts.erase(attempt);
         m_actions.emplace_back(StopTask{attempt});
     }
-    m_dispatcher.remove(job);
+    m_dispatcher.remove(now, job);
     m_deadlines.erase({submission.deadline, job});
     m_jobs.erase(it);
     auto record = std::make_shared<wire::ClaimJournalRecord>();
@@ -479,7 +479,7 @@
     }
 }
 
-void EntryVm::updateShare()
+void EntryVm::updateShare(TimePoint now)
 {
     std::uint32_t part = 0;
     std::uint32_t parts = 0;
@@ -492,7 +492,7 @@
             continue;
         ++parts;
     }
-    m_dispatcher.setShare(part, parts);
+    m_dispatcher.setShare(now, part, parts);
 }
 
 void EntryVm::reply(const Waiter &waiter, const Answer &answer)
--- a/src/daemon/controlapi.cpp
+++ b/src/daemon/controlapi.cpp
@@ -41,6 +41,7 @@
             {"busySlots", upstream.busySlots},
             {"rack", announcement.rack},
             {"leaving", announcement.leaving},
+            {"state", upstream.state},
             {"leaseDeadline", microsecondsOf(announcement.leaseDeadline) / 1000}};
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -40,6 +40,7 @@
     options.suspicionTime = settings.suspicionTime;
     options.retention = settings.answerRetention;
     options.dispatching.placement = settings.placement;
+    options.dispatching.entryVms = static_cast<std::uint32_t>(settings.vms.size());
     return options;
 }
 
--- /dev/null
+++ b/tests/unit/dispatchertest.cpp
@@ -0,0 +1,383 @@
+#include "citronpitch/dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+using namespace Citronpitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start = timePointOf(1'700'000'000'000'000);
+
+UpstreamAnnouncement upstream(const std::string &name, std::uint32_t slots, const std::string &rack = "r1")
+{
+    UpstreamAnnouncement announcement;
+    announcement.name = name;
+    announcement.address = "127.0.0.1";
+    announcement.port = 1;
+    announcement.slots = slots;
+    announcement.rack = rack;
+    announcement.incarnation = 1;
+    announcement.leaseDeadline = start + 1h;
+    return announcement;
+}
+
+Submission submission(std::uint32_t tasks, const std::string &className = "short",
+                      const std::string &team = "t")
+{
+    Submission it;
+    it.team = team;
+    it.key = "key";
+    it.className = className;
+    it.deadline = start + 30min;
+    it.tasks.resize(tasks);
+    return it;
+}
+
+Configuration twoClasses()
+{
+    Configuration configuration;
+    configuration.classes = {{"short", 990000, 300ms}, {"long", 990000, 5s}};
+    return configuration;
+}
+
+const AttemptResult success{AttemptEnd::Answered, 200, {}};
+const AttemptResult failure{AttemptEnd::Answered, 500, {}};
+const AttemptResult broken{AttemptEnd::Broken, 0, {}};
+const AttemptResult declined{AttemptEnd::Declined, 503, {}};
+
+} // namespace
+
+class DispatcherTest : public testing::Test
+{
+protected:
+    DispatcherTest()
+    {
+        dispatcher.setConfiguration(twoClasses());
+    }
+
+    JobId add(const Submission &it)
+    {
+        dispatcher.add(now, nextJob, it);
+        return nextJob++;
+    }
+
+    /// Places what can be placed, and returns it.
+    std::vector<Placement> place()
+    {
+        return dispatcher.place(now);
+    }
+
+    /// Runs @p tasks jobs of one task, one after the other, that take @p took on each upstream.
+    void runOneByOne(int tasks, const std::map<std::string, Duration> &took)
+    {
+        for (int i = 0; i < tasks; ++i) {
+            const auto job = add(submission(1));
+            const auto placed = place();
+            ASSERT_EQ(placed.size(), 1U);
+            now += took.at(placed[0].upstream);
+            dispatcher.finish(now, placed[0].attempt, success);
+            dispatcher.remove(now, job);
+            now += 21ms;
+        }
+    }
+
+    Dispatcher dispatcher;
+    TimePoint now = start;
+    JobId nextJob = 1;
+};
+
+TEST_F(DispatcherTest, neverUsesMoreThanItsSlots)
+{
+    dispatcher.announce(now, upstream("a", 3));
+    add(submission(5));
+    const auto placed = place();
+    EXPECT_EQ(placed.size(), 3U);
+    dispatcher.finish(now, placed[0].attempt, success);
+    dispatcher.finish(now, placed[0].attempt, success);
+    EXPECT_EQ(place().size(), 1U);
+}
+
+TEST_F(DispatcherTest, nothingGoesToALeavingUpstreamOrPastItsLease)
+{
+    auto leaving = upstream("a", 1);
+    dispatcher.announce(now, leaving);
+    leaving.leaving = true;
+    dispatcher.announce(now, leaving);
+    leaving.leaving = false;
+    dispatcher.announce(now, leaving);
+    auto lapsed = upstream("b", 1);
+    lapsed.leaseDeadline = now + 2s;
+    dispatcher.announce(now, lapsed);
+    now += 2s;
+    add(submission(2));
+    EXPECT_TRUE(place().empty());
+    lapsed.leaseDeadline = now + 2s;
+    dispatcher.announce(now, lapsed);
+    EXPECT_EQ(place().size(), 1U);
+}
+
+TEST_F(DispatcherTest, anOlderIncarnationNeitherRevivesNorFreesSlots)
+{
+    auto newer = upstream("a", 1);
+    dispatcher.announce(now, newer);
+    add(submission(3));
+    const auto first = place();
+    ASSERT_EQ(first.size(), 1U);
+    newer.incarnation = 2;
+    dispatcher.announce(now, newer);
+    const auto second = place();
+    ASSERT_EQ(second.size(), 1U) << "the new incarnation starts with free slots";
+    dispatcher.finish(now, first[0].attempt, broken);
+    EXPECT_TRUE(place().empty()) << "the slot of the ended incarnation was counted for the new one";
+    newer.leaving = true;
+    dispatcher.announce(now, newer);
+    dispatcher.finish(now, second[0].attempt, success);
+    dispatcher.announce(now, upstream("a", 1));
+    EXPECT_TRUE(place().empty());
+}
+
+TEST_F(DispatcherTest, nothingStartsAfterTheDeadline)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    auto late = submission(1);
+    late.deadline = now + 1s;
+    add(late);
+    now += 1s;
+    EXPECT_TRUE(place().empty());
+    EXPECT_EQ(dispatcher.queuedTasks(), 0U);
+}
+
+TEST_F(DispatcherTest, tasksOfARemovedJobAreNotStarted)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    const auto job = add(submission(2));
+    const auto other = add(submission(1, "long"));
+    const auto placed = place();
+    dispatcher.remove(now, job);
+    dispatcher.requeue(now, job, submission(2), 0);
+    dispatcher.finish(now, placed.at(0).attempt, broken);
+    const auto next = place();
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next[0].job, other);
+}
+
+TEST_F(DispatcherTest, learnsWhichUpstreamIsFasterFromAFewTasks)
+{
+    dispatcher.announce(now, upstream("slow", 1));
+    dispatcher.announce(now, upstream("quick", 1));
+    runOneByOne(8, {{"slow", 400ms}, {"quick", 100ms}});
+    add(submission(1));
+    EXPECT_EQ(place().at(0).upstream, "quick");
+}
+
+TEST_F(DispatcherTest, waitsForAFastUpstreamRatherThanUseASlowOne)
+{
+    dispatcher.announce(now, upstream("slow", 1));
+    dispatcher.announce(now, upstream("quick", 4));
+    for (int i = 0; i < 6; ++i) {
+        const auto job = add(submission(5));
+        for (const auto &it : place())
+            dispatcher.finish(now + (it.upstream == "slow" ? 2000ms : 100ms), it.attempt, success);
+        dispatcher.remove(now, job);
+        now += 100ms;
+    }
+    add(submission(5));
+    EXPECT_EQ(place().size(), 4U) << "the slow upstream ends later than a second turn on the quick one";
+    add(submission(200));
+    EXPECT_EQ(place().size(), 1U) << "with a long queue the slow upstream helps";
+}
+
+TEST_F(DispatcherTest, oneJobIsSpreadOverRacks)
+{
+    for (int i = 0; i < 6; ++i)
+        dispatcher.announce(now, upstream("u" + std::to_string(i), 8, "r" + std::to_string(i / 2)));
+    add(submission(9));
+    std::map<std::string, int> perRack;
+    for (const auto &it : place())
+        ++perRack["r" + std::to_string((it.upstream[1] - '0') / 2)];
+    for (const auto &[rack, n] : perRack)
+        EXPECT_EQ(n, 3) << rack;
+}
+
+TEST_F(DispatcherTest, countsResourcesWhereTheyAreAnnounced)
+{
+    auto worker = upstream("w", 0);
+    worker.capacity = {4000, 8U << 20, 1};
+    dispatcher.announce(now, worker);
+    auto job = submission(4);
+    job.tasks[0].need = {2000, 1U << 20, 1};
+    job.tasks[1].need = {2000, 1U << 20, 1};
+    job.tasks[2].need = {1000, 1U << 20, 0};
+    add(job);
+    EXPECT_EQ(place().size(), 3U) << "one accelerator, and four cores for three tasks";
+}
+
+TEST_F(DispatcherTest, aJobThatCanNeverFitIsRefusedWithTheTask)
+{
+    auto job = submission(3);
+    const auto unknown = dispatcher.refusal(now, job);
+    ASSERT_TRUE(unknown.has_value());
+    EXPECT_EQ(unknown->reason, Reason::Overloaded);
+    EXPECT_GT(unknown->retryAt.value_or(start), now);
+    auto worker = upstream("w", 0);
+    worker.capacity = {4000, 8U << 20, 1};
+    dispatcher.announce(now, worker);
+    EXPECT_FALSE(dispatcher.refusal(now, job).has_value());
+    job.tasks[1].need = {5000, 0, 0};
+    const auto refusal = dispatcher.refusal(now, job);
+    ASSERT_TRUE(refusal.has_value());
+    EXPECT_EQ(refusal->reason, Reason::NeverFits);
+    EXPECT_NE(refusal->detail.find("task 1"), std::string::npos);
+}
+
+TEST_F(DispatcherTest, aTargetActsOnQueuedWorkAtOnce)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    const auto slack = add(submission(1, "long"));
+    now += 10ms;
+    const auto tight = add(submission(1, "short"));
+    auto configuration = twoClasses();
+    configuration.classes[1].targetTime = 50ms;
+    dispatcher.setConfiguration(configuration);
+    auto placed = place();
+    EXPECT_EQ(placed.at(0).job, slack) << "its target was tightened";
+    configuration.classes[1].retired = true;
+    dispatcher.setConfiguration(configuration);
+    const auto retired = dispatcher.refusal(now, submission(1, "long"));
+    ASSERT_TRUE(retired.has_value());
+    EXPECT_EQ(retired->reason, Reason::RetiredClass);
+    dispatcher.finish(now, placed[0].attempt, success);
+    EXPECT_EQ(place().at(0).job, tight);
+}
+
+TEST_F(DispatcherTest, queuedWorkOfARetiredClassStillRuns)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    const auto job = add(submission(1, "long"));
+    auto configuration = twoClasses();
+    configuration.classes[1].retired = true;
+    dispatcher.setConfiguration(configuration);
+    EXPECT_EQ(place().at(0).job, job);
+}
+
+TEST_F(DispatcherTest, aClassThatIsBehindGainsAndNoneStarves)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    auto configuration = twoClasses();
+    configuration.classes = {{"ahead", 990000, 300ms}, {"behind", 990000, 300ms}};
+    dispatcher.setConfiguration(configuration);
+    for (int i = 0; i < 50; ++i) {
+        const auto job = add(submission(1, "behind"));
+        now += 400ms;
+        const auto placed = place();
+        now += 100ms;
+        dispatcher.finish(now, placed.at(0).attempt, success);
+        dispatcher.remove(now, job);
+    }
+    const auto waiting = add(submission(1, "ahead"));
+    now += 10ms;
+    const auto urgent = add(submission(1, "behind"));
+    auto placed = place();
+    EXPECT_EQ(placed.at(0).job, urgent);
+    bool hasRun = false;
+    for (int i = 0; i < 50 && !hasRun; ++i) {
+        add(submission(1, "behind"));
+        now += 50ms;
+        dispatcher.finish(now, placed.at(0).attempt, success);
+        placed = place();
+        hasRun = placed.at(0).job == waiting;
+    }
+    EXPECT_TRUE(hasRun);
+}
+
+TEST_F(DispatcherTest, aTeamOverItsQuotaUsesOnlyWhatOthersLeaveIdle)
+{
+    dispatcher.announce(now, upstream("a", 4));
+    auto configuration = twoClasses();
+    configuration.teams = {{"greedy", 1}, {"modest", 4}};
+    dispatcher.setConfiguration(configuration);
+    const auto greedy = add(submission(6, "short", "greedy"));
+    auto placed = place();
+    EXPECT_EQ(placed.size(), 4U) << "nobody else wants the slots";
+    const auto modest = add(submission(2, "long", "modest"));
+    for (const auto &it : placed)
+        dispatcher.finish(now, it.attempt, success);
+    std::multiset<JobId> jobs;
+    for (const auto &it : place())
+        jobs.insert(it.job);
+    EXPECT_EQ(jobs, (std::multiset<JobId>{greedy, greedy, modest, modest}));
+}
+
+TEST_F(DispatcherTest, whatCannotMeetItsDeadlineIsRefusedWithASpreadReturn)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    runOneByOne(4, {{"a", 100ms}});
+    for (int i = 0; i < 50; ++i)
+        add(submission(1));
+    std::set<TimePoint> returns;
+    for (int i = 0; i < 20; ++i) {
+        auto job = submission(1);
+        job.key = "key-" + std::to_string(i);
+        job.deadline = now + 2s;
+        auto roomy = job;
+        roomy.deadline = now + 20s;
+        EXPECT_FALSE(dispatcher.refusal(now, roomy).has_value());
+        const auto refusal = dispatcher.refusal(now, job);
+        ASSERT_TRUE(refusal.has_value());
+        EXPECT_EQ(refusal->reason, Reason::Overloaded);
+        EXPECT_GT(refusal->retryAt.value_or(start), now + 1s);
+        returns.insert(refusal->retryAt.value_or(start));
+    }
+    EXPECT_GT(returns.size(), 15U);
+}
+
+TEST_F(DispatcherTest, aFullTeamQueueIsRefusedAndOthersAreNot)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    for (int i = 0; i < 40; ++i)
+        add(submission(500, "short", "flood"));
+    auto job = submission(1, "long", "flood");
+    job.deadline = now + 10h;
+    EXPECT_TRUE(dispatcher.refusal(now, job).has_value());
+    job.team = "quiet";
+    EXPECT_FALSE(dispatcher.refusal(now, job).has_value());
+}
+
+TEST_F(DispatcherTest, anUpstreamThatDeclinesIsLeftAloneForAMoment)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    const auto job = add(submission(1));
+    int starts = 0;
+    for (int i = 0; i < 1000; ++i, now += 1ms) {
+        for (const auto &it : place()) {
+            ++starts;
+            dispatcher.finish(now, it.attempt, declined);
+            dispatcher.requeue(now, job, submission(1), it.task);
+        }
+    }
+    EXPECT_LE(starts, 10);
+    EXPECT_GE(starts, 4);
+}
+
+TEST_F(DispatcherTest, retriesStayWithinABudget)
+{
+    int retries = 0;
+    while (retries < 1000 && dispatcher.takeRetry())
+        ++retries;
+    EXPECT_LE(retries, 20);
+    EXPECT_GE(retries, 1);
+}
+
+TEST_F(DispatcherTest, aBaselineIsFirstInFirstOut)
+{
+    Dispatcher baseline({PlacementPolicy::LeastOutstanding, 0});
+    baseline.setConfiguration(twoClasses());
+    baseline.announce(now, upstream("a", 1));
+    baseline.add(now, 1, submission(1, "long"));
+    baseline.add(now, 2, submission(1, "short"));
+    EXPECT_EQ(baseline.place(now).at(0).job, 1U);
+}
