--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -28,6 +28,8 @@
     Duration suspicionTime = std::chrono::milliseconds(1500);
     /// How long answers are kept.
     Duration retention = std::chrono::hours(1);
+    /// How waiting tasks are ordered and upstreams chosen.
+    DispatcherOptions dispatching;
 };
 
 /// What a caller asks for with a key.
@@ -143,7 +145,7 @@
     void failLateJobs(TimePoint now);
     void resendForwards(TimePoint now);
     void sendHeartbeats(TimePoint now);
-    void updateShare();
+    void updateShare(TimePoint now);
     void reply(const Waiter &waiter, const Answer &answer);
     void send(const std::string &vm, std::shared_ptr<citronpitch::wire::PeerMessage> message);
     std::shared_ptr<citronpitch::wire::PeerMessage> newMessage(std::uint64_t receiverIncarnation) const;
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -49,10 +49,11 @@
     : m_options(options)
     , m_membership(options.self.name, options.vms, options.suspicionTime)
     , m_claims(options.retention)
+    , m_dispatcher(options.dispatching)
 {
     for (const auto &it : options.vms)
         m_vmNames.push_back(it.name);
-    updateShare();
+    updateShare({});
 }
 
 void EntryVm::request(TimePoint now, CallerId caller, CallerRequest request)
@@ -100,9 +101,9 @@
         const auto [job, task] = it->second;
         m_attempts.erase(it);
         auto &run = m_jobs.at(job);
-        const auto next = run.end(task, result);
+        const auto next = run.end(task, result, [this] { return m_dispatcher.takeRetry(); });
         if (next == AfterAttempt::PlaceAgain)
-            m_dispatcher.requeue(now, job, task);
+            m_dispatcher.requeue(now, job, run.submission(), task);
         else if (next == AfterAttempt::AnswerJob)
             finishJob(now, job, run.finalAnswer());
     }
@@ -120,7 +121,7 @@
         const auto &heartbeat = message.heartbeat();
         m_membership.report(message.sender(), heartbeat.configuration_version(), heartbeat.free_slots(),
                             heartbeat.queued_tasks(), heartbeat.leaving());
-        updateShare();
+        updateShare(now);
         break;
     }
     case wire::PeerMessage::kForwardedRequest:
@@ -175,7 +176,7 @@
 {
     for (const auto &it : m_membership.suspect(now)) {
         failForwards(now, it);
-        updateShare();
+        updateShare(now);
     }
     failForwardsOfEndedLinks(now);
     failLateJobs(now);
@@ -447,7 +448,7 @@
         m_attempts.erase(attempt);
         m_actions.emplace_back(StopTask{attempt});
     }
-    m_dispatcher.remove(job);
+    m_dispatcher.remove(now, job);
     m_deadlines.erase({submission.deadline, job});
     m_jobs.erase(it);
     auto record = std::make_shared<wire::ClaimJournalRecord>();
@@ -505,7 +506,7 @@
     }
 }
 
-void EntryVm::updateShare()
+void EntryVm::updateShare(TimePoint now)
 {
     std::uint32_t part = 0;
     std::uint32_t parts = 0;
@@ -518,7 +519,7 @@
             continue;
         ++parts;
     }
-    m_dispatcher.setShare(part, parts);
+    m_dispatcher.setShare(now, part, parts);
 }
 
 void EntryVm::reply(const Waiter &waiter, const Answer &answer)
