Settings from one declarative table; event catalogue; reload on SIGHUP

The settings were read key by key with defaults in the parse functions; a misspelt key was ignored and the first error hid the others. Every error is said at once with line, key, what was found and what is allowed.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -44,8 +44,9 @@
 
 } // namespace
 
-Daemon::Daemon(const Settings &settings)
+Daemon::Daemon(const Settings &settings, std::string settingsFile)
     : m_settings(settings)
+    , m_settingsFile(std::move(settingsFile))
     , m_steadyStart(std::chrono::steady_clock::now())
     , m_wallStart(wallClock())
     , m_vm(optionsOf(settings, m_wallStart))
@@ -65,7 +66,7 @@
                           return handleControl(request, respond);
                       })
     , m_tickTimer(m_io)
-    , m_signals(m_io, SIGTERM, SIGINT)
+    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_random(std::random_device{}())
 {
     m_vm.setConfiguration(now(), settings.initialConfiguration);
@@ -257,14 +258,36 @@
 
 void Daemon::waitForSignal()
 {
-    m_signals.async_wait([this](boost::system::error_code ec, int) {
+    m_signals.async_wait([this](boost::system::error_code ec, int number) {
         if (ec)
             return;
-        drain();
+        if (number == SIGHUP)
+            reload();
+        else
+            drain();
         waitForSignal();
     });
 }
 
+void Daemon::reload()
+{
+    leaf::try_handle_all(
+        [this]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(const auto loaded, loadSettings(m_settingsFile));
+            const auto reloading = reloadSettings(m_settings, loaded);
+            m_settings = reloading.settings;
+            m_callerServer.setLimits(m_settings.limits);
+            m_controlServer.setLimits(m_settings.limits);
+            setUpEventLog(m_settings.log);
+            for (const auto &it : reloading.applied)
+                logEvent(Event::SettingsReloaded, {{"key", it}});
+            for (const auto &it : reloading.waiting)
+                logEvent(Event::SettingsWaitForRestart, {{"key", it}});
+            return {};
+        },
+        [](const StepError &error) { logEvent(Event::SettingsRefused, {{"error", error.text()}}); }, [] {});
+}
+
 void Daemon::drain()
 {
     if (m_isDraining)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -23,7 +23,8 @@
 class Daemon
 {
 public:
-    explicit Daemon(const Settings &settings);
+    /// @p settingsFile is read again on SIGHUP.
+    Daemon(const Settings &settings, std::string settingsFile);
 
     /// Serves until a graceful shutdown has ended. Returns the exit code of the process.
     int run();
@@ -45,10 +46,12 @@
     void tick();
     void waitForSignal();
     void drain();
+    void reload();
     std::string newKey();
     TimePoint now() const;
 
     Settings m_settings;
+    std::string m_settingsFile;
     std::chrono::steady_clock::time_point m_steadyStart;
     TimePoint m_wallStart;
     boost::asio::io_context m_io;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 #include "log/eventlog.h"
+#include "settings/settingsreference.h"
 
 #include <getopt.h>
 
@@ -7,58 +8,110 @@
 
 namespace {
 
-constexpr int exitUsage = 2;
+using namespace Citronpitch;
+
 constexpr int exitFailure = 1;
+/// Wrong usage or a settings file with errors; nothing was started.
+constexpr int exitUsage = 2;
+
+/// What the process was asked to do.
+enum class Task { Serve, PrintSettings, PrintSettingsReference, PrintEvents, PrintHelp };
+
+/// What the command line asked for.
+struct Arguments
+{
+    Task task = Task::Serve;
+    std::string settingsFile;
+};
 
 void printHelp()
 {
     std::cout << "usage: citronpitchd --settings FILE\n"
-                 "Serves one entry VM until SIGTERM.\n";
+                 "Serves one entry VM until SIGTERM; SIGHUP makes it read FILE again.\n"
+                 "  --print-settings            print the settings with every default filled in, and end\n"
+                 "  --print-settings-reference  print the reference of all keys, docs/SETTINGS.md, and end\n"
+                 "  --print-events              print the catalogue of events, docs/EVENTS.md, and end\n"
+                 "  --help                      print this, and end\n"
+                 "exit codes: 0 ended as asked, 1 failed, 2 wrong usage or settings\n";
+}
+
+int serve(const Settings &settings, const std::string &path)
+{
+    setUpEventLog(settings.log);
+    try {
+        Daemon daemon(settings, path);
+        return daemon.run();
+    } catch (const std::exception &e) {
+        logEvent(Event::StartFailed, {{"step", "listen"}, {"error", e.what()}});
+        return exitFailure;
+    }
 }
 
-int serve(const std::string &path)
+int runWithSettings(const Arguments &arguments)
 {
-    using namespace Citronpitch;
     return boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<int> {
-            BOOST_LEAF_ASSIGN(const auto settings, loadSettings(path));
-            Daemon daemon(settings);
-            return daemon.run();
+            BOOST_LEAF_ASSIGN(const auto settings, loadSettings(arguments.settingsFile));
+            if (arguments.task == Task::PrintSettings) {
+                std::cout << settings.text << "\n";
+                return 0;
+            }
+            return serve(settings, arguments.settingsFile);
         },
         [](const StepError &error) {
-            logEvent(Event::StartFailed, {{"error", error.text()}});
-            return exitFailure;
+            std::cerr << "citronpitchd: " << error.text() << "\n";
+            return exitUsage;
         },
         [] { return exitFailure; });
 }
 
+int run(const Arguments &arguments)
+{
+    switch (arguments.task) {
+    case Task::PrintHelp:
+        printHelp();
+        return 0;
+    case Task::PrintSettingsReference:
+        std::cout << settingsReference();
+        return 0;
+    case Task::PrintEvents:
+        std::cout << eventReference();
+        return 0;
+    default:
+        break;
+    }
+    if (arguments.settingsFile.empty()) {
+        std::cerr << "citronpitchd: --settings FILE is missing\n";
+        return exitUsage;
+    }
+    return runWithSettings(arguments);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     const option options[] = {{"settings", required_argument, nullptr, 's'},
+                              {"print-settings", no_argument, nullptr, 'p'},
+                              {"print-settings-reference", no_argument, nullptr, 'r'},
+                              {"print-events", no_argument, nullptr, 'e'},
                               {"help", no_argument, nullptr, 'h'},
                               {nullptr, 0, nullptr, 0}};
-    std::string path;
+    Arguments arguments;
     for (int it = getopt_long(argc, argv, "s:h", options, nullptr); it != -1;
          it = getopt_long(argc, argv, "s:h", options, nullptr)) {
-        if (it == 'h') {
-            printHelp();
-            return 0;
-        }
-        if (it != 's')
+        if (it == 's')
+            arguments.settingsFile = optarg;
+        else if (it == 'p')
+            arguments.task = Task::PrintSettings;
+        else if (it == 'r')
+            arguments.task = Task::PrintSettingsReference;
+        else if (it == 'e')
+            arguments.task = Task::PrintEvents;
+        else if (it == 'h')
+            arguments.task = Task::PrintHelp;
+        else
             return exitUsage;
-        path = optarg;
-    }
-    if (path.empty()) {
-        std::cerr << "citronpitchd: --settings FILE is missing\n";
-        return exitUsage;
-    }
-    Citronpitch::setUpEventLog();
-    try {
-        return serve(path);
-    } catch (const std::exception &e) {
-        Citronpitch::logEvent(Citronpitch::Event::StartFailed, {{"step", "listen"}, {"error", e.what()}});
-        return exitFailure;
     }
+    return run(arguments);
 }
--- /dev/null
+++ b/src/log/event.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "log/logsettings.h"
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace Citronpitch {
+
+/// Numbers of the logged events; a number is never used again for another event.
+enum class Event : std::uint16_t {
+    Started = 100,
+    Stopped = 101,
+    DrainStarted = 102,
+    DrainTimedOut = 103,
+    StartFailed = 104,
+    SettingsReloaded = 105,
+    SettingsWaitForRestart = 106,
+    SettingsRefused = 107,
+    RepeatsSuppressed = 108,
+    ListeningStopped = 109,
+    UpstreamAnnounced = 200,
+    UpstreamLeaving = 201,
+    UpstreamExpired = 202,
+    AnnouncementRefused = 203,
+    PeerMessageMalformed = 300,
+    PeerAlive = 301,
+    PeerSuspected = 302,
+    PeerLeaving = 303,
+    ConfigurationInForce = 400,
+    CallerInputRefused = 500,
+};
+
+/// Level, text and explanation of one event.
+struct EventEntry
+{
+    Event event;
+    EventLevel level;
+    std::string_view text;
+    /// Names of the fields, separated by spaces.
+    std::string_view fields;
+    /// What it means and what to do.
+    std::string_view meaning;
+};
+
+/// Every event, in the order of the numbers.
+std::span<const EventEntry> eventCatalogue();
+
+/// The entry of @p event.
+const EventEntry &entryOf(Event event);
+
+} // namespace Citronpitch
--- a/src/log/eventlog.h
+++ b/src/log/eventlog.h
@@ -1,27 +1,12 @@
 #pragma once
 
-#include <cstdint>
+#include "log/event.h"
+
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace Citronpitch {
 
-/// How severe an event is.
-enum class EventLevel { Info, Warning, Error };
-
-/// Numbers of the logged events; docs/EVENTS.md is their catalogue.
-enum class Event : std::uint16_t {
-    Started = 100,
-    Stopped = 101,
-    DrainStarted = 102,
-    DrainTimedOut = 103,
-    StartFailed = 104,
-    UpstreamAnnounced = 200,
-    UpstreamLeaving = 201,
-    PeerMessageMalformed = 300,
-};
-
 /// One named value of an event.
 struct EventField
 {
@@ -29,10 +14,25 @@
     std::string value;
 };
 
-/// Sets up logging to standard error; must be called before the first event.
-void setUpEventLog();
+/// Sets up logging to standard error, and again after a change of @p settings.
+void setUpEventLog(const LogSettings &settings);
 
-/// Logs @p event with @p fields as one line.
+/// Logs @p event with @p fields as one line, unless it repeats too often.
 void logEvent(Event event, const std::vector<EventField> &fields);
 
+/// Logs how many repeats were left out in the windows that have ended; called now and then.
+void logSuppressedEvents();
+
+/// Logs how many repeats were left out so far; called before the process ends.
+void logAllSuppressedEvents();
+
+/// One line of the log as text: number, text and fields. Values with spaces are quoted.
+std::string eventText(const EventEntry &entry, const std::vector<EventField> &fields);
+
+/// One line of the log as a JSON object.
+std::string eventJson(TimePoint now, const EventEntry &entry, const std::vector<EventField> &fields);
+
+/// The text of docs/EVENTS.md, made of the catalogue.
+std::string eventReference();
+
 } // namespace Citronpitch
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -34,6 +34,11 @@
         it->drain();
 }
 
+void HttpServer::setLimits(const CallerLimits &limits)
+{
+    m_limits = limits;
+}
+
 std::uint16_t HttpServer::port() const
 {
     return m_acceptor.local_endpoint().port();
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -35,6 +35,9 @@
     /// Takes no more connections, closes idle ones, and closes the others after their response.
     void drain();
 
+    /// Takes @p limits for connections and requests from now on.
+    void setLimits(const CallerLimits &limits);
+
     /// Port that is listened on.
     std::uint16_t port() const;
 
--- /dev/null
+++ b/src/settings/keylines.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Citronpitch {
+
+/// A key that stands twice in one object.
+struct RepeatedKey
+{
+    std::string path;
+    int line = 0;
+};
+
+/**
+ * @brief The lines of a JSON text on which its keys stand.
+ *
+ * Paths are written `vms[2].peers.port`; the empty path is the whole document. Used by SettingsCheck to say
+ * where an error is.
+ */
+class KeyLines
+{
+public:
+    /// Reads @p text, JSON with comments, as far as it is well formed.
+    explicit KeyLines(std::string_view text);
+
+    /// Line of @p path, counted from one; that of the nearest path around it where @p path is not there.
+    int lineOf(std::string_view path) const;
+
+    const std::vector<RepeatedKey> &repeatedKeys() const;
+
+private:
+    std::map<std::string, int, std::less<>> m_lines;
+    std::vector<RepeatedKey> m_repeatedKeys;
+};
+
+} // namespace Citronpitch
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,7 +1,10 @@
 #include "settings/settings.h"
 
+#include "settings/settingscheck.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -12,9 +15,11 @@
 
 namespace {
 
-Duration milliseconds(const Json &from, const char *key, std::int64_t fallback)
+// Every default is filled in before these functions are called.
+
+Duration milliseconds(const Json &from, const char *key)
 {
-    return std::chrono::milliseconds(from.value(key, fallback));
+    return std::chrono::milliseconds(from.at(key).get<std::int64_t>());
 }
 
 Endpoint parseEndpoint(const Json &from)
@@ -34,31 +39,42 @@
 CallerLimits parseLimits(const Json &from)
 {
     CallerLimits limits;
-    limits.maximumBodyBytes = from.value("maximumBodyBytes", std::uint64_t{8} << 20);
-    limits.maximumHeaderBytes = from.value("maximumHeaderBytes", 16384U);
-    limits.maximumConnections = from.value("maximumConnections", 10000U);
-    limits.maximumConnectionsPerAddress = from.value("maximumConnectionsPerAddress", 4000U);
-    limits.idleTimeout = milliseconds(from, "idleTimeoutMs", 60000);
-    limits.readTimeout = milliseconds(from, "readTimeoutMs", 10000);
+    limits.maximumBodyBytes = from.at("maximumBodyBytes").get<std::uint64_t>();
+    limits.maximumHeaderBytes = from.at("maximumHeaderBytes").get<std::uint32_t>();
+    limits.maximumConnections = from.at("maximumConnections").get<std::uint32_t>();
+    limits.maximumConnectionsPerAddress = from.at("maximumConnectionsPerAddress").get<std::uint32_t>();
+    limits.idleTimeout = milliseconds(from, "idleTimeoutMs");
+    limits.readTimeout = milliseconds(from, "readTimeoutMs");
     return limits;
 }
 
+LogSettings parseLog(const Json &from)
+{
+    LogSettings log;
+    log.format = valueIn(logFormatNames, from.at("format").get<std::string>()).value_or(log.format);
+    log.level = valueIn(eventLevelNames, from.at("level").get<std::string>()).value_or(log.level);
+    log.repeatLimit = from.at("repeatLimit").get<std::uint32_t>();
+    log.repeatWindow = milliseconds(from, "repeatWindowMs");
+    return log;
+}
+
 ClassDeclaration parseClass(const Json &from)
 {
     ClassDeclaration declaration;
     declaration.name = from.at("name").get<std::string>();
-    declaration.targetShare = from.value("targetSharePpm", 990000U);
-    declaration.targetTime = milliseconds(from, "targetTimeMs", 1000);
+    declaration.targetShare = from.at("targetSharePpm").get<std::uint32_t>();
+    declaration.targetTime = milliseconds(from, "targetTimeMs");
     return declaration;
 }
 
 Configuration parseConfiguration(const Json &from)
 {
     Configuration configuration;
-    for (const auto &it : from.value("classes", Json::array()))
+    for (const auto &it : from.at("classes"))
         configuration.classes.push_back(parseClass(it));
-    for (const auto &it : from.value("teams", Json::array()))
-        configuration.teams.push_back({it.at("name").get<std::string>(), it.value("quotaTasks", 0U)});
+    for (const auto &it : from.at("teams"))
+        configuration.teams.push_back(
+            {it.at("name").get<std::string>(), it.at("quotaTasks").get<std::uint32_t>()});
     return configuration;
 }
 
@@ -67,39 +83,74 @@
     Settings settings;
     settings.name = from.at("name").get<std::string>();
     settings.failureDomain = from.at("failureDomain").get<std::string>();
-    settings.dataFolder = from.value("dataFolder", std::string());
+    settings.dataFolder = from.at("dataFolder").get<std::string>();
     settings.callers = parseEndpoint(from.at("callers"));
     settings.control = parseEndpoint(from.at("control"));
     settings.peers = parseEndpoint(from.at("peers"));
     for (const auto &it : from.at("vms"))
         settings.vms.push_back(parseVm(it));
-    settings.limits = parseLimits(from.value("limits", Json::object()));
-    settings.heartbeatPeriod = milliseconds(from, "heartbeatMs", 250);
-    settings.suspicionTime = milliseconds(from, "suspicionMs", 1500);
-    settings.upstreamLease = milliseconds(from, "upstreamLeaseMs", 2000);
-    settings.answerRetention = milliseconds(from, "answerRetentionMs", 3600000);
-    settings.defaultDeadline = milliseconds(from, "defaultDeadlineMs", 30000);
-    settings.drainTimeout = milliseconds(from, "drainTimeoutMs", 30000);
-    settings.initialConfiguration = parseConfiguration(from.value("initialConfiguration", Json::object()));
+    settings.limits = parseLimits(from.at("limits"));
+    settings.heartbeatPeriod = milliseconds(from, "heartbeatMs");
+    settings.suspicionTime = milliseconds(from, "suspicionMs");
+    settings.upstreamLease = milliseconds(from, "upstreamLeaseMs");
+    settings.answerRetention = milliseconds(from, "answerRetentionMs");
+    settings.defaultDeadline = milliseconds(from, "defaultDeadlineMs");
+    settings.drainTimeout = milliseconds(from, "drainTimeoutMs");
+    settings.log = parseLog(from.at("log"));
+    settings.initialConfiguration = parseConfiguration(from.at("initialConfiguration"));
+    settings.text = from.dump(2, ' ', false, Json::error_handler_t::replace);
     return settings;
 }
 
+Json::json_pointer pointerTo(std::string_view key)
+{
+    std::string text = "/" + std::string(key);
+    std::replace(text.begin(), text.end(), '.', '/');
+    return Json::json_pointer(text);
+}
+
+leaf::error_id settingsError(const std::string &fileName, const std::vector<SettingsError> &errors)
+{
+    std::string detail;
+    for (const auto &it : errors)
+        detail += (detail.empty() ? "" : "\n  ") + it.text();
+    return leaf::new_error(StepError{"settings", fileName, detail}, SettingsErrors{errors});
+}
+
 } // namespace
 
 leaf::result<Settings> parseSettings(const std::string &text, const std::string &fileName)
 {
-    try {
-        return parseAll(Json::parse(text, nullptr, true, true));
-    } catch (const Json::exception &e) {
-        return leaf::new_error(StepError{"settings", fileName, e.what()});
+    const SettingsCheck check(text);
+    if (!check.errors().empty())
+        return settingsError(fileName, check.errors());
+    return parseAll(check.complete());
+}
+
+SettingsReloading reloadSettings(const Settings &running, const Settings &loaded)
+{
+    auto document = Json::parse(running.text);
+    const auto wanted = Json::parse(loaded.text);
+    SettingsReloading reloading;
+    for (const auto &it : settingSpecs()) {
+        const bool isWhole = it.kind != SettingKind::Object && it.key.find("[]") == std::string_view::npos;
+        const auto pointer = pointerTo(it.key);
+        if (!isWhole || document.at(pointer) == wanted.at(pointer))
+            continue;
+        const bool isApplied = it.reload == SettingReload::Signal;
+        if (isApplied)
+            document.at(pointer) = wanted.at(pointer);
+        (isApplied ? reloading.applied : reloading.waiting).emplace_back(it.key);
     }
+    reloading.settings = parseAll(document);
+    return reloading;
 }
 
 leaf::result<Settings> loadSettings(const std::string &path)
 {
     std::ifstream file(path);
     if (!file)
-        return leaf::new_error(StepError{"settings", path, "the file can't be read"});
+        return settingsError(path, {{1, "", "no file that can be read", "a settings file"}});
     std::ostringstream text;
     text << file.rdbuf();
     return parseSettings(text.str(), path);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -3,6 +3,8 @@
 #include "citronpitch/configuration.h"
 #include "citronpitch/membership.h"
 #include "citronpitch/steperror.h"
+#include "log/logsettings.h"
+#include "settings/settingserror.h"
 
 #include <boost/leaf.hpp>
 
@@ -56,13 +58,30 @@
     Duration answerRetention{};
     Duration defaultDeadline{};
     Duration drainTimeout{};
+    LogSettings log;
     /// Classes and teams in force before any change is accepted.
     Configuration initialConfiguration;
+    /// The settings as JSON with every default filled in.
+    std::string text;
 };
 
-/// Reads settings from JSON with comments. The error is a StepError that says where and what.
+/// Reads settings from JSON with comments. The errors are SettingsErrors, and a StepError that lists them.
 boost::leaf::result<Settings> parseSettings(const std::string &text, const std::string &fileName);
 
+/// What reading the settings file again while the daemon runs leads to.
+struct SettingsReloading
+{
+    /// What is in force from now on.
+    Settings settings;
+    /// Keys whose new value is in force.
+    std::vector<std::string> applied;
+    /// Keys whose new value waits for a restart.
+    std::vector<std::string> waiting;
+};
+
+/// Takes over from @p loaded what can change while the daemon runs with @p running.
+SettingsReloading reloadSettings(const Settings &running, const Settings &loaded);
+
 /// Reads the settings file at @p path.
 boost::leaf::result<Settings> loadSettings(const std::string &path);
 
--- /dev/null
+++ b/src/settings/settingscheck.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "settings/keylines.h"
+#include "settings/settingserror.h"
+#include "settings/settingspec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Citronpitch {
+
+/**
+ * @brief Checks the text of a settings file against the table of keys and fills in the defaults.
+ *
+ * Finds every error at once. Used by parseSettings() and by `citronpitch settings check`.
+ */
+class SettingsCheck
+{
+public:
+    explicit SettingsCheck(std::string_view text);
+
+    /// What is wrong, in the order of the lines; empty for good settings.
+    const std::vector<SettingsError> &errors() const;
+
+    /// The settings with every default filled in; complete only where errors() is empty.
+    const nlohmann::json &complete() const;
+
+private:
+    void checkObject(nlohmann::json &object, std::string_view specPath, const std::string &path);
+    void checkUnknownKeys(const nlohmann::json &object, std::string_view specPath, const std::string &path);
+    void checkValue(nlohmann::json &value, const SettingSpec &spec, const std::string &path);
+    void checkList(nlohmann::json &list, const SettingSpec &spec, const std::string &path);
+    void checkVms();
+    void checkListeners();
+    void checkNames(std::string_view listPath);
+    void checkTimes();
+    void add(const std::string &path, std::string found, std::string allowed);
+    std::string textAt(const char *pointer) const;
+
+    KeyLines m_lines;
+    nlohmann::json m_document;
+    std::vector<SettingsError> m_errors;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/settings/settingsreference.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace Citronpitch {
+
+/// The text of docs/SETTINGS.md, made of the table of keys.
+std::string settingsReference();
+
+} // namespace Citronpitch
