--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -285,7 +285,10 @@
                 logEvent(Event::SettingsWaitForRestart, {{"key", it}});
             return {};
         },
-        [](const StepError &error) { logEvent(Event::SettingsRefused, {{"error", error.text()}}); }, [] {});
+        [](const StepError &error) {
+            logEvent(Event::SettingsRefused, {{"error", error.text()}});
+        },
+        [] {});
 }
 
 void Daemon::drain()
@@ -296,6 +299,7 @@
     m_isDraining = true;
     m_listenUntil = now() + listenAfterDrain;
     m_drainDeadline = now() + m_settings.drainTimeout;
+    m_callerServer.closeAfterResponses();
     m_vm.drain(now());
     carryOut();
 }
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -30,13 +30,15 @@
                "The named event came more than `log.repeatLimit` times in a window; so many were left out."},
     EventEntry{Event::ListeningStopped, EventLevel::Info, "no more connections are taken", "vm inFlight",
                "Second step of a graceful shutdown; the number of connections in flight is said."},
-    EventEntry{Event::UpstreamAnnounced, EventLevel::Info, "upstream announced itself", "upstream address slots",
+    EventEntry{Event::UpstreamAnnounced, EventLevel::Info, "upstream announced itself",
+               "upstream address slots",
                "An upstream is new, or came back with a new incarnation or after its lease had expired."},
     EventEntry{Event::UpstreamLeaving, EventLevel::Info, "upstream is leaving", "upstream",
                "It gets no new work; what it runs is waited for."},
-    EventEntry{Event::UpstreamExpired, EventLevel::Warning, "upstream's lease expired", "upstream",
-               "It has not renewed within `upstreamLeaseMs` and gets no new work. Look at the upstream and at "
-               "the network between."},
+    EventEntry{
+        Event::UpstreamExpired, EventLevel::Warning, "upstream's lease expired", "upstream",
+        "It has not renewed within `upstreamLeaseMs` and gets no new work. Look at the upstream and at "
+        "the network between."},
     EventEntry{Event::AnnouncementRefused, EventLevel::Warning, "announcement refused", "peer error",
                "An upstream's announcement is malformed. Its sender got the same text."},
     EventEntry{Event::PeerMessageMalformed, EventLevel::Warning,
@@ -64,8 +66,8 @@
 
 const EventEntry &entryOf(Event event)
 {
-    const auto it =
-        std::find_if(catalogue.begin(), catalogue.end(), [&](const auto &entry) { return entry.event == event; });
+    const auto it = std::find_if(catalogue.begin(), catalogue.end(),
+                                 [&](const auto &entry) { return entry.event == event; });
     return it == catalogue.end() ? catalogue.front() : *it;
 }
 
--- a/src/log/eventlog.cpp
+++ b/src/log/eventlog.cpp
@@ -143,21 +143,23 @@
 
 std::string eventReference()
 {
-    std::string text = "# Events\n"
-                       "\n"
-                       "Made by `citronpitchd --print-events`; a test holds this page and the program equal.\n"
-                       "\n"
-                       "Each line of the log is one event: time, level, number, text and fields. With\n"
-                       "`log.format` set to `json-lines` it is one JSON object with `time`, `level`, `event`\n"
-                       "and `text`, and a member for each field. Of an event that repeats, `log.repeatLimit`\n"
-                       "lines are logged in each window of `log.repeatWindowMs`; E108 says how many were left\n"
-                       "out.\n"
-                       "\n"
-                       "| number | level | text | fields | meaning, and what to do |\n"
-                       "|---|---|---|---|---|\n";
+    std::string text =
+        "# Events\n"
+        "\n"
+        "Made by `citronpitchd --print-events`; a test holds this page and the program equal.\n"
+        "\n"
+        "Each line of the log is one event: time, level, number, text and fields. With\n"
+        "`log.format` set to `json-lines` it is one JSON object with `time`, `level`, `event`\n"
+        "and `text`, and a member for each field. Of an event that repeats, `log.repeatLimit`\n"
+        "lines are logged in each window of `log.repeatWindowMs`; E108 says how many were left\n"
+        "out.\n"
+        "\n"
+        "| number | level | text | fields | meaning, and what to do |\n"
+        "|---|---|---|---|---|\n";
     for (const auto &it : eventCatalogue())
         text += "| " + numberText(it.event) + " | " + std::string(nameIn(eventLevelNames, it.level)) + " | "
-            + std::string(it.text) + " | " + std::string(it.fields) + " | " + std::string(it.meaning) + " |\n";
+            + std::string(it.text) + " | " + std::string(it.fields) + " | " + std::string(it.meaning)
+            + " |\n";
     return text;
 }
 
--- a/src/settings/settingspec.cpp
+++ b/src/settings/settingspec.cpp
@@ -45,14 +45,17 @@
     SettingSpec{"vms[].peers.port", Kind::Number, "", 1, largestPort, "", Reload::Restart, "Port."},
     SettingSpec{"limits", Kind::Object, "{}", 0, 0, "", Reload::Signal,
                 "Limits on HTTP connections, of callers and on the control port."},
-    SettingSpec{"limits.maximumBodyBytes", Kind::Number, "8388608", 1024, 1'073'741'824, "bytes",
+    SettingSpec{"limits.maximumBodyBytes", Kind::Number, "8388608", 100, 1'073'741'824, "bytes",
                 Reload::Signal, "Largest request body; a larger one gets status 413."},
+    SettingSpec{"limits.maximumBodyBytesInAll", Kind::Number, "268435456", 100, 1'099'511'627'776, "bytes",
+                Reload::Signal,
+                "Largest sum of the request bodies being read at one time; one more gets status 503."},
     SettingSpec{"limits.maximumHeaderBytes", Kind::Number, "16384", 1024, 1'048'576, "bytes", Reload::Signal,
                 "Largest request header; a larger one gets status 431."},
     SettingSpec{"limits.maximumConnections", Kind::Number, "10000", 1, 1'000'000, "connections",
-                Reload::Signal, "Open connections in all; more are closed at once."},
+                Reload::Signal, "Open connections in all; more are refused."},
     SettingSpec{"limits.maximumConnectionsPerAddress", Kind::Number, "4000", 1, 1'000'000, "connections",
-                Reload::Signal, "Open connections of one IP number; more are closed at once."},
+                Reload::Signal, "Open connections of one IP number; more are refused."},
     SettingSpec{"limits.idleTimeoutMs", Kind::Number, "60000", 100, dayMs, "ms", Reload::Signal,
                 "An idle connection is closed after this time."},
     SettingSpec{"limits.readTimeoutMs", Kind::Number, "10000", 100, dayMs, "ms", Reload::Signal,
@@ -142,7 +145,8 @@
     case SettingKind::Text:
         return "a text of at most " + std::to_string(maximum) + " bytes";
     case SettingKind::Name:
-        return "a name of 1 to " + std::to_string(maximum) + " letters, digits, dots, hyphens and underscores";
+        return "a name of 1 to " + std::to_string(maximum)
+            + " letters, digits, dots, hyphens and underscores";
     case SettingKind::Address:
         return "an IP number";
     case SettingKind::Number:
@@ -162,7 +166,8 @@
 
 const SettingSpec *findSettingSpec(std::string_view key)
 {
-    const auto it = std::find_if(specs.begin(), specs.end(), [&](const auto &spec) { return spec.key == key; });
+    const auto it =
+        std::find_if(specs.begin(), specs.end(), [&](const auto &spec) { return spec.key == key; });
     return it == specs.end() ? nullptr : &*it;
 }
 
--- a/src/settings/settingsreference.cpp
+++ b/src/settings/settingsreference.cpp
@@ -33,8 +33,8 @@
 std::string row(const SettingSpec &spec)
 {
     const auto *reload = spec.reload == SettingReload::Signal ? "at once" : "on restart";
-    return "| `" + std::string(spec.key) + "` | " + spec.allowed() + " | " + defaultText(spec) + " | " + reload
-        + " | " + std::string(spec.description) + " |\n";
+    return "| `" + std::string(spec.key) + "` | " + spec.allowed() + " | " + defaultText(spec) + " | "
+        + reload + " | " + std::string(spec.description) + " |\n";
 }
 
 } // namespace
--- a/tests/integration/daemonsettingstest.cpp
+++ b/tests/integration/daemonsettingstest.cpp
@@ -63,7 +63,8 @@
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
     const auto path = folder + "/a1.json";
-    std::ofstream(path) << R"({"name": "a1", "dataFolder": ")" << folder << R"(/data", "failureDomian": "a"})";
+    std::ofstream(path) << R"({"name": "a1", "dataFolder": ")" << folder
+                        << R"(/data", "failureDomian": "a"})";
     ChildProcess daemon(programs + "/citronpitchd", {"--settings", path}, folder + "/log");
     EXPECT_EQ(daemon.wait(), 2);
     const auto log = fileText(folder + "/log");
--- a/tests/integration/settingstest.cpp
+++ b/tests/integration/settingstest.cpp
@@ -44,7 +44,9 @@
             return std::vector<SettingsError>();
         },
         [](const SettingsErrors &errors) { return errors.list; },
-        [] { return std::vector<SettingsError>{{0, "", "an error of another type", ""}}; });
+        [] {
+            return std::vector<SettingsError>{{0, "", "an error of another type", ""}};
+        });
 }
 
 Settings settingsOf(const std::string &text)
