--- a/tests/integration/placementsettingstest.cpp
+++ b/tests/integration/placementsettingstest.cpp
@@ -11,7 +11,8 @@
 std::string settingsText(const std::string &more)
 {
     return R"({"name": "a1", "failureDomain": "a", "callers": {"address": "127.0.0.1", "port": 1},
-        "control": {"address": "127.0.0.1", "port": 2}, "peers": {"address": "127.0.0.1", "port": 3}, "vms": [])"
+        "control": {"address": "127.0.0.1", "port": 2}, "peers": {"address": "127.0.0.1", "port": 3},
+        "vms": [{"name": "a1", "failureDomain": "a", "peers": {"address": "127.0.0.1", "port": 3}}])"
         + more + "}";
 }
 
@@ -39,6 +40,6 @@
 
 TEST(PlacementSettingsTest, anUnknownNameIsAnError)
 {
-    EXPECT_NE(placementOf(settingsText(R"(, "placement": "best")")).find("no policy \"best\""),
-              std::string::npos);
+    const auto error = placementOf(settingsText(R"(, "placement": "best")"));
+    EXPECT_NE(error.find("placement: found \"best\""), std::string::npos) << error;
 }
