--- /dev/null
+++ b/src/core/config/configurationnode.cpp
@@ -0,0 +1,863 @@
+#include "citronpitch/configurationnode.h"
+
+#include "config/configurationwire.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Citronpitch {
+
+namespace wire = citronpitch::wire::configuration;
+
+namespace {
+
+constexpr Duration greetingPeriod = std::chrono::milliseconds(300);
+constexpr Duration voterCheckPeriod = std::chrono::milliseconds(100);
+constexpr Duration proposalPoll = std::chrono::milliseconds(50);
+
+/// After this time under a leader a VM that can't find out whether it is a founder joins as a new voter.
+constexpr Duration undecidedLimit = std::chrono::seconds(5);
+
+/// Silence of the leader after which a learner no longer passes changes on to it.
+constexpr Duration learnerLeaderTimeout = std::chrono::seconds(3);
+
+constexpr std::size_t maximumEntriesPerMessage = 64;
+constexpr std::uint64_t maximumUncommittedEntries = 1000;
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value += 0x9e3779b97f4a7c15;
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111eb;
+    return value ^ (value >> 31);
+}
+
+std::vector<Voter> foundersOf(const ConfigurationNodeOptions &options)
+{
+    std::vector<Voter> founders;
+    for (const auto &it : options.members) {
+        if (it.isVoter)
+            founders.push_back({it.name, foundingStorage});
+    }
+    return founders;
+}
+
+} // namespace
+
+ConfigurationNode::ConfigurationNode(TimePoint now, const ConfigurationNodeOptions &options,
+                                     const std::vector<std::string> &records)
+    : m_options(options)
+    , m_log(foundersOf(options))
+    , m_shown(options.initial)
+{
+    recover(records);
+    setElectionDeadline(now);
+}
+
+ConfigurationNode::~ConfigurationNode() = default;
+
+void ConfigurationNode::receive(TimePoint now, std::string_view vm, std::string_view bytes)
+{
+    Message message;
+    if (m_hasStorageFailed || !message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return;
+    const std::string sender(vm);
+    const bool isVoting = message.has_vote_request() || (message.has_vote_reply() && message.vote_reply().pre()
+                                                         && message.vote_reply().granted());
+    const bool hasTerm = !isVoting && !message.has_hello() && !message.has_hello_reply();
+    if (hasTerm && message.term() > m_term)
+        becomeFollower(now, message.term(), {});
+    switch (message.body_case()) {
+    case Message::kVoteRequest:
+        voteRequested(now, sender, message);
+        break;
+    case Message::kVoteReply:
+        voteAnswered(now, sender, message);
+        break;
+    case Message::kAppend:
+        appendArrived(now, sender, message);
+        break;
+    case Message::kAppendReply:
+        replyArrived(now, sender, message);
+        break;
+    case Message::kInstallSnapshot:
+        snapshotArrived(now, sender, message);
+        break;
+    case Message::kProposal:
+        if (const auto change = fromWire(message.proposal()); change && m_role == ConfigurationRole::Leader) {
+            takeProposal(*change);
+            broadcast(now);
+        }
+        break;
+    case Message::kHello:
+        greeted(sender, message.storage());
+        break;
+    case Message::kHelloReply:
+        greetingAnswered(sender, message.storage(), message.hello_reply().known_storage());
+        break;
+    default:
+        break;
+    }
+}
+
+void ConfigurationNode::synced(TimePoint now, std::uint64_t token)
+{
+    m_syncedToken = std::max(m_syncedToken, token);
+    while (!m_openSyncs.empty() && m_openSyncs.front().token <= token) {
+        m_syncedIndex = std::max(m_syncedIndex, m_openSyncs.front().lastIndex);
+        m_openSyncs.pop_front();
+    }
+    releaseHeld();
+    if (m_role == ConfigurationRole::Leader)
+        advanceLeaderCommit(now);
+}
+
+void ConfigurationNode::storageFailed()
+{
+    m_hasStorageFailed = true;
+    m_role = ConfigurationRole::Follower;
+    m_leader.clear();
+    m_progress.clear();
+    m_heldMessages.clear();
+    m_heldShows.clear();
+}
+
+void ConfigurationNode::tick(TimePoint now)
+{
+    resendProposals(now);
+    if (m_hasStorageFailed)
+        return;
+    greet(now);
+    if (m_role == ConfigurationRole::Leader) {
+        if (quorumAge(now) > m_options.electionTimeout) {
+            becomeFollower(now, m_term, {});
+            return;
+        }
+        for (const auto &[vm, progress] : m_progress) {
+            if (now >= progress.nextSend)
+                sendAppend(now, vm);
+        }
+        manageVoters(now);
+        return;
+    }
+    if (!m_leader.empty() && now - m_leaderHeard > learnerLeaderTimeout)
+        m_leader.clear();
+    if (m_isDecided && isVoter({m_options.self, voterIdentity()}) && now >= m_electionDeadline)
+        startElection(now, true);
+}
+
+void ConfigurationNode::propose(TimePoint now, ChangeRequestId request, const ConfigurationChange &change)
+{
+    Proposal proposal{request, change, now, now + m_options.proposalTimeout, false};
+    ChangeAnswer buffer;
+    if (const auto *answer = m_state.recall(change, buffer)) {
+        m_actions.emplace_back(AnswerChange{request, *answer});
+        return;
+    }
+    passOn(now, proposal);
+    m_proposals.push_back(std::move(proposal));
+}
+
+std::vector<ConfigurationAction> ConfigurationNode::takeActions()
+{
+    flushRecords();
+    return std::exchange(m_actions, {});
+}
+
+const Configuration &ConfigurationNode::shown() const
+{
+    return m_shown;
+}
+
+const ConfigurationState &ConfigurationNode::state() const
+{
+    return m_state;
+}
+
+std::optional<Duration> ConfigurationNode::age(TimePoint now) const
+{
+    if (m_role == ConfigurationRole::Leader)
+        return quorumAge(now);
+    if (!m_freshAt)
+        return std::nullopt;
+    return std::max(Duration::zero(), now - *m_freshAt);
+}
+
+ConfigurationRole ConfigurationNode::role() const
+{
+    const bool votes = m_isDecided && isVoter({m_options.self, voterIdentity()});
+    return m_role == ConfigurationRole::Follower && !votes ? ConfigurationRole::Learner : m_role;
+}
+
+std::uint64_t ConfigurationNode::term() const
+{
+    return m_term;
+}
+
+const std::string &ConfigurationNode::leader() const
+{
+    return m_leader;
+}
+
+const ConfigurationLog &ConfigurationNode::log() const
+{
+    return m_log;
+}
+
+std::uint64_t ConfigurationNode::commitIndex() const
+{
+    return m_commit;
+}
+
+std::uint64_t ConfigurationNode::voterIdentity() const
+{
+    return m_isDecided && m_isFounder ? foundingStorage : m_storage;
+}
+
+bool ConfigurationNode::hasStorageFailed() const
+{
+    return m_hasStorageFailed;
+}
+
+const std::map<std::string, FollowerProgress, std::less<>> &ConfigurationNode::progress() const
+{
+    return m_progress;
+}
+
+void ConfigurationNode::greet(TimePoint now)
+{
+    if (m_isDecided || now < m_nextGreeting)
+        return;
+    m_nextGreeting = now + greetingPeriod;
+    if (m_ledWhileUndecided && now - *m_ledWhileUndecided > undecidedLimit) {
+        decideIdentity(false);
+        return;
+    }
+    auto message = newMessage();
+    message.mutable_hello();
+    for (const auto &it : m_options.members) {
+        if (it.isVoter && it.name != m_options.self && !m_foundingAnswers.contains(it.name))
+            sendAfter(recordsToken(), it.name, message);
+    }
+}
+
+void ConfigurationNode::greeted(const std::string &vm, std::uint64_t storage)
+{
+    const bool isFounding = m_log.lastIndex() == 0 && !(m_isDecided && m_isFounder);
+    if (isFounding && isNamedVoter(vm))
+        bindStorage(vm, storage);
+    auto message = newMessage();
+    message.mutable_hello_reply()->set_known_storage(knownStorageOf(vm));
+    sendAfter(recordsToken(), vm, message);
+}
+
+void ConfigurationNode::greetingAnswered(const std::string &vm, std::uint64_t storage, std::uint64_t known)
+{
+    if (m_isDecided || !isNamedVoter(vm))
+        return;
+    if (known != m_storage) {
+        decideIdentity(false);
+        return;
+    }
+    bindStorage(vm, storage);
+    m_foundingAnswers.insert(vm);
+    const auto voters = foundersOf(m_options);
+    if (m_foundingAnswers.size() + 1 == voters.size())
+        decideIdentity(true);
+}
+
+void ConfigurationNode::bindStorage(const std::string &vm, std::uint64_t storage)
+{
+    if (!m_knownStorages.emplace(vm, storage).second)
+        return;
+    Record record;
+    record.mutable_known_storage()->set_name(vm);
+    record.mutable_known_storage()->set_storage(storage);
+    keep(record);
+}
+
+void ConfigurationNode::decideIdentity(bool isFounder)
+{
+    m_isDecided = true;
+    m_isFounder = isFounder;
+    keepIdentity();
+    m_termToken = m_nextToken;
+}
+
+std::uint64_t ConfigurationNode::knownStorageOf(const std::string &vm) const
+{
+    const auto it = m_knownStorages.find(vm);
+    return it == m_knownStorages.end() ? 0 : it->second;
+}
+
+bool ConfigurationNode::isNamedVoter(std::string_view name) const
+{
+    return std::any_of(m_options.members.begin(), m_options.members.end(),
+                       [&](const auto &it) { return it.isVoter && it.name == name; });
+}
+
+void ConfigurationNode::setElectionDeadline(TimePoint now)
+{
+    const auto spread = static_cast<std::uint64_t>(m_options.electionTimeout.count());
+    const auto draw = mix(m_options.seed + mix(++m_draws)) % spread;
+    m_electionDeadline = now + m_options.electionTimeout + Duration(static_cast<std::int64_t>(draw));
+}
+
+void ConfigurationNode::startElection(TimePoint now, bool isPre)
+{
+    m_role = isPre ? ConfigurationRole::PreCandidate : ConfigurationRole::Candidate;
+    m_leader.clear();
+    m_grants = {m_options.self};
+    setElectionDeadline(now);
+    if (!isPre) {
+        ++m_term;
+        m_vote = m_options.self;
+        keepTerm();
+    }
+    if (m_grants.size() >= majority()) {
+        isPre ? startElection(now, false) : becomeLeader(now);
+        return;
+    }
+    auto message = newMessage();
+    auto *request = message.mutable_vote_request();
+    request->set_pre(isPre);
+    request->set_last_index(m_log.lastIndex());
+    request->set_last_term(m_log.lastTerm());
+    for (const auto &it : m_log.voters()) {
+        if (it.name != m_options.self)
+            sendAfter(m_termToken, it.name, message);
+    }
+}
+
+void ConfigurationNode::becomeFollower(TimePoint now, std::uint64_t term, const std::string &leader)
+{
+    const bool isNewTerm = term > m_term;
+    if (isNewTerm) {
+        m_term = term;
+        m_vote.clear();
+    }
+    const bool isNewVote = !leader.empty() && m_vote.empty();
+    if (isNewVote)
+        m_vote = leader;
+    if (isNewTerm || isNewVote)
+        keepTerm();
+    if (m_role != ConfigurationRole::Follower)
+        setElectionDeadline(now);
+    if (m_role == ConfigurationRole::Leader)
+        m_freshAt = now - quorumAge(now);
+    m_role = ConfigurationRole::Follower;
+    m_leader = leader;
+    m_progress.clear();
+}
+
+void ConfigurationNode::becomeLeader(TimePoint now)
+{
+    m_role = ConfigurationRole::Leader;
+    m_leader = m_options.self;
+    m_progress.clear();
+    for (const auto &it : m_options.members)
+        m_progress[it.name];
+    for (const auto &it : m_log.voters())
+        m_progress[it.name];
+    m_progress.erase(m_options.self);
+    for (auto &[vm, progress] : m_progress)
+        progress = {std::nullopt, 0, m_commit + 1, now, now};
+    for (const auto &it : m_log.voters()) {
+        if (it.name != m_options.self)
+            m_progress[it.name].next = m_log.lastIndex() + 1;
+    }
+    LogEntry entry;
+    if (!m_state.isInitialised()) {
+        entry.kind = EntryKind::Initial;
+        entry.change.classes = m_options.initial.classes;
+        entry.change.teams = m_options.initial.teams;
+    }
+    appendOwn(entry);
+    for (const auto &[vm, progress] : m_progress)
+        sendAppend(now, vm);
+}
+
+void ConfigurationNode::voteRequested(TimePoint now, const std::string &vm, const Message &message)
+{
+    const auto &request = message.vote_request();
+    if (!m_isDecided || hasRecentLeader(now))
+        return;
+    if (!request.pre() && message.term() > m_term)
+        becomeFollower(now, message.term(), {});
+    const bool isLogNew =
+        std::pair(request.last_term(), request.last_index()) >= std::pair(m_log.lastTerm(), m_log.lastIndex())
+        || m_options.faults.votesForAnyLog;
+    const bool isVoteFree = request.pre() || m_vote.empty() || m_vote == vm;
+    const bool isGranted = isLogNew && isVoteFree && message.term() >= m_term;
+    if (isGranted && !request.pre()) {
+        if (m_vote.empty()) {
+            m_vote = vm;
+            keepTerm();
+        }
+        setElectionDeadline(now);
+    }
+    auto reply = newMessage();
+    if (isGranted)
+        reply.set_term(message.term());
+    reply.mutable_vote_reply()->set_pre(request.pre());
+    reply.mutable_vote_reply()->set_granted(isGranted);
+    sendAfter(m_termToken, vm, reply);
+}
+
+void ConfigurationNode::voteAnswered(TimePoint now, const std::string &vm, const Message &message)
+{
+    const auto &reply = message.vote_reply();
+    const auto asked = reply.pre() ? ConfigurationRole::PreCandidate : ConfigurationRole::Candidate;
+    if (m_role != asked || !reply.granted() || message.term() != m_term || message.undecided())
+        return;
+    if (!isVoter({vm, message.voter()}))
+        return;
+    m_grants.insert(vm);
+    if (m_grants.size() < majority())
+        return;
+    reply.pre() ? startElection(now, false) : becomeLeader(now);
+}
+
+bool ConfigurationNode::isVoter(const Voter &voter) const
+{
+    const auto &voters = m_log.voters();
+    return std::find(voters.begin(), voters.end(), voter) != voters.end();
+}
+
+bool ConfigurationNode::hasVoterNamed(std::string_view vm) const
+{
+    const auto &voters = m_log.voters();
+    return std::any_of(voters.begin(), voters.end(), [&](const auto &it) { return it.name == vm; });
+}
+
+std::size_t ConfigurationNode::majority() const
+{
+    return m_log.voters().size() / 2 + 1;
+}
+
+bool ConfigurationNode::hasRecentLeader(TimePoint now) const
+{
+    if (m_role == ConfigurationRole::Leader)
+        return true;
+    return !m_leader.empty() && now - m_leaderHeard < m_options.electionTimeout;
+}
+
+void ConfigurationNode::appendOwn(const LogEntry &entry)
+{
+    auto own = entry;
+    own.index = m_log.lastIndex() + 1;
+    own.term = m_term;
+    m_log.append(own);
+    Record record;
+    toWire(own, record.mutable_entry());
+    keep(record);
+}
+
+void ConfigurationNode::broadcast(TimePoint now)
+{
+    for (const auto &[vm, progress] : m_progress) {
+        if (now - progress.lastReply <= 2 * m_options.learnerHeartbeat)
+            sendAppend(now, vm);
+    }
+}
+
+void ConfigurationNode::sendAppend(TimePoint now, const std::string &vm)
+{
+    auto &progress = m_progress[vm];
+    const bool votes = hasVoterNamed(vm);
+    progress.nextSend = now + (votes ? m_options.voterHeartbeat : m_options.learnerHeartbeat);
+    if (progress.next <= m_log.snapshotIndex()) {
+        sendSnapshot(now, vm);
+        return;
+    }
+    auto message = newMessage();
+    auto *append = message.mutable_append();
+    append->set_previous_index(progress.next - 1);
+    append->set_previous_term(*m_log.termAt(progress.next - 1));
+    append->set_commit(m_commit);
+    append->set_quorum_age_us(quorumAge(now).count());
+    const bool isSilent = now - progress.lastReply > 2 * m_options.learnerHeartbeat;
+    auto end = votes ? m_log.lastIndex() : m_commit;
+    end = isSilent ? 0 : std::min(end, progress.next - 1 + maximumEntriesPerMessage);
+    for (; progress.next <= end; ++progress.next)
+        toWire(m_log.at(progress.next), append->add_entries());
+    sendAfter(m_termToken, vm, message);
+}
+
+void ConfigurationNode::sendSnapshot(TimePoint now, const std::string &vm)
+{
+    auto message = newMessage();
+    auto *install = message.mutable_install_snapshot();
+    install->set_quorum_age_us(quorumAge(now).count());
+    auto &progress = m_progress[vm];
+    const bool isSilent = now - progress.lastReply > 2 * m_options.learnerHeartbeat;
+    if (isSilent) {
+        // Only asks where the VM stands; its answer brings the snapshot.
+        auto probe = newMessage();
+        probe.mutable_append()->set_previous_index(m_commit);
+        probe.mutable_append()->set_previous_term(*m_log.termAt(m_commit));
+        probe.mutable_append()->set_commit(m_commit);
+        sendAfter(m_termToken, vm, probe);
+        return;
+    }
+    toWire(ConfigurationSnapshot{m_commit, *m_log.termAt(m_commit), m_log.votersAt(m_commit), m_state},
+           install->mutable_snapshot());
+    progress.next = m_commit + 1;
+    sendAfter(m_termToken, vm, message);
+}
+
+void ConfigurationNode::appendArrived(TimePoint now, const std::string &vm, const Message &message)
+{
+    const auto &append = message.append();
+    if (message.term() < m_term || m_role == ConfigurationRole::Leader) {
+        replyToLeader(vm, false, m_commit);
+        return;
+    }
+    followLeader(now, vm, message.term());
+    const auto previous = append.previous_index();
+    if (previous > m_log.lastIndex()) {
+        replyToLeader(vm, false, m_log.lastIndex());
+        return;
+    }
+    const auto term = m_log.termAt(previous);
+    const bool matches = previous < m_log.snapshotIndex() || term == append.previous_term();
+    if (!matches && !m_options.faults.skipsLogMatching) {
+        replyToLeader(vm, false, m_commit);
+        return;
+    }
+    if (!takeEntries(append))
+        return;
+    const auto matched = previous + static_cast<std::uint64_t>(append.entries_size());
+    replyToLeader(vm, true, matched);
+    commitTo(now, std::min({append.commit(), matched, m_log.lastIndex()}));
+    if (m_commit >= append.commit())
+        m_freshAt = std::max(m_freshAt.value_or(TimePoint()), now - Duration(append.quorum_age_us()));
+}
+
+bool ConfigurationNode::takeEntries(const wire::Append &append)
+{
+    auto expected = append.previous_index() + 1;
+    for (const auto &it : append.entries()) {
+        const auto entry = fromWire(it);
+        if (!entry || entry->index != expected++)
+            return false;
+        if (entry->index <= m_log.snapshotIndex() || m_log.termAt(entry->index) == entry->term)
+            continue;
+        if (entry->index <= m_commit)
+            return false;
+        m_log.truncateFrom(entry->index);
+        m_syncedIndex = std::min(m_syncedIndex, m_log.lastIndex());
+        for (auto &open : m_openSyncs)
+            open.lastIndex = std::min(open.lastIndex, m_log.lastIndex());
+        m_log.append(*entry);
+        Record record;
+        toWire(*entry, record.mutable_entry());
+        keep(record);
+    }
+    return true;
+}
+
+void ConfigurationNode::replyToLeader(const std::string &vm, bool matched, std::uint64_t index)
+{
+    auto message = newMessage();
+    message.mutable_append_reply()->set_matched(matched);
+    message.mutable_append_reply()->set_index(index);
+    sendAfter(recordsToken(), vm, message);
+}
+
+void ConfigurationNode::followLeader(TimePoint now, const std::string &vm, std::uint64_t term)
+{
+    if (m_leader != vm || m_role != ConfigurationRole::Follower)
+        becomeFollower(now, term, vm);
+    m_leaderHeard = now;
+    setElectionDeadline(now);
+    if (!m_isDecided && !m_ledWhileUndecided)
+        m_ledWhileUndecided = now;
+}
+
+void ConfigurationNode::snapshotArrived(TimePoint now, const std::string &vm, const Message &message)
+{
+    if (message.term() < m_term || m_role == ConfigurationRole::Leader) {
+        replyToLeader(vm, false, m_commit);
+        return;
+    }
+    const auto &install = message.install_snapshot();
+    followLeader(now, vm, message.term());
+    if (install.snapshot().index() > m_commit)
+        installSnapshotState(install);
+    replyToLeader(vm, true, std::min(install.snapshot().index(), m_commit));
+    m_freshAt = std::max(m_freshAt.value_or(TimePoint()), now - Duration(install.quorum_age_us()));
+}
+
+void ConfigurationNode::replyArrived(TimePoint now, const std::string &vm, const Message &message)
+{
+    const auto it = m_progress.find(vm);
+    if (m_role != ConfigurationRole::Leader || message.term() != m_term || it == m_progress.end())
+        return;
+    auto &progress = it->second;
+    const auto voter =
+        message.undecided() ? std::nullopt : std::optional<std::uint64_t>(message.voter());
+    if (progress.voter != voter) {
+        progress.voter = voter;
+        progress.match = 0;
+    }
+    progress.lastReply = now;
+    const auto &reply = message.append_reply();
+    if (reply.matched()) {
+        progress.match = std::max(progress.match, reply.index());
+        progress.next = std::max(progress.next, progress.match + 1);
+        advanceLeaderCommit(now);
+    } else if (!m_options.faults.neverCatchesUp) {
+        progress.next = std::min(std::max(progress.match, reply.index()), m_log.lastIndex()) + 1;
+    }
+    if (progress.next <= (hasVoterNamed(vm) ? m_log.lastIndex() : m_commit))
+        sendAppend(now, vm);
+}
+
+void ConfigurationNode::advanceLeaderCommit(TimePoint now)
+{
+    std::vector<std::uint64_t> matches;
+    for (const auto &it : m_log.voters()) {
+        if (it.name == m_options.self) {
+            matches.push_back(it.storage == voterIdentity() ? m_syncedIndex : 0);
+            continue;
+        }
+        const auto progress = m_progress.find(it.name);
+        const bool counts = progress != m_progress.end() && progress->second.voter == it.storage;
+        matches.push_back(counts ? progress->second.match : 0);
+    }
+    std::sort(matches.rbegin(), matches.rend());
+    const auto needed = m_options.faults.commitsWithoutMajority ? 1 : majority();
+    const auto index = std::min(matches[needed - 1], m_log.lastIndex());
+    if (index <= m_commit || m_log.termAt(index) != m_term)
+        return;
+    commitTo(now, index);
+    broadcast(now);
+}
+
+void ConfigurationNode::commitTo(TimePoint now, std::uint64_t index)
+{
+    if (index <= m_commit)
+        return;
+    while (m_commit < index)
+        apply(m_log.at(++m_commit));
+    Record record;
+    record.mutable_commit()->set_index(m_commit);
+    record.mutable_commit()->set_heard_at_us(microsecondsOf(now));
+    keep(record);
+    m_heldShows.push_back({m_nextToken, m_state.configuration()});
+    compactLog();
+    if (m_options.faults.skipsSync)
+        releaseHeld();
+}
+
+void ConfigurationNode::apply(const LogEntry &entry)
+{
+    if (entry.kind == EntryKind::Initial)
+        m_state.initialise({0, entry.change.classes, entry.change.teams});
+    if (entry.kind != EntryKind::Change)
+        return;
+    auto change = entry.change;
+    if (m_options.faults.ignoresBasedOn)
+        change.basedOn = m_state.configuration().version;
+    if (m_options.faults.forgetsAnswers)
+        m_state = ConfigurationState::restore(m_state.configuration(), true, {},
+                                              {m_state.history().begin(), m_state.history().end()});
+    m_state.apply(change);
+}
+
+Duration ConfigurationNode::quorumAge(TimePoint now) const
+{
+    std::vector<Duration> ages;
+    for (const auto &it : m_log.voters()) {
+        const auto progress = m_progress.find(it.name);
+        const bool isSelf = it.name == m_options.self;
+        if (isSelf || progress != m_progress.end())
+            ages.push_back(isSelf ? Duration::zero() : now - progress->second.lastReply);
+    }
+    if (ages.size() < majority())
+        return Duration::zero();
+    std::sort(ages.begin(), ages.end());
+    return std::max(Duration::zero(), ages[majority() - 1]);
+}
+
+void ConfigurationNode::manageVoters(TimePoint now)
+{
+    if (now < m_nextVoterCheck)
+        return;
+    m_nextVoterCheck = now + voterCheckPeriod;
+    const bool hasOwnCommit = m_log.termAt(m_commit) == m_term;
+    if (!hasOwnCommit || m_log.votersIndex() > m_commit)
+        return;
+    if (removeOneVoter(now) || addOneVoter(now))
+        broadcast(now);
+}
+
+bool ConfigurationNode::isCaughtUp(TimePoint now, const std::string &vm) const
+{
+    const auto it = m_progress.find(vm);
+    return it != m_progress.end() && it->second.voter
+        && it->second.match + maximumEntriesPerMessage >= m_commit && it->second.match > 0
+        && now - it->second.lastReply < 2 * m_options.learnerHeartbeat;
+}
+
+bool ConfigurationNode::removeOneVoter(TimePoint now)
+{
+    const auto &voters = m_log.voters();
+    const auto follows = [&](const Voter &voter) {
+        return voter.name == m_options.self
+            || (isCaughtUp(now, voter.name) && m_progress[voter.name].voter == voter.storage);
+    };
+    for (const auto &it : voters) {
+        const bool isReplaced = isCaughtUp(now, it.name) && m_progress[it.name].voter != it.storage;
+        if (it.name == m_options.self || (!isReplaced && isNamedVoter(it.name)))
+            continue;
+        auto fewer = voters;
+        std::erase(fewer, it);
+        const auto following =
+            static_cast<std::size_t>(std::count_if(fewer.begin(), fewer.end(), follows));
+        if (following < fewer.size() / 2 + 1)
+            continue;
+        proposeVoters(std::move(fewer));
+        return true;
+    }
+    return false;
+}
+
+bool ConfigurationNode::addOneVoter(TimePoint now)
+{
+    for (const auto &it : m_options.members) {
+        if (!it.isVoter || it.name == m_options.self || hasVoterNamed(it.name) || !isCaughtUp(now, it.name))
+            continue;
+        auto more = m_log.voters();
+        more.push_back({it.name, *m_progress[it.name].voter});
+        proposeVoters(std::move(more));
+        return true;
+    }
+    return false;
+}
+
+void ConfigurationNode::proposeVoters(std::vector<Voter> voters)
+{
+    LogEntry entry;
+    entry.kind = EntryKind::Voters;
+    entry.voters = std::move(voters);
+    appendOwn(entry);
+}
+
+void ConfigurationNode::passOn(TimePoint now, Proposal &proposal)
+{
+    if (m_hasStorageFailed || m_leader.empty()) {
+        proposal.resendAt = now + proposalPoll;
+        return;
+    }
+    proposal.resendAt = now + m_options.proposalResend;
+    proposal.isPassedOn = true;
+    if (m_role == ConfigurationRole::Leader) {
+        takeProposal(proposal.change);
+        broadcast(now);
+        return;
+    }
+    auto message = newMessage();
+    toWire(proposal.change, message.mutable_proposal());
+    sendNow(m_leader, message);
+}
+
+void ConfigurationNode::takeProposal(const ConfigurationChange &change)
+{
+    ChangeAnswer buffer;
+    if (m_state.recall(change, buffer) != nullptr && !m_options.faults.forgetsAnswers)
+        return;
+    if (m_log.lastIndex() - m_commit >= maximumUncommittedEntries)
+        return;
+    for (auto it = m_commit + 1; it <= m_log.lastIndex(); ++it) {
+        const auto &entry = m_log.at(it);
+        const bool isSame = entry.kind == EntryKind::Change && entry.change.id == change.id
+            && contentHashOf(entry.change) == contentHashOf(change);
+        if (isSame)
+            return;
+    }
+    LogEntry entry;
+    entry.kind = EntryKind::Change;
+    entry.change = change;
+    appendOwn(entry);
+}
+
+void ConfigurationNode::resendProposals(TimePoint now)
+{
+    for (std::size_t i = 0; i < m_proposals.size();) {
+        auto &proposal = m_proposals[i];
+        if (now >= proposal.deadline) {
+            ChangeAnswer answer;
+            answer.id = proposal.change.id;
+            answer.outcome = proposal.isPassedOn ? ChangeOutcome::Unknown : ChangeOutcome::NoLeader;
+            answer.version = m_shown.version;
+            m_actions.emplace_back(AnswerChange{proposal.request, answer});
+            m_proposals.erase(m_proposals.begin() + static_cast<std::ptrdiff_t>(i));
+            continue;
+        }
+        if (now >= proposal.resendAt)
+            passOn(now, proposal);
+        ++i;
+    }
+}
+
+void ConfigurationNode::answerProposals()
+{
+    std::erase_if(m_proposals, [&](const auto &it) {
+        ChangeAnswer buffer;
+        const auto *answer = m_state.recall(it.change, buffer);
+        if (answer != nullptr)
+            m_actions.emplace_back(AnswerChange{it.request, *answer});
+        return answer != nullptr;
+    });
+}
+
+void ConfigurationNode::releaseHeld()
+{
+    const auto covers = [&](std::uint64_t token) {
+        return token <= m_syncedToken || m_options.faults.skipsSync;
+    };
+    std::erase_if(m_heldMessages, [&](auto &it) {
+        const bool isFree = covers(it.token);
+        if (isFree)
+            m_actions.emplace_back(std::move(it.send));
+        return isFree;
+    });
+    bool hasShown = false;
+    while (!m_heldShows.empty() && covers(m_heldShows.front().token)) {
+        m_shown = std::move(m_heldShows.front().configuration);
+        m_heldShows.pop_front();
+        hasShown = true;
+    }
+    if (!hasShown)
+        return;
+    m_actions.emplace_back(ShowConfiguration{m_shown});
+    answerProposals();
+}
+
+ConfigurationNode::Message ConfigurationNode::newMessage() const
+{
+    Message message;
+    message.set_term(m_term);
+    message.set_storage(m_storage);
+    message.set_voter(voterIdentity());
+    message.set_undecided(!m_isDecided);
+    return message;
+}
+
+void ConfigurationNode::sendNow(const std::string &vm, const Message &message)
+{
+    m_actions.emplace_back(SendConfigurationMessage{vm, message.SerializeAsString()});
+}
+
+void ConfigurationNode::sendAfter(std::uint64_t token, const std::string &vm, const Message &message)
+{
+    if (token <= m_syncedToken || m_options.faults.skipsSync) {
+        sendNow(vm, message);
+        return;
+    }
+    m_heldMessages.push_back({token, {vm, message.SerializeAsString()}});
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/config/configurationstate.cpp
@@ -0,0 +1,279 @@
+#include "citronpitch/configurationstate.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Citronpitch {
+
+namespace {
+
+constexpr std::uint32_t wholeShare = 1'000'000;
+
+ClassDeclaration *findClass(Configuration &configuration, std::string_view name)
+{
+    const auto it = std::find_if(configuration.classes.begin(), configuration.classes.end(),
+                                 [&](const auto &c) { return c.name == name; });
+    return it == configuration.classes.end() ? nullptr : &*it;
+}
+
+std::string checkClass(const ClassDeclaration &declaration)
+{
+    if (declaration.name.empty())
+        return "a class needs a name";
+    if (declaration.targetShare > wholeShare)
+        return "class " + declaration.name + ": the share is above 1000000 parts per million";
+    if (declaration.targetTime <= Duration::zero() && !declaration.retired)
+        return "class " + declaration.name + ": the target time must be above zero";
+    return {};
+}
+
+template <typename Declaration> bool hasDoubleName(const std::vector<Declaration> &declarations)
+{
+    std::set<std::string_view> names;
+    return !std::all_of(declarations.begin(), declarations.end(),
+                        [&](const auto &it) { return names.insert(it.name).second; });
+}
+
+std::string createClass(const ClassDeclaration &wanted, Configuration &configuration)
+{
+    auto *existing = findClass(configuration, wanted.name);
+    if (existing != nullptr && !existing->retired)
+        return "class " + wanted.name + " exists";
+    if (existing != nullptr) {
+        *existing = wanted;
+        return {};
+    }
+    if (configuration.classes.size() >= maximumClasses)
+        return "there are " + std::to_string(maximumClasses) + " classes already";
+    configuration.classes.push_back(wanted);
+    return {};
+}
+
+std::string moveTarget(const ClassDeclaration &wanted, bool isRaise, Configuration &configuration)
+{
+    auto *existing = findClass(configuration, wanted.name);
+    if (existing == nullptr || existing->retired)
+        return "class " + wanted.name + " is not in service";
+    const auto &strict = isRaise ? wanted : *existing;
+    const auto &loose = isRaise ? *existing : wanted;
+    const bool isOrdered =
+        strict.targetTime <= loose.targetTime && strict.targetShare >= loose.targetShare;
+    const bool isSame = strict.targetTime == loose.targetTime && strict.targetShare == loose.targetShare;
+    if (!isOrdered || isSame)
+        return "class " + wanted.name + ": the new target is not "
+            + (isRaise ? "stricter" : "less strict") + " than the one in force";
+    existing->targetTime = wanted.targetTime;
+    existing->targetShare = wanted.targetShare;
+    return {};
+}
+
+std::string retireClass(const std::string &name, Configuration &configuration)
+{
+    auto *existing = findClass(configuration, name);
+    if (existing == nullptr || existing->retired)
+        return "class " + name + " is not in service";
+    existing->retired = true;
+    return {};
+}
+
+std::string setTeam(const TeamDeclaration &wanted, Configuration &configuration)
+{
+    if (wanted.name.empty())
+        return "a team needs a name";
+    const auto it = std::find_if(configuration.teams.begin(), configuration.teams.end(),
+                                 [&](const auto &t) { return t.name == wanted.name; });
+    if (it != configuration.teams.end()) {
+        *it = wanted;
+        return {};
+    }
+    if (configuration.teams.size() >= maximumTeams)
+        return "there are " + std::to_string(maximumTeams) + " teams already";
+    configuration.teams.push_back(wanted);
+    return {};
+}
+
+std::string removeTeam(const std::string &name, Configuration &configuration)
+{
+    const auto n = std::erase_if(configuration.teams, [&](const auto &it) { return it.name == name; });
+    return n == 0 ? "team " + name + " does not exist" : std::string();
+}
+
+std::string replaceAll(const ConfigurationChange &change, Configuration &configuration)
+{
+    for (const auto &it : change.classes) {
+        if (auto error = checkClass(it); !error.empty())
+            return error;
+    }
+    for (const auto &it : change.teams) {
+        if (it.name.empty())
+            return "a team needs a name";
+    }
+    if (hasDoubleName(change.classes) || hasDoubleName(change.teams))
+        return "a name stands twice in the declaration";
+    auto classes = change.classes;
+    for (auto it : configuration.classes) {
+        it.retired = true;
+        const bool isListed = std::any_of(change.classes.begin(), change.classes.end(),
+                                          [&](const auto &c) { return c.name == it.name; });
+        if (!isListed)
+            classes.push_back(std::move(it));
+    }
+    if (classes.size() > maximumClasses || change.teams.size() > maximumTeams)
+        return "the declaration has too many classes or teams";
+    configuration.classes = std::move(classes);
+    configuration.teams = change.teams;
+    return {};
+}
+
+std::string subjectOf(const ConfigurationChange &change)
+{
+    if (change.kind == ChangeKind::Apply)
+        return {};
+    return change.classes.empty() ? change.teams.front().name : change.classes.front().name;
+}
+
+} // namespace
+
+std::string applyChange(const ConfigurationChange &change, Configuration &configuration)
+{
+    if (change.kind == ChangeKind::Apply)
+        return replaceAll(change, configuration);
+    const bool isOfTeam = change.kind == ChangeKind::SetTeam || change.kind == ChangeKind::RemoveTeam;
+    if (change.classes.size() != (isOfTeam ? 0U : 1U) || change.teams.size() != (isOfTeam ? 1U : 0U))
+        return "the change must name exactly one class or team";
+    switch (change.kind) {
+    case ChangeKind::SetTeam:
+        return setTeam(change.teams.front(), configuration);
+    case ChangeKind::RemoveTeam:
+        return removeTeam(change.teams.front().name, configuration);
+    case ChangeKind::RetireClass:
+        return retireClass(change.classes.front().name, configuration);
+    default:
+        break;
+    }
+    if (auto error = checkClass(change.classes.front()); !error.empty())
+        return error;
+    if (change.kind == ChangeKind::CreateClass)
+        return createClass(change.classes.front(), configuration);
+    return moveTarget(change.classes.front(), change.kind == ChangeKind::RaiseTarget, configuration);
+}
+
+void ConfigurationState::initialise(const Configuration &configuration)
+{
+    if (m_isInitialised)
+        return;
+    m_isInitialised = true;
+    m_configuration = configuration;
+    m_configuration.version = 0;
+}
+
+ChangeAnswer ConfigurationState::apply(const ConfigurationChange &change)
+{
+    ChangeAnswer buffer;
+    if (const auto *first = recall(change, buffer))
+        return *first;
+    const auto answer = decide(change);
+    remember(answer);
+    return answer;
+}
+
+const ChangeAnswer *ConfigurationState::findAnswer(const std::string &id) const
+{
+    const auto it = m_positions.find(id);
+    return it == m_positions.end() ? nullptr : &m_answers[it->second - m_firstPosition];
+}
+
+const ChangeAnswer *ConfigurationState::recall(const ConfigurationChange &change, ChangeAnswer &buffer) const
+{
+    const auto *first = findAnswer(change.id);
+    if (first == nullptr || first->contentHash == contentHashOf(change))
+        return first;
+    buffer = ChangeAnswer{change.id, ChangeOutcome::IdConflict, m_configuration.version, {}, {},
+                          "the id was used by a change with another content", contentHashOf(change)};
+    return &buffer;
+}
+
+const Configuration &ConfigurationState::configuration() const
+{
+    return m_configuration;
+}
+
+const std::deque<ChangeHistory> &ConfigurationState::history() const
+{
+    return m_history;
+}
+
+const std::deque<ChangeAnswer> &ConfigurationState::answers() const
+{
+    return m_answers;
+}
+
+bool ConfigurationState::isInitialised() const
+{
+    return m_isInitialised;
+}
+
+ConfigurationState ConfigurationState::restore(const Configuration &configuration, bool isInitialised,
+                                               const std::vector<ChangeAnswer> &answers,
+                                               const std::vector<ChangeHistory> &history)
+{
+    ConfigurationState state;
+    state.m_configuration = configuration;
+    state.m_isInitialised = isInitialised;
+    for (const auto &it : answers)
+        state.remember(it);
+    state.m_history.assign(history.begin(), history.end());
+    return state;
+}
+
+ChangeAnswer ConfigurationState::decide(const ConfigurationChange &change)
+{
+    if (change.basedOn != m_configuration.version)
+        return superseded(change);
+    ChangeAnswer answer{change.id, ChangeOutcome::Invalid, m_configuration.version, {}, {}, {},
+                        contentHashOf(change)};
+    auto changed = m_configuration;
+    answer.detail = applyChange(change, changed);
+    if (!answer.detail.empty())
+        return answer;
+    answer.outcome = ChangeOutcome::Accepted;
+    answer.version = ++changed.version;
+    m_configuration = std::move(changed);
+    m_history.push_back({answer.version, change.id, change.author, change.proposedAt, change.kind,
+                         subjectOf(change)});
+    if (m_history.size() > maximumHistory)
+        m_history.pop_front();
+    return answer;
+}
+
+ChangeAnswer ConfigurationState::superseded(const ConfigurationChange &change) const
+{
+    ChangeAnswer answer{change.id, ChangeOutcome::Superseded, m_configuration.version, {}, {}, {},
+                        contentHashOf(change)};
+    if (change.basedOn > m_configuration.version) {
+        answer.outcome = ChangeOutcome::Invalid;
+        answer.detail = "it is based on version " + std::to_string(change.basedOn) + ", which does not exist";
+        return answer;
+    }
+    const auto it = std::find_if(m_history.begin(), m_history.end(),
+                                 [&](const auto &h) { return h.version == change.basedOn + 1; });
+    if (it != m_history.end()) {
+        answer.winnerId = it->id;
+        answer.winnerAuthor = it->author;
+    }
+    answer.detail = "another change made version " + std::to_string(change.basedOn + 1);
+    return answer;
+}
+
+void ConfigurationState::remember(const ChangeAnswer &answer)
+{
+    m_positions[answer.id] = m_firstPosition + m_answers.size();
+    m_answers.push_back(answer);
+    if (m_answers.size() <= maximumRememberedAnswers)
+        return;
+    m_positions.erase(m_answers.front().id);
+    m_answers.pop_front();
+    ++m_firstPosition;
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/tests/fuzz/configurationcluster.cpp
@@ -0,0 +1,408 @@
+#include "fuzz/configurationcluster.h"
+
+#include <algorithm>
+
+namespace Citronpitch {
+
+namespace {
+
+constexpr Duration turn = std::chrono::milliseconds(5);
+constexpr Duration settleTime = std::chrono::seconds(30);
+constexpr std::uint64_t longestSyncMs = 8;
+
+} // namespace
+
+ConfigurationCluster::ConfigurationCluster(const ClusterPlan &plan)
+    : m_plan(plan)
+    , m_random(plan.seed)
+    , m_vms(plan.voters + plan.learners)
+{
+    for (std::size_t i = 0; i < m_vms.size(); ++i)
+        m_vms[i].name = "vm" + std::to_string(i);
+    for (std::size_t i = 0; i < m_vms.size(); ++i)
+        startNode(i);
+}
+
+ConfigurationCluster::~ConfigurationCluster() = default;
+
+void ConfigurationCluster::advance(Duration time)
+{
+    const auto end = m_now + time;
+    while (m_now < end && m_failure.empty())
+        runTurn();
+}
+
+void ConfigurationCluster::kill(std::size_t vm)
+{
+    auto &it = m_vms[vm % m_vms.size()];
+    if (!it.isUp)
+        return;
+    ++m_counts.faults;
+    it.isUp = false;
+    // What was not synced may or may not have reached the disk, in order.
+    const auto kept = it.writes.empty() ? 0 : draw(it.writes.size() + 1);
+    for (std::size_t i = 0; i < kept; ++i)
+        writeTo(it.disk, it.writes[i]);
+    it.writes.clear();
+}
+
+void ConfigurationCluster::restart(std::size_t vm)
+{
+    auto &it = m_vms[vm % m_vms.size()];
+    if (it.isUp)
+        return;
+    startNode(vm % m_vms.size());
+}
+
+bool ConfigurationCluster::loseDisk(std::size_t vm)
+{
+    vm %= m_vms.size();
+    if (!keepsMajorityWithout(vm))
+        return false;
+    ++m_counts.faults;
+    kill(vm);
+    m_vms[vm].disk.clear();
+    m_vms[vm].isWiped = true;
+    m_vms[vm].shownVersion = 0;
+    return true;
+}
+
+void ConfigurationCluster::freeze(std::size_t vm, Duration time)
+{
+    ++m_counts.faults;
+    m_vms[vm % m_vms.size()].frozenUntil = m_now + time;
+}
+
+void ConfigurationCluster::cutOneWay(std::size_t from, std::size_t to)
+{
+    ++m_counts.faults;
+    m_cuts.insert({from % m_vms.size(), to % m_vms.size()});
+}
+
+void ConfigurationCluster::isolate(std::size_t vm)
+{
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        cutOneWay(vm, i);
+        cutOneWay(i, vm);
+    }
+}
+
+void ConfigurationCluster::healCuts()
+{
+    m_cuts.clear();
+}
+
+void ConfigurationCluster::setLoss(unsigned percent)
+{
+    ++m_counts.faults;
+    m_lossPercent = percent;
+}
+
+void ConfigurationCluster::setDelay(Duration longest)
+{
+    ++m_counts.faults;
+    m_longestDelay = longest;
+}
+
+void ConfigurationCluster::propose(std::size_t vm, std::uint64_t staleness)
+{
+    vm %= m_vms.size();
+    if (!m_vms[vm].isUp)
+        return;
+    const auto &shown = m_vms[vm].node->shown();
+    ConfigurationChange change;
+    change.id = "change" + std::to_string(m_asked.size());
+    change.author = m_vms[vm].name;
+    change.basedOn = shown.version - std::min(shown.version, staleness);
+    change.proposedAt = m_now;
+    change.kind = ChangeKind::SetTeam;
+    change.teams = {{"team" + std::to_string(draw(5)), static_cast<std::uint32_t>(draw(1000))}};
+    m_asked.push_back({change, {}});
+    ask(vm, m_asked.size() - 1);
+}
+
+void ConfigurationCluster::resend(std::size_t vm, std::size_t back)
+{
+    vm %= m_vms.size();
+    if (m_asked.empty() || !m_vms[vm].isUp)
+        return;
+    ask(vm, m_asked.size() - 1 - back % m_asked.size());
+}
+
+void ConfigurationCluster::settle()
+{
+    m_lossPercent = 0;
+    m_longestDelay = std::chrono::milliseconds(3);
+    healCuts();
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        m_vms[i].frozenUntil = m_now;
+        restart(i);
+    }
+    const auto deadline = m_now + settleTime;
+    while (m_now < deadline && m_failure.empty() && !isSettled())
+        runTurn();
+    if (m_failure.empty() && !isSettled())
+        fail("liveness: no leader, or not every VM shows the newest version in time");
+    if (m_failure.empty())
+        checkEnd();
+}
+
+const std::string &ConfigurationCluster::failure() const
+{
+    return m_failure;
+}
+
+const ClusterCounts &ConfigurationCluster::counts() const
+{
+    return m_counts;
+}
+
+std::size_t ConfigurationCluster::size() const
+{
+    return m_vms.size();
+}
+
+const ConfigurationNode &ConfigurationCluster::node(std::size_t vm) const
+{
+    return *m_vms[vm].node;
+}
+
+bool ConfigurationCluster::isUp(std::size_t vm) const
+{
+    return m_vms[vm].isUp;
+}
+
+std::optional<std::size_t> ConfigurationCluster::leader() const
+{
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        const auto &node = *m_vms[i].node;
+        const bool leads = m_vms[i].isUp && node.role() == ConfigurationRole::Leader;
+        if (leads && node.log().termAt(node.commitIndex()) == node.term())
+            return i;
+    }
+    return std::nullopt;
+}
+
+TimePoint ConfigurationCluster::now() const
+{
+    return m_now;
+}
+
+std::size_t ConfigurationCluster::draw(std::size_t limit)
+{
+    return m_random() % limit;
+}
+
+void ConfigurationCluster::startNode(std::size_t vm)
+{
+    auto &it = m_vms[vm];
+    ConfigurationNodeOptions options;
+    options.self = it.name;
+    for (std::size_t i = 0; i < m_vms.size(); ++i)
+        options.members.push_back({m_vms[i].name, i < m_plan.voters});
+    options.freshStorage = ++m_nextStorage;
+    options.seed = m_random();
+    options.initial.teams = {{"founding", 1}};
+    options.keptEntries = m_plan.keptEntries;
+    options.faults = m_plan.faults;
+    it.node = std::make_unique<ConfigurationNode>(m_now, options, it.disk);
+    it.isUp = true;
+    it.isWiped = false;
+    it.frozenUntil = m_now;
+    checkShown(vm, it.node->shown());
+    carryOut(vm);
+}
+
+void ConfigurationCluster::runTurn()
+{
+    m_now += turn;
+    while (!m_parcels.empty() && m_parcels.begin()->first <= m_now) {
+        const auto parcel = std::move(m_parcels.begin()->second);
+        m_parcels.erase(m_parcels.begin());
+        auto &it = m_vms[parcel.to];
+        if (!it.isUp)
+            continue;
+        if (isFrozen(it)) {
+            m_parcels.emplace(it.frozenUntil + turn, parcel);
+            continue;
+        }
+        ++m_counts.events;
+        it.node->receive(m_now, m_vms[parcel.from].name, parcel.bytes);
+        carryOut(parcel.to);
+    }
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        auto &it = m_vms[i];
+        while (it.isUp && !isFrozen(it) && !it.writes.empty() && it.writes.front().syncedAt <= m_now) {
+            const auto write = std::move(it.writes.front());
+            it.writes.pop_front();
+            writeTo(it.disk, write);
+            it.node->synced(m_now, write.token);
+            carryOut(i);
+        }
+        if (!it.isUp || isFrozen(it))
+            continue;
+        it.node->tick(m_now);
+        carryOut(i);
+    }
+    checkLeaders();
+}
+
+void ConfigurationCluster::carryOut(std::size_t vm)
+{
+    for (const auto &it : m_vms[vm].node->takeActions())
+        std::visit([&](const auto &action) { carryOut(vm, action); }, it);
+}
+
+void ConfigurationCluster::carryOut(std::size_t vm, const AppendRecords &action)
+{
+    const auto delay = std::chrono::milliseconds(1 + draw(longestSyncMs));
+    m_vms[vm].writes.push_back({false, action.records, action.token, m_now + delay});
+}
+
+void ConfigurationCluster::carryOut(std::size_t vm, const ReplaceRecords &action)
+{
+    const auto delay = std::chrono::milliseconds(1 + draw(longestSyncMs));
+    m_vms[vm].writes.push_back({true, action.records, action.token, m_now + delay});
+}
+
+void ConfigurationCluster::carryOut(std::size_t vm, const SendConfigurationMessage &action)
+{
+    const auto to = static_cast<std::size_t>(std::stoul(action.vm.substr(2)));
+    if (m_cuts.contains({vm, to}) || draw(100) < m_lossPercent)
+        return;
+    const auto copies = m_lossPercent > 0 && draw(100) < m_lossPercent ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        const auto delay = Duration(1 + draw(static_cast<std::size_t>(m_longestDelay.count())));
+        m_parcels.emplace(m_now + delay, Parcel{vm, to, action.bytes});
+    }
+}
+
+void ConfigurationCluster::carryOut(std::size_t vm, const ShowConfiguration &action)
+{
+    checkShown(vm, action.configuration);
+}
+
+void ConfigurationCluster::carryOut(std::size_t, const AnswerChange &action)
+{
+    auto &asked = m_asked[m_requests.at(action.request)];
+    const auto &answer = action.answer;
+    if (answer.outcome == ChangeOutcome::Unknown || answer.outcome == ChangeOutcome::NoLeader)
+        return;
+    if (asked.first && !(*asked.first == answer)) {
+        fail("answers: " + asked.change.id + " got two different answers");
+        return;
+    }
+    if (asked.first)
+        return;
+    asked.first = answer;
+    if (answer.outcome == ChangeOutcome::Accepted)
+        checkAccepted(answer, asked.change);
+    else
+        ++m_counts.refused;
+}
+
+void ConfigurationCluster::writeTo(std::vector<std::string> &disk, const DiskWrite &write)
+{
+    if (write.replaces)
+        disk.clear();
+    disk.insert(disk.end(), write.records.begin(), write.records.end());
+}
+
+void ConfigurationCluster::ask(std::size_t vm, std::size_t asked)
+{
+    const auto request = m_nextRequest++;
+    m_requests[request] = asked;
+    m_vms[vm].node->propose(m_now, request, m_asked[asked].change);
+    carryOut(vm);
+}
+
+void ConfigurationCluster::checkShown(std::size_t vm, const Configuration &configuration)
+{
+    auto &it = m_vms[vm];
+    if (configuration.version < it.shownVersion)
+        fail("revert: " + it.name + " showed version " + std::to_string(it.shownVersion) + " and then "
+             + std::to_string(configuration.version));
+    it.shownVersion = configuration.version;
+    const auto [first, isNew] = m_shownVersions.emplace(configuration.version, configuration);
+    if (!isNew && !(first->second == configuration))
+        fail("order: version " + std::to_string(configuration.version) + " is not the same everywhere");
+}
+
+void ConfigurationCluster::checkLeaders()
+{
+    for (const auto &it : m_vms) {
+        if (!it.isUp || it.node->role() != ConfigurationRole::Leader)
+            continue;
+        const auto &first = m_leaders.emplace(it.node->term(), it.name).first->second;
+        if (first != it.name)
+            fail("leaders: term " + std::to_string(it.node->term()) + " has two");
+    }
+}
+
+void ConfigurationCluster::checkAccepted(const ChangeAnswer &answer, const ConfigurationChange &change)
+{
+    ++m_counts.accepted;
+    if (answer.version != change.basedOn + 1)
+        fail("compare-and-set: " + change.id + " was accepted on another version than it was based on");
+    const auto [first, isNew] = m_acceptedIds.emplace(answer.version, change.id);
+    if (!isNew && first->second != change.id)
+        fail("lost: version " + std::to_string(answer.version) + " was given to two changes");
+}
+
+void ConfigurationCluster::checkEnd()
+{
+    for (const auto &vm : m_vms) {
+        const auto &history = vm.node->state().history();
+        for (const auto &[version, id] : m_acceptedIds) {
+            const auto it = std::find_if(history.begin(), history.end(),
+                                         [&, wanted = version](const auto &h) { return h.version == wanted; });
+            if (it == history.end() || it->id != id) {
+                fail("lost: accepted change " + id + " is missing at " + vm.name);
+                return;
+            }
+        }
+    }
+}
+
+bool ConfigurationCluster::isSettled() const
+{
+    const auto leads = leader();
+    if (!leads)
+        return false;
+    const auto &newest = *m_vms[*leads].node;
+    const bool isCommitted = newest.commitIndex() == newest.log().lastIndex();
+    return isCommitted && std::all_of(m_vms.begin(), m_vms.end(), [&](const Vm &it) {
+        return it.node->leader() == m_vms[*leads].name && it.writes.empty()
+            && it.node->shown() == newest.state().configuration();
+    });
+}
+
+bool ConfigurationCluster::keepsMajorityWithout(std::size_t vm) const
+{
+    for (const auto &view : m_vms) {
+        const auto &voters = view.node->log().voters();
+        std::size_t kept = 0;
+        for (const auto &voter : voters) {
+            const auto it = std::find_if(m_vms.begin(), m_vms.end(),
+                                         [&](const auto &v) { return v.name == voter.name; });
+            const bool isLost = it->name == m_vms[vm].name || it->isWiped;
+            kept += !isLost && it->node->voterIdentity() == voter.storage ? 1 : 0;
+        }
+        if (kept < voters.size() / 2 + 1)
+            return false;
+    }
+    return true;
+}
+
+bool ConfigurationCluster::isFrozen(const Vm &vm) const
+{
+    return vm.frozenUntil > m_now;
+}
+
+void ConfigurationCluster::fail(const std::string &text)
+{
+    if (m_failure.empty())
+        m_failure = text;
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/tests/fuzz/configurationmodel.cpp
@@ -0,0 +1,198 @@
+#include "fuzz/configurationmodel.h"
+
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <algorithm>
+#include <ostream>
+#include <sstream>
+
+namespace Citronpitch {
+
+namespace {
+
+constexpr int longestCase = 120;
+constexpr std::uint64_t stepsPerCase = 60;
+
+enum class StepKind {
+    Advance,
+    Propose,
+    Race,
+    Resend,
+    Kill,
+    KillLeader,
+    Restart,
+    LoseDisk,
+    Freeze,
+    CutOneWay,
+    Isolate,
+    Heal,
+    Loss,
+    Delay,
+};
+
+inline constexpr std::array stepKindNames{
+    EnumName<StepKind>{StepKind::Advance, "advance"},   EnumName<StepKind>{StepKind::Propose, "propose"},
+    EnumName<StepKind>{StepKind::Race, "race"},         EnumName<StepKind>{StepKind::Resend, "resend"},
+    EnumName<StepKind>{StepKind::Kill, "kill"},         EnumName<StepKind>{StepKind::KillLeader, "killLeader"},
+    EnumName<StepKind>{StepKind::Restart, "restart"},   EnumName<StepKind>{StepKind::LoseDisk, "loseDisk"},
+    EnumName<StepKind>{StepKind::Freeze, "freeze"},     EnumName<StepKind>{StepKind::CutOneWay, "cutOneWay"},
+    EnumName<StepKind>{StepKind::Isolate, "isolate"},   EnumName<StepKind>{StepKind::Heal, "heal"},
+    EnumName<StepKind>{StepKind::Loss, "loss"},         EnumName<StepKind>{StepKind::Delay, "delay"},
+};
+
+/// The model of the state machinery; what is promised is checked by ConfigurationCluster.
+struct NoModel
+{
+};
+
+/**
+ * @brief One random step: a fault, an operator's call, or time that passes.
+ */
+class FuzzStep : public rc::state::Command<NoModel, ConfigurationCluster>
+{
+public:
+    FuzzStep()
+        : m_kind(*rc::gen::weightedElement<StepKind>({{20, StepKind::Advance},
+                                                      {14, StepKind::Propose},
+                                                      {6, StepKind::Race},
+                                                      {6, StepKind::Resend},
+                                                      {4, StepKind::Kill},
+                                                      {4, StepKind::KillLeader},
+                                                      {9, StepKind::Restart},
+                                                      {3, StepKind::LoseDisk},
+                                                      {3, StepKind::Freeze},
+                                                      {3, StepKind::CutOneWay},
+                                                      {3, StepKind::Isolate},
+                                                      {5, StepKind::Heal},
+                                                      {2, StepKind::Loss},
+                                                      {2, StepKind::Delay}}))
+        , m_vm(*rc::gen::inRange<std::size_t>(0, 100))
+        , m_other(*rc::gen::inRange<std::size_t>(0, 100))
+        , m_amount(*rc::gen::inRange<std::size_t>(0, 1500))
+    {
+    }
+
+    void run(const NoModel &, ConfigurationCluster &cluster) const override
+    {
+        carryOut(cluster);
+        if (!cluster.failure().empty())
+            RC_FAIL(cluster.failure());
+    }
+
+    void show(std::ostream &os) const override
+    {
+        os << nameIn(stepKindNames, m_kind) << "(" << m_vm << ", " << m_other << ", " << m_amount << ")";
+    }
+
+private:
+    void carryOut(ConfigurationCluster &cluster) const
+    {
+        const auto time = std::chrono::milliseconds(m_amount);
+        switch (m_kind) {
+        case StepKind::Advance:
+            cluster.advance(time);
+            break;
+        case StepKind::Propose:
+            cluster.propose(m_vm, m_amount % 20 == 0 ? 1 : 0);
+            cluster.advance(std::chrono::milliseconds(m_amount % 40));
+            break;
+        case StepKind::Race:
+            cluster.propose(m_vm, 0);
+            cluster.propose(m_other, 0);
+            break;
+        case StepKind::Resend:
+            cluster.resend(m_vm, m_amount % 5);
+            break;
+        case StepKind::Kill:
+            cluster.kill(m_vm);
+            break;
+        case StepKind::KillLeader:
+            if (const auto leader = cluster.leader())
+                cluster.kill(*leader);
+            break;
+        case StepKind::Restart:
+            for (std::size_t i = 0; i < cluster.size(); i += 1 + m_other % 2)
+                cluster.restart(m_vm + i);
+            break;
+        case StepKind::LoseDisk:
+            if (cluster.loseDisk(m_vm) && m_amount % 2 == 0)
+                cluster.restart(m_vm);
+            break;
+        case StepKind::Freeze:
+            cluster.freeze(m_vm, time * 4);
+            break;
+        case StepKind::CutOneWay:
+            cluster.cutOneWay(m_vm, m_other);
+            break;
+        case StepKind::Isolate:
+            cluster.isolate(m_vm);
+            break;
+        case StepKind::Heal:
+            cluster.healCuts();
+            break;
+        case StepKind::Loss:
+            cluster.setLoss(static_cast<unsigned>(m_amount % 25));
+            break;
+        case StepKind::Delay:
+            cluster.setDelay(std::chrono::milliseconds(1 + m_amount % 300));
+            break;
+        }
+    }
+
+    StepKind m_kind;
+    std::size_t m_vm;
+    std::size_t m_other;
+    std::size_t m_amount;
+};
+
+/// The failure and its shrunk steps as text.
+std::string textOf(const rc::detail::FailureResult &failure)
+{
+    std::ostringstream text;
+    text << failure.description;
+    for (const auto &[type, value] : failure.counterExample)
+        text << "\n" << value;
+    return text.str();
+}
+
+} // namespace
+
+FuzzResult fuzzConfiguration(std::uint64_t seed, std::uint64_t steps, const ConfigurationTestFaults &faults)
+{
+    FuzzResult result;
+    const auto add = [&](const ConfigurationCluster &cluster) {
+        result.events += cluster.counts().events;
+        result.faults += cluster.counts().faults;
+        result.changesAccepted += cluster.counts().accepted;
+        result.changesRefused += cluster.counts().refused;
+    };
+    const auto property = [&](std::uint64_t clusterSeed) {
+        ClusterPlan plan;
+        plan.seed = clusterSeed;
+        plan.voters = clusterSeed % 2 == 0 ? 3 : 5;
+        plan.faults = faults;
+        ConfigurationCluster cluster(plan);
+        cluster.advance(std::chrono::seconds(3));
+        const auto commands =
+            *rc::state::gen::commands(NoModel(), rc::state::gen::execOneOfWithArgs<FuzzStep>());
+        rc::state::runAll(commands, NoModel(), cluster);
+        result.steps += commands.size();
+        cluster.settle();
+        add(cluster);
+        if (!cluster.failure().empty())
+            RC_FAIL(cluster.failure());
+    };
+    rc::detail::TestParams params;
+    params.seed = seed;
+    params.maxSuccess = static_cast<int>(std::max<std::uint64_t>(1, steps / stepsPerCase));
+    params.maxSize = longestCase;
+    const auto outcome = rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
+    rc::detail::FailureResult failure;
+    result.hasPassed = outcome.is<rc::detail::SuccessResult>();
+    if (outcome.match(failure))
+        result.failure = textOf(failure);
+    return result;
+}
+
+} // namespace Citronpitch
