--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -62,8 +62,8 @@
     if (m_hasStorageFailed || !message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return;
     const std::string sender(vm);
-    const bool isVoting = message.has_vote_request() || (message.has_vote_reply() && message.vote_reply().pre()
-                                                         && message.vote_reply().granted());
+    const bool isVoting = message.has_vote_request()
+        || (message.has_vote_reply() && message.vote_reply().pre() && message.vote_reply().granted());
     const bool hasTerm = !isVoting && !message.has_hello() && !message.has_hello_reply();
     if (hasTerm && message.term() > m_term)
         becomeFollower(now, message.term(), {});
@@ -595,8 +595,7 @@
     if (m_role != ConfigurationRole::Leader || message.term() != m_term || it == m_progress.end())
         return;
     auto &progress = it->second;
-    const auto voter =
-        message.undecided() ? std::nullopt : std::optional<std::uint64_t>(message.voter());
+    const auto voter = message.undecided() ? std::nullopt : std::optional<std::uint64_t>(message.voter());
     if (progress.voter != voter) {
         progress.voter = voter;
         progress.match = 0;
@@ -714,8 +713,7 @@
             continue;
         auto fewer = voters;
         std::erase(fewer, it);
-        const auto following =
-            static_cast<std::size_t>(std::count_if(fewer.begin(), fewer.end(), follows));
+        const auto following = static_cast<std::size_t>(std::count_if(fewer.begin(), fewer.end(), follows));
         if (following < fewer.size() / 2 + 1)
             continue;
         proposeVoters(std::move(fewer));
--- a/src/core/config/configurationnoderecords.cpp
+++ b/src/core/config/configurationnoderecords.cpp
@@ -27,9 +27,9 @@
     if (m_storage != 0)
         return;
     m_storage = m_options.freshStorage;
-    const bool isAlone = std::none_of(m_options.members.begin(), m_options.members.end(), [&](const auto &it) {
-        return it.isVoter && it.name != m_options.self;
-    });
+    const bool isAlone =
+        std::none_of(m_options.members.begin(), m_options.members.end(),
+                     [&](const auto &it) { return it.isVoter && it.name != m_options.self; });
     const bool isNamed = isNamedVoter(m_options.self);
     m_isDecided = !isNamed || isAlone || m_options.faults.ignoresStorage;
     m_isFounder = isNamed && m_isDecided;
--- a/src/core/config/configurationstate.cpp
+++ b/src/core/config/configurationstate.cpp
@@ -56,12 +56,11 @@
         return "class " + wanted.name + " is not in service";
     const auto &strict = isRaise ? wanted : *existing;
     const auto &loose = isRaise ? *existing : wanted;
-    const bool isOrdered =
-        strict.targetTime <= loose.targetTime && strict.targetShare >= loose.targetShare;
+    const bool isOrdered = strict.targetTime <= loose.targetTime && strict.targetShare >= loose.targetShare;
     const bool isSame = strict.targetTime == loose.targetTime && strict.targetShare == loose.targetShare;
     if (!isOrdered || isSame)
-        return "class " + wanted.name + ": the new target is not "
-            + (isRaise ? "stricter" : "less strict") + " than the one in force";
+        return "class " + wanted.name + ": the new target is not " + (isRaise ? "stricter" : "less strict")
+            + " than the one in force";
     existing->targetTime = wanted.targetTime;
     existing->targetShare = wanted.targetShare;
     return {};
@@ -188,8 +187,13 @@
     const auto *first = findAnswer(change.id);
     if (first == nullptr || first->contentHash == contentHashOf(change))
         return first;
-    buffer = ChangeAnswer{change.id, ChangeOutcome::IdConflict, m_configuration.version, {}, {},
-                          "the id was used by a change with another content", contentHashOf(change)};
+    buffer = ChangeAnswer{change.id,
+                          ChangeOutcome::IdConflict,
+                          m_configuration.version,
+                          {},
+                          {},
+                          "the id was used by a change with another content",
+                          contentHashOf(change)};
     return &buffer;
 }
 
@@ -230,8 +234,8 @@
 {
     if (change.basedOn != m_configuration.version)
         return superseded(change);
-    ChangeAnswer answer{change.id, ChangeOutcome::Invalid, m_configuration.version, {}, {}, {},
-                        contentHashOf(change)};
+    ChangeAnswer answer{change.id, ChangeOutcome::Invalid, m_configuration.version, {}, {},
+                        {},        contentHashOf(change)};
     auto changed = m_configuration;
     answer.detail = applyChange(change, changed);
     if (!answer.detail.empty())
@@ -239,8 +243,8 @@
     answer.outcome = ChangeOutcome::Accepted;
     answer.version = ++changed.version;
     m_configuration = std::move(changed);
-    m_history.push_back({answer.version, change.id, change.author, change.proposedAt, change.kind,
-                         subjectOf(change)});
+    m_history.push_back(
+        {answer.version, change.id, change.author, change.proposedAt, change.kind, subjectOf(change)});
     if (m_history.size() > maximumHistory)
         m_history.pop_front();
     return answer;
@@ -248,8 +252,8 @@
 
 ChangeAnswer ConfigurationState::superseded(const ConfigurationChange &change) const
 {
-    ChangeAnswer answer{change.id, ChangeOutcome::Superseded, m_configuration.version, {}, {}, {},
-                        contentHashOf(change)};
+    ChangeAnswer answer{change.id, ChangeOutcome::Superseded, m_configuration.version, {}, {},
+                        {},        contentHashOf(change)};
     if (change.basedOn > m_configuration.version) {
         answer.outcome = ChangeOutcome::Invalid;
         answer.detail = "it is based on version " + std::to_string(change.basedOn) + ", which does not exist";
--- a/src/core/config/configurationwire.cpp
+++ b/src/core/config/configurationwire.cpp
@@ -8,8 +8,9 @@
 
 constexpr std::size_t entryKinds = static_cast<std::size_t>(EntryKind::Voters) + 1;
 
-template <typename To> void declarationsToWire(const std::vector<ClassDeclaration> &classes,
-                                               const std::vector<TeamDeclaration> &teams, To *to)
+template <typename To>
+void declarationsToWire(const std::vector<ClassDeclaration> &classes,
+                        const std::vector<TeamDeclaration> &teams, To *to)
 {
     for (const auto &it : classes) {
         auto *declaration = to->add_classes();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -56,6 +56,14 @@
                   })
     , m_links(m_io, settings.name, settings.peers, settings.vms,
               [this](std::string_view bytes) { peerReceived(bytes); })
+    , m_configuration(
+          m_io, settings,
+          {[this] { return now(); },
+           [this](const std::string &vm, const std::string &bytes) { sendConfiguration(vm, bytes); },
+           [this](const Configuration &configuration) {
+               m_vm.setConfiguration(now(), configuration);
+               carryOut();
+           }})
     , m_callerServer(m_io, settings.callers, settings.limits,
                      [this](const HttpRequest &request, HttpResponder respond) {
                          return handleCaller(request, std::move(respond));
@@ -68,7 +76,7 @@
     , m_signals(m_io, SIGTERM, SIGINT)
     , m_random(std::random_device{}())
 {
-    m_vm.setConfiguration(now(), settings.initialConfiguration);
+    m_configuration.start();
     waitForSignal();
     scheduleTick();
 }
@@ -136,6 +144,8 @@
         respond({200, statusText(m_vm, m_settings.name), {}});
         return nullptr;
     }
+    if (ConfigurationService::serves(request.path))
+        return m_configuration.handle(request, respond);
     if (request.path == "/v1/upstreams" && request.method == "GET") {
         respond({200, upstreamsText(m_vm), {}});
         return nullptr;
@@ -181,6 +191,8 @@
     }
     m_vm.peerMessage(now(), message);
     carryOut();
+    if (message.body_case() == wire::PeerMessage::kConfiguration)
+        m_configuration.receive(message.sender(), message.configuration());
 }
 
 void Daemon::carryOut()
@@ -241,6 +253,7 @@
 {
     m_vm.tick(now());
     carryOut();
+    m_configuration.tick();
     if (!m_isDraining)
         return;
     if (!m_hasStoppedListening && now() >= m_listenUntil) {
@@ -278,6 +291,15 @@
     carryOut();
 }
 
+void Daemon::sendConfiguration(const std::string &vm, const std::string &bytes)
+{
+    wire::PeerMessage message;
+    message.set_sender(m_settings.name);
+    message.set_incarnation(static_cast<std::uint64_t>(microsecondsOf(m_wallStart)));
+    message.set_configuration(bytes);
+    m_links.send(vm, message.SerializeAsString());
+}
+
 std::string Daemon::newKey()
 {
     const auto high = m_random();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronpitch/entryvm.h"
+#include "daemon/configurationservice.h"
 #include "net/httpserver.h"
 #include "net/peerlinks.h"
 #include "net/upstreamclient.h"
@@ -45,6 +46,7 @@
     void tick();
     void waitForSignal();
     void drain();
+    void sendConfiguration(const std::string &vm, const std::string &bytes);
     std::string newKey();
     TimePoint now() const;
 
@@ -55,6 +57,7 @@
     EntryVm m_vm;
     UpstreamClient m_upstreams;
     PeerLinks m_links;
+    ConfigurationService m_configuration;
     HttpServer m_callerServer;
     HttpServer m_controlServer;
     boost::asio::steady_timer m_tickTimer;
--- a/src/log/eventlog.cpp
+++ b/src/log/eventlog.cpp
@@ -28,6 +28,10 @@
     EventEntry{Event::UpstreamLeaving, EventLevel::Info, "upstream is leaving"},
     EventEntry{Event::PeerMessageMalformed, EventLevel::Warning,
                "message of a peer is malformed and was dropped"},
+    EventEntry{Event::ConfigurationInForce, EventLevel::Info, "configuration is in force"},
+    EventEntry{Event::ConfigurationLeader, EventLevel::Info, "leader of the configuration changed"},
+    EventEntry{Event::ConfigurationStorageFailed, EventLevel::Error,
+               "the journal of the configuration can't be written; this VM no longer votes or learns"},
 };
 
 const EventEntry &entryOf(Event event)
--- a/src/log/eventlog.h
+++ b/src/log/eventlog.h
@@ -20,6 +20,9 @@
     UpstreamAnnounced = 200,
     UpstreamLeaving = 201,
     PeerMessageMalformed = 300,
+    ConfigurationInForce = 400,
+    ConfigurationLeader = 401,
+    ConfigurationStorageFailed = 402,
 };
 
 /// One named value of an event.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -28,6 +28,7 @@
     vm.identity.name = from.at("name").get<std::string>();
     vm.identity.failureDomain = from.at("failureDomain").get<std::string>();
     vm.peers = parseEndpoint(from.at("peers"));
+    vm.isVoter = from.value("voter", true);
     return vm;
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -26,6 +26,8 @@
     VmIdentity identity;
     /// Where its link for other entry VMs can be reached.
     Endpoint peers;
+    /// Whether it votes on the replicated configuration; such a VM needs a data folder.
+    bool isVoter = true;
 };
 
 /// Limits on the connections of callers.
--- a/tests/fuzz/configurationcluster.cpp
+++ b/tests/fuzz/configurationcluster.cpp
@@ -354,8 +354,9 @@
     for (const auto &vm : m_vms) {
         const auto &history = vm.node->state().history();
         for (const auto &[version, id] : m_acceptedIds) {
-            const auto it = std::find_if(history.begin(), history.end(),
-                                         [&, wanted = version](const auto &h) { return h.version == wanted; });
+            const auto it =
+                std::find_if(history.begin(), history.end(),
+                             [&, wanted = version](const auto &h) { return h.version == wanted; });
             if (it == history.end() || it->id != id) {
                 fail("lost: accepted change " + id + " is missing at " + vm.name);
                 return;
@@ -372,9 +373,9 @@
     const auto &newest = *m_vms[*leads].node;
     const bool isCommitted = newest.commitIndex() == newest.log().lastIndex();
     return isCommitted && std::all_of(m_vms.begin(), m_vms.end(), [&](const Vm &it) {
-        return it.node->leader() == m_vms[*leads].name && it.writes.empty()
-            && it.node->shown() == newest.state().configuration();
-    });
+               return it.node->leader() == m_vms[*leads].name && it.writes.empty()
+                   && it.node->shown() == newest.state().configuration();
+           });
 }
 
 bool ConfigurationCluster::keepsMajorityWithout(std::size_t vm) const
@@ -383,8 +384,8 @@
         const auto &voters = view.node->log().voters();
         std::size_t kept = 0;
         for (const auto &voter : voters) {
-            const auto it = std::find_if(m_vms.begin(), m_vms.end(),
-                                         [&](const auto &v) { return v.name == voter.name; });
+            const auto it =
+                std::find_if(m_vms.begin(), m_vms.end(), [&](const auto &v) { return v.name == voter.name; });
             const bool isLost = it->name == m_vms[vm].name || it->isWiped;
             kept += !isLost && it->node->voterIdentity() == voter.storage ? 1 : 0;
         }
--- a/tests/fuzz/configurationmodel.cpp
+++ b/tests/fuzz/configurationmodel.cpp
@@ -32,13 +32,13 @@
 };
 
 inline constexpr std::array stepKindNames{
-    EnumName<StepKind>{StepKind::Advance, "advance"},   EnumName<StepKind>{StepKind::Propose, "propose"},
-    EnumName<StepKind>{StepKind::Race, "race"},         EnumName<StepKind>{StepKind::Resend, "resend"},
-    EnumName<StepKind>{StepKind::Kill, "kill"},         EnumName<StepKind>{StepKind::KillLeader, "killLeader"},
-    EnumName<StepKind>{StepKind::Restart, "restart"},   EnumName<StepKind>{StepKind::LoseDisk, "loseDisk"},
-    EnumName<StepKind>{StepKind::Freeze, "freeze"},     EnumName<StepKind>{StepKind::CutOneWay, "cutOneWay"},
-    EnumName<StepKind>{StepKind::Isolate, "isolate"},   EnumName<StepKind>{StepKind::Heal, "heal"},
-    EnumName<StepKind>{StepKind::Loss, "loss"},         EnumName<StepKind>{StepKind::Delay, "delay"},
+    EnumName<StepKind>{StepKind::Advance, "advance"}, EnumName<StepKind>{StepKind::Propose, "propose"},
+    EnumName<StepKind>{StepKind::Race, "race"},       EnumName<StepKind>{StepKind::Resend, "resend"},
+    EnumName<StepKind>{StepKind::Kill, "kill"},       EnumName<StepKind>{StepKind::KillLeader, "killLeader"},
+    EnumName<StepKind>{StepKind::Restart, "restart"}, EnumName<StepKind>{StepKind::LoseDisk, "loseDisk"},
+    EnumName<StepKind>{StepKind::Freeze, "freeze"},   EnumName<StepKind>{StepKind::CutOneWay, "cutOneWay"},
+    EnumName<StepKind>{StepKind::Isolate, "isolate"}, EnumName<StepKind>{StepKind::Heal, "heal"},
+    EnumName<StepKind>{StepKind::Loss, "loss"},       EnumName<StepKind>{StepKind::Delay, "delay"},
 };
 
 /// The model of the state machinery; what is promised is checked by ConfigurationCluster.
--- /dev/null
+++ b/tests/integration/configurationtest.cpp
@@ -0,0 +1,263 @@
+#include "support/deployment.h"
+#include "support/faultproxy.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <functional>
+#include <thread>
+
+using namespace Citronpitch;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr auto patience = std::chrono::seconds(30);
+constexpr auto pollPeriod = std::chrono::milliseconds(20);
+
+DeploymentPlan voterPlan(const std::string &name)
+{
+    DeploymentPlan plan;
+    plan.programs = CITRONPITCH_PROGRAMS;
+    plan.folder = std::string(CITRONPITCH_PROGRAMS) + "/integration/configuration-" + name;
+    plan.vms = {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}};
+    plan.vmSettings = R"({"initialConfiguration": {"classes": [{"name": "casework"}]}})";
+    return plan;
+}
+
+bool waitFor(const std::function<bool()> &condition)
+{
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline)
+            return false;
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    return true;
+}
+
+/// Body of GET @p path on the control port of @p vm; discarded where the VM does not answer.
+Json look(const Deployment &deployment, const std::string &vm, const std::string &path)
+{
+    ClientRequest request;
+    request.target = "/v1/configuration" + path;
+    request.timeout = std::chrono::seconds(2);
+    const auto response = call(deployment.control(vm), request);
+    if (response.end != ExchangeEnd::Answered)
+        return Json::object();
+    return Json::parse(response.response.body, nullptr, false);
+}
+
+std::uint64_t versionOf(const Deployment &deployment, const std::string &vm)
+{
+    return look(deployment, vm, "").value("version", std::uint64_t{0});
+}
+
+std::string leaderOf(const Deployment &deployment, const std::string &vm)
+{
+    const auto body = look(deployment, vm, "");
+    return body.contains("leader") && body["leader"].is_string() ? body["leader"].get<std::string>() : "";
+}
+
+/// Sends one change once. Status 0: no answer.
+ClientResponse sendChange(const Deployment &deployment, const std::string &vm, const std::string &id,
+                          std::uint64_t basedOn, unsigned quota)
+{
+    ClientRequest request;
+    request.method = "POST";
+    request.target = "/v1/configuration/changes";
+    request.body =
+        Json{{"id", id},
+             {"author", "operator"},
+             {"basedOn", basedOn},
+             {"change", {{"type", "setTeam"}, {"team", {{"name", "clinic"}, {"quotaTasks", quota}}}}}}
+            .dump();
+    request.timeout = std::chrono::seconds(8);
+    return call(deployment.control(vm), request);
+}
+
+/// Resends one change at the VMs in turn until it is decided; the answer's body.
+Json decide(const Deployment &deployment, const std::vector<std::string> &vms, const std::string &id,
+            std::uint64_t basedOn, unsigned quota = 1)
+{
+    Json body;
+    std::size_t turn = 0;
+    waitFor([&] {
+        const auto response = sendChange(deployment, vms[turn++ % vms.size()], id, basedOn, quota);
+        if (response.end != ExchangeEnd::Answered || response.response.status == 503)
+            return false;
+        body = Json::parse(response.response.body);
+        return true;
+    });
+    return body;
+}
+
+bool allShow(const Deployment &deployment, const std::vector<std::string> &vms, std::uint64_t version)
+{
+    return waitFor([&] {
+        return std::all_of(vms.begin(), vms.end(),
+                           [&](const auto &vm) { return versionOf(deployment, vm) == version; });
+    });
+}
+
+/// Whether every voter that @p vm knows follows it, which leads.
+bool hasWholeQuorum(const Deployment &deployment, const std::string &vm, std::size_t voters)
+{
+    const auto body = look(deployment, vm, "/voters");
+    const auto list = body.value("voters", Json::array());
+    const auto last = body.value("lastIndex", std::uint64_t{0});
+    return list.size() == voters && std::all_of(list.begin(), list.end(), [&](const Json &it) {
+               return !it.contains("matchIndex") || it["matchIndex"] == last;
+           });
+}
+
+void killAndWipe(Deployment &deployment, const std::string &vm)
+{
+    deployment.vm(vm).signal(SIGKILL);
+    deployment.vm(vm).wait();
+    std::filesystem::remove_all(deployment.dataFolder(vm));
+    deployment.startVm(vm);
+}
+
+const std::vector<std::string> everyVm{"a1", "a2", "b1", "b2", "c1"};
+
+} // namespace
+
+TEST(ConfigurationIntegrationTest, oneOfTwoRacingOperatorsWinsAndResentChangesGetTheirFirstAnswer)
+{
+    Deployment deployment(voterPlan("race"));
+    deployment.start();
+    ASSERT_TRUE(deployment.waitUntilReady(patience));
+    Json first;
+    Json second;
+    std::thread operatorA([&] { first = decide(deployment, {"a1"}, "change-a", 0, 10); });
+    std::thread operatorB([&] { second = decide(deployment, {"b2"}, "change-b", 0, 20); });
+    operatorA.join();
+    operatorB.join();
+    const bool firstWon = first.at("outcome") == "accepted";
+    const auto &winner = firstWon ? first : second;
+    const auto &loser = firstWon ? second : first;
+    EXPECT_EQ(winner.at("outcome"), "accepted");
+    EXPECT_EQ(winner.at("version"), 1);
+    EXPECT_EQ(loser.at("outcome"), "superseded");
+    EXPECT_EQ(loser.at("winner").at("id"), winner.at("id"));
+    EXPECT_EQ(loser.at("winner").at("author"), "operator");
+    EXPECT_TRUE(allShow(deployment, everyVm, 1));
+    EXPECT_EQ(decide(deployment, {"c1"}, "change-a", 0, 10), first);
+    EXPECT_EQ(decide(deployment, {"c1"}, "change-a", 0, 11).at("outcome"), "idConflict");
+    const auto history = look(deployment, "a2", "/history").at("changes");
+    ASSERT_EQ(history.size(), 1U);
+    EXPECT_EQ(history[0].at("id"), winner.at("id"));
+}
+
+TEST(ConfigurationIntegrationTest, killedLeaderLosesNoAcceptedChange)
+{
+    Deployment deployment(voterPlan("leader"));
+    deployment.start();
+    ASSERT_TRUE(deployment.waitUntilReady(patience));
+    std::uint64_t version = 0;
+    for (int round = 0; round < 3; ++round) {
+        for (int i = 0; i < 5; ++i) {
+            const auto answer = decide(deployment, everyVm, "change-" + std::to_string(version), version);
+            ASSERT_EQ(answer.at("outcome"), "accepted");
+            ASSERT_EQ(answer.at("version"), ++version);
+        }
+        std::string leader;
+        ASSERT_TRUE(waitFor([&] { return !(leader = leaderOf(deployment, "c1")).empty(); }));
+        deployment.vm(leader).signal(SIGKILL);
+        deployment.vm(leader).wait();
+        const auto other = leader == "a1" ? "a2" : "a1";
+        const auto resent = decide(deployment, {other}, "change-0", 0);
+        EXPECT_EQ(resent.at("outcome"), "accepted");
+        EXPECT_EQ(resent.at("version"), 1);
+        deployment.startVm(leader);
+    }
+    EXPECT_TRUE(allShow(deployment, everyVm, version));
+}
+
+TEST(ConfigurationIntegrationTest, restartShowsWhatWasShownEvenWithoutAQuorum)
+{
+    Deployment deployment(voterPlan("restart"));
+    deployment.start();
+    ASSERT_TRUE(deployment.waitUntilReady(patience));
+    ASSERT_EQ(decide(deployment, everyVm, "change-0", 0, 7).at("outcome"), "accepted");
+    ASSERT_TRUE(allShow(deployment, everyVm, 1));
+    for (const auto &it : everyVm)
+        deployment.vm(it).signal(SIGKILL);
+    for (const auto &it : everyVm)
+        deployment.vm(it).wait();
+    deployment.startVm("c1");
+    Json shown;
+    ASSERT_TRUE(waitFor([&] { return (shown = look(deployment, "c1", "")).contains("version"); }));
+    EXPECT_EQ(shown.at("version"), 1);
+    EXPECT_EQ(shown.at("teams")[0].at("quotaTasks"), 7);
+    EXPECT_TRUE(shown.at("leader").is_null());
+    EXPECT_GE(shown.at("ageMs"), 0);
+    const auto refused = sendChange(deployment, "c1", "change-1", 1, 8);
+    EXPECT_EQ(refused.response.status, 503);
+    EXPECT_EQ(Json::parse(refused.response.body).at("outcome"), "noLeader");
+}
+
+TEST(ConfigurationIntegrationTest, voterWithALostDiskIsReadmittedAndASecondLossIsSurvived)
+{
+    Deployment deployment(voterPlan("disk"));
+    deployment.start();
+    ASSERT_TRUE(deployment.waitUntilReady(patience));
+    ASSERT_EQ(decide(deployment, everyVm, "change-0", 0, 7).at("outcome"), "accepted");
+    std::uint64_t version = 1;
+    for (const std::string lost : {"b1", "b2", "a2"}) {
+        killAndWipe(deployment, lost);
+        const auto change = "after-" + lost;
+        const auto answer = decide(deployment, {"c1", "a1"}, change, version);
+        ASSERT_EQ(answer.at("outcome"), "accepted");
+        ++version;
+        ASSERT_TRUE(allShow(deployment, everyVm, version));
+        ASSERT_TRUE(waitFor([&] {
+            const auto leader = leaderOf(deployment, "c1");
+            const auto role = look(deployment, lost, "/voters").value("role", "");
+            return !leader.empty() && role != "learner" && hasWholeQuorum(deployment, leader, 5);
+        }));
+    }
+    EXPECT_EQ(decide(deployment, {"b1"}, "change-0", 0, 7).at("version"), 1);
+}
+
+TEST(ConfigurationIntegrationTest, cutFailureDomainCatchesUpOnceHealed)
+{
+    auto plan = voterPlan("cut");
+    std::vector<std::unique_ptr<FaultProxy>> proxies;
+    const auto domainOf = [](const std::string &vm) { return vm.substr(0, 1); };
+    plan.route = [&](const std::string &from, const std::string &to, const Endpoint &direct) {
+        const bool isCut = domainOf(from) != domainOf(to) && (domainOf(from) == "b" || domainOf(to) == "b");
+        if (!isCut)
+            return direct;
+        const Endpoint listen{"127.0.0.1", freePort()};
+        proxies.push_back(std::make_unique<FaultProxy>(listen, direct));
+        return listen;
+    };
+    Deployment deployment(plan);
+    deployment.start();
+    ASSERT_TRUE(deployment.waitUntilReady(patience));
+    ASSERT_EQ(decide(deployment, everyVm, "change-0", 0).at("outcome"), "accepted");
+    ASSERT_TRUE(allShow(deployment, everyVm, 1));
+    const auto setCut = [&](bool isCut) {
+        for (const auto &it : proxies) {
+            it->faults().swallowToServer = isCut;
+            it->faults().swallowToClient = isCut;
+            it->faults().refuse = isCut;
+            if (!isCut)
+                it->closeAll();
+        }
+    };
+    setCut(true);
+    const std::vector<std::string> majority{"a1", "a2", "c1"};
+    ASSERT_EQ(decide(deployment, majority, "change-1", 1).at("outcome"), "accepted");
+    EXPECT_TRUE(allShow(deployment, majority, 2));
+    EXPECT_EQ(versionOf(deployment, "b1"), 1U);
+    EXPECT_TRUE(waitFor([&] { return look(deployment, "b1", "").value("ageMs", 0) > 1000; }));
+    const auto refused = sendChange(deployment, "b1", "change-2", 1, 9);
+    EXPECT_EQ(refused.response.status, 503);
+    setCut(false);
+    EXPECT_TRUE(allShow(deployment, everyVm, 2));
+}
--- /dev/null
+++ b/tests/unit/configurationnodetest.cpp
@@ -0,0 +1,171 @@
+#include "fuzz/configurationcluster.h"
+
+#include <gtest/gtest.h>
+
+using namespace Citronpitch;
+
+namespace {
+
+constexpr auto aWhile = std::chrono::seconds(3);
+
+ClusterPlan planOf(std::size_t voters, std::size_t learners)
+{
+    ClusterPlan plan;
+    plan.voters = voters;
+    plan.learners = learners;
+    return plan;
+}
+
+/// Makes @p n changes one after the other at @p vm.
+void change(ConfigurationCluster &cluster, std::size_t vm, int n)
+{
+    for (int i = 0; i < n; ++i) {
+        cluster.propose(vm, 0);
+        cluster.advance(std::chrono::milliseconds(100));
+    }
+}
+
+} // namespace
+
+TEST(ConfigurationNodeTest, changesReachEveryVmWithinTwoSecondsOfAcceptance)
+{
+    ConfigurationCluster cluster(planOf(5, 2));
+    cluster.advance(aWhile);
+    ASSERT_TRUE(cluster.leader());
+    cluster.propose(6, 0);
+    while (cluster.counts().accepted == 0 && cluster.failure().empty())
+        cluster.advance(std::chrono::milliseconds(5));
+    cluster.advance(std::chrono::seconds(2));
+    for (std::size_t i = 0; i < cluster.size(); ++i)
+        EXPECT_EQ(cluster.node(i).shown().version, 1U);
+}
+
+TEST(ConfigurationNodeTest, resentChangeGetsItsFirstAnswerAfterALeaderChangeARestartAndASnapshot)
+{
+    ConfigurationCluster cluster(planOf(5, 0));
+    cluster.advance(aWhile);
+    change(cluster, 0, 90);
+    ASSERT_EQ(cluster.counts().accepted, 90U);
+    EXPECT_GT(cluster.node(0).log().snapshotIndex(), 0U);
+    cluster.kill(*cluster.leader());
+    cluster.advance(aWhile);
+    cluster.settle();
+    for (std::size_t i = 0; i < cluster.size(); ++i) {
+        cluster.kill(i);
+        cluster.restart(i);
+    }
+    cluster.settle();
+    for (std::size_t back = 0; back < 90; ++back)
+        cluster.resend(back % 5, back);
+    cluster.advance(aWhile);
+    EXPECT_EQ(cluster.failure(), "");
+    EXPECT_EQ(cluster.node(0).shown().version, 90U);
+}
+
+TEST(ConfigurationNodeTest, voterWithALostDiskIsALearnerUntilItIsReadmitted)
+{
+    ConfigurationCluster cluster(planOf(5, 0));
+    cluster.advance(aWhile);
+    change(cluster, 0, 3);
+    const auto lost = (*cluster.leader() + 1) % 5;
+    cluster.loseDisk(lost);
+    cluster.restart(lost);
+    EXPECT_EQ(cluster.node(lost).role(), ConfigurationRole::Learner);
+    cluster.advance(aWhile);
+    EXPECT_EQ(cluster.node(lost).role(), ConfigurationRole::Follower);
+    EXPECT_NE(cluster.node(lost).voterIdentity(), foundingStorage);
+    EXPECT_EQ(cluster.node(0).log().voters().size(), 5U);
+    EXPECT_EQ(cluster.failure(), "");
+}
+
+TEST(ConfigurationNodeTest, secondLossRightAfterARepairLosesNothing)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        auto plan = planOf(3, 1);
+        plan.seed = seed;
+        ConfigurationCluster cluster(plan);
+        cluster.advance(aWhile);
+        for (std::size_t round = 0; round < 6; ++round) {
+            change(cluster, 3, 2);
+            const auto lost = round % 3;
+            for (int i = 0; i < 2000 && !cluster.loseDisk(lost); ++i)
+                cluster.advance(std::chrono::milliseconds(5));
+            cluster.restart(lost);
+            cluster.advance(std::chrono::milliseconds(20 * seed));
+        }
+        cluster.settle();
+        EXPECT_EQ(cluster.failure(), "") << seed;
+    }
+}
+
+TEST(ConfigurationNodeTest, voterWithoutItsDiskDoesNotVoteForACandidateThatLacksAcceptedChanges)
+{
+    ConfigurationCluster cluster(planOf(3, 0));
+    cluster.advance(aWhile);
+    const auto leader = *cluster.leader();
+    const auto behind = (leader + 1) % 3;
+    const auto amnesiac = (leader + 2) % 3;
+    cluster.kill(behind);
+    change(cluster, leader, 1);
+    ASSERT_EQ(cluster.counts().accepted, 1U);
+    cluster.kill(leader);
+    cluster.loseDisk(amnesiac);
+    cluster.restart(amnesiac);
+    cluster.restart(behind);
+    cluster.advance(std::chrono::seconds(20));
+    EXPECT_FALSE(cluster.leader());
+    EXPECT_EQ(cluster.failure(), "");
+}
+
+TEST(ConfigurationNodeTest, cutOffVmShowsTheAgeOfWhatItHolds)
+{
+    ConfigurationCluster cluster(planOf(5, 1));
+    cluster.advance(aWhile);
+    change(cluster, 0, 1);
+    cluster.advance(std::chrono::seconds(2));
+    ASSERT_TRUE(cluster.node(5).age(cluster.now()));
+    EXPECT_LT(*cluster.node(5).age(cluster.now()), std::chrono::seconds(2));
+    cluster.isolate(5);
+    cluster.advance(std::chrono::seconds(60));
+    EXPECT_GE(*cluster.node(5).age(cluster.now()), std::chrono::seconds(59));
+    EXPECT_EQ(cluster.node(5).shown().version, 1U);
+    change(cluster, 0, 1);
+    cluster.healCuts();
+    cluster.advance(std::chrono::seconds(3));
+    EXPECT_EQ(cluster.node(5).shown().version, 2U);
+    EXPECT_LT(*cluster.node(5).age(cluster.now()), std::chrono::seconds(2));
+}
+
+TEST(ConfigurationNodeTest, leaderThatIsCutOffStepsDown)
+{
+    ConfigurationCluster cluster(planOf(5, 0));
+    cluster.advance(aWhile);
+    const auto old = *cluster.leader();
+    cluster.isolate(old);
+    cluster.advance(aWhile);
+    EXPECT_NE(cluster.node(old).role(), ConfigurationRole::Leader);
+    ASSERT_TRUE(cluster.leader());
+    const auto term = cluster.node(*cluster.leader()).term();
+    cluster.healCuts();
+    cluster.advance(aWhile);
+    EXPECT_EQ(cluster.node(*cluster.leader()).term(), term) << "its return must not cause an election";
+}
+
+TEST(ConfigurationNodeTest, malformedMessagesAreIgnored)
+{
+    ConfigurationNodeOptions options;
+    options.self = "a";
+    options.members = {{"a", true}, {"b", true}};
+    ConfigurationNode node(timePointOf(0), options, {"not a record"});
+    std::uint64_t state = 1;
+    for (int i = 0; i < 20000; ++i) {
+        std::string bytes;
+        for (int n = 0; n < i % 40; ++n) {
+            state = state * 6364136223846793005 + 1442695040888963407;
+            bytes.push_back(static_cast<char>(state >> 56));
+        }
+        node.receive(timePointOf(i), "b", bytes);
+        node.takeActions();
+    }
+    EXPECT_EQ(node.shown().version, 0U);
+}
--- /dev/null
+++ b/tests/unit/configurationstatetest.cpp
@@ -0,0 +1,121 @@
+#include "citronpitch/configurationstate.h"
+
+#include <gtest/gtest.h>
+
+using namespace Citronpitch;
+
+namespace {
+
+ConfigurationChange classChange(const std::string &id, std::uint64_t basedOn, ChangeKind kind,
+                                int milliseconds, std::uint32_t share = 990'000)
+{
+    ConfigurationChange change;
+    change.id = id;
+    change.author = "operator-" + id;
+    change.basedOn = basedOn;
+    change.kind = kind;
+    change.classes = {{"casework", share, std::chrono::milliseconds(milliseconds), false}};
+    return change;
+}
+
+ConfigurationChange teamChange(const std::string &id, std::uint64_t basedOn, std::uint32_t quota)
+{
+    ConfigurationChange change;
+    change.id = id;
+    change.basedOn = basedOn;
+    change.kind = ChangeKind::SetTeam;
+    change.teams = {{"clinic", quota}};
+    return change;
+}
+
+} // namespace
+
+TEST(ConfigurationStateTest, oneOfTwoChangesOnTheSameVersionWinsAndTheOtherLearnsWhich)
+{
+    ConfigurationState state;
+    const auto winner = state.apply(classChange("first", 0, ChangeKind::CreateClass, 300));
+    const auto loser = state.apply(classChange("second", 0, ChangeKind::CreateClass, 200));
+    EXPECT_EQ(winner.outcome, ChangeOutcome::Accepted);
+    EXPECT_EQ(winner.version, 1U);
+    EXPECT_EQ(loser.outcome, ChangeOutcome::Superseded);
+    EXPECT_EQ(loser.version, 1U);
+    EXPECT_EQ(loser.winnerId, "first");
+    EXPECT_EQ(loser.winnerAuthor, "operator-first");
+    EXPECT_EQ(state.configuration().findClass("casework")->targetTime, std::chrono::milliseconds(300));
+}
+
+TEST(ConfigurationStateTest, resentChangesGetTheirFirstAnswer)
+{
+    ConfigurationState state;
+    const auto accepted = state.apply(teamChange("a", 0, 1));
+    const auto refused = state.apply(teamChange("b", 0, 2));
+    state.apply(teamChange("c", 1, 3));
+    EXPECT_EQ(state.apply(teamChange("a", 0, 1)), accepted);
+    EXPECT_EQ(state.apply(teamChange("b", 0, 2)), refused);
+    EXPECT_EQ(state.configuration().version, 2U);
+    EXPECT_EQ(state.apply(teamChange("a", 2, 9)).outcome, ChangeOutcome::IdConflict);
+    EXPECT_EQ(state.configuration().version, 2U);
+}
+
+TEST(ConfigurationStateTest, changeBeyondTheRememberedAnswersIsNeverAcceptedAgain)
+{
+    ConfigurationState state;
+    state.apply(teamChange("oldest", 0, 1));
+    for (std::uint64_t i = 1; i <= maximumRememberedAnswers; ++i)
+        ASSERT_EQ(state.apply(teamChange("c" + std::to_string(i), i, 2)).outcome, ChangeOutcome::Accepted);
+    EXPECT_EQ(state.findAnswer("oldest"), nullptr);
+    EXPECT_EQ(state.answers().size(), maximumRememberedAnswers);
+    EXPECT_EQ(state.history().size(), maximumHistory);
+    EXPECT_EQ(state.apply(teamChange("oldest", 0, 1)).outcome, ChangeOutcome::Superseded);
+}
+
+TEST(ConfigurationStateTest, raiseMustBeStricterAndLowerLess)
+{
+    ConfigurationState state;
+    state.apply(classChange("create", 0, ChangeKind::CreateClass, 300));
+    const auto outcome = [&](const std::string &id, ChangeKind kind, int milliseconds, std::uint32_t share) {
+        return state.apply(classChange(id, state.configuration().version, kind, milliseconds, share)).outcome;
+    };
+    EXPECT_EQ(outcome("1", ChangeKind::RaiseTarget, 400, 990'000), ChangeOutcome::Invalid);
+    EXPECT_EQ(outcome("2", ChangeKind::RaiseTarget, 300, 990'000), ChangeOutcome::Invalid);
+    EXPECT_EQ(outcome("3", ChangeKind::RaiseTarget, 200, 980'000), ChangeOutcome::Invalid);
+    EXPECT_EQ(outcome("4", ChangeKind::RaiseTarget, 200, 990'000), ChangeOutcome::Accepted);
+    EXPECT_EQ(outcome("5", ChangeKind::LowerTarget, 100, 990'000), ChangeOutcome::Invalid);
+    EXPECT_EQ(outcome("6", ChangeKind::LowerTarget, 250, 950'000), ChangeOutcome::Accepted);
+    EXPECT_EQ(outcome("7", ChangeKind::CreateClass, 250, 950'000), ChangeOutcome::Invalid);
+    EXPECT_EQ(outcome("8", ChangeKind::RetireClass, 1, 0), ChangeOutcome::Accepted);
+    EXPECT_EQ(outcome("9", ChangeKind::RetireClass, 1, 0), ChangeOutcome::Invalid);
+    EXPECT_EQ(outcome("10", ChangeKind::RaiseTarget, 100, 990'000), ChangeOutcome::Invalid);
+    EXPECT_EQ(outcome("11", ChangeKind::CreateClass, 100, 990'000), ChangeOutcome::Accepted);
+    EXPECT_FALSE(state.configuration().findClass("casework")->retired);
+}
+
+TEST(ConfigurationStateTest, applyReplacesEverythingOrNothing)
+{
+    ConfigurationState state;
+    state.apply(classChange("create", 0, ChangeKind::CreateClass, 300));
+    state.apply(teamChange("team", 1, 5));
+    ConfigurationChange set;
+    set.id = "broken";
+    set.basedOn = 2;
+    set.classes = {{"permits", 950'000, std::chrono::milliseconds(500), false},
+                   {"permits", 950'000, std::chrono::milliseconds(500), false}};
+    const auto before = state.configuration();
+    EXPECT_EQ(state.apply(set).outcome, ChangeOutcome::Invalid);
+    EXPECT_EQ(state.configuration(), before);
+    set.id = "whole";
+    set.classes.pop_back();
+    EXPECT_EQ(state.apply(set).outcome, ChangeOutcome::Accepted);
+    EXPECT_TRUE(state.configuration().findClass("casework")->retired);
+    EXPECT_FALSE(state.configuration().findClass("permits")->retired);
+    EXPECT_TRUE(state.configuration().teams.empty());
+}
+
+TEST(ConfigurationStateTest, initialDeclarationsAreSetOnce)
+{
+    ConfigurationState state;
+    state.initialise({0, {}, {{"founding", 1}}});
+    state.initialise({0, {}, {{"later", 1}}});
+    EXPECT_NE(state.configuration().findTeam("founding"), nullptr);
+    EXPECT_EQ(state.configuration().findTeam("later"), nullptr);
+}
