--- a/src/core/config/configurationnoderecords.cpp
+++ b/src/core/config/configurationnoderecords.cpp
@@ -1,6 +1,6 @@
 #include "citronpitch/configurationnode.h"
 
-#include "config/configurationwire.h"
+#include "core/config/configurationwire.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/config/configurationwire.cpp
+++ b/src/core/config/configurationwire.cpp
@@ -1,4 +1,4 @@
-#include "config/configurationwire.h"
+#include "core/config/configurationwire.h"
 
 namespace Citronpitch {
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,6 +39,8 @@
     options.heartbeatPeriod = settings.heartbeatPeriod;
     options.suspicionTime = settings.suspicionTime;
     options.retention = settings.answerRetention;
+    options.dispatching.placement = settings.placement;
+    options.dispatching.entryVms = static_cast<std::uint32_t>(settings.vms.size());
     return options;
 }
 
@@ -54,8 +56,13 @@
                       m_vm.attemptEnded(now(), attempt, result);
                       carryOut();
                   })
-    , m_links(m_io, settings.name, settings.peers, settings.vms,
-              [this](std::string_view bytes) { peerReceived(bytes); })
+    , m_links(
+          m_io, settings.name, settings.peers, settings.vms,
+          [this](std::string_view bytes) { peerReceived(bytes); },
+          [this](const std::string &vm, bool isUp) {
+              m_vm.linkChanged(now(), vm, isUp);
+              carryOut();
+          })
     , m_configuration(
           m_io, settings,
           {[this] { return now(); },
