--- a/tests/integration/configurationtest.cpp
+++ b/tests/integration/configurationtest.cpp
@@ -232,7 +232,7 @@
         const bool isCut = domainOf(from) != domainOf(to) && (domainOf(from) == "b" || domainOf(to) == "b");
         if (!isCut)
             return direct;
-        const Endpoint listen{"127.0.0.1", freePort()};
+        const auto listen = freeEndpoint();
         proxies.push_back(std::make_unique<FaultProxy>(listen, direct));
         return listen;
     };
