--- /dev/null
+++ b/bench/decisions/virtualrun.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "citronpitch/dispatcher.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Citronpitch {
+
+/// One experiment over the decision library in virtual time.
+struct VirtualScenario
+{
+    std::string name;
+    std::uint32_t upstreams = 12;
+    std::uint32_t slots = 8;
+    /// Share of the upstreams that are slow, and how many times longer they take.
+    double slowShare = 0;
+    double slowness = 1;
+    /// Share of the capacity that the arrivals ask for.
+    double load = 0.6;
+    /// Declared times are off by up to this factor either way.
+    double declaredError = 1;
+    /// Upstreams that fail every task at once.
+    std::uint32_t blackHoles = 0;
+    /// Share of the jobs with many tasks, and how many they have.
+    double wideShare = 0.05;
+    std::uint32_t wideTasks = 64;
+    Duration length = std::chrono::seconds(30);
+};
+
+/// What came of one run.
+struct VirtualFigures
+{
+    double meanRatio = 0;
+    double medianRatio = 0;
+    double p99Ratio = 0;
+    /// Share of jobs that met the target time of their class.
+    double targetShare = 0;
+    std::uint32_t jobs = 0;
+    std::uint32_t failedJobs = 0;
+    std::uint32_t refusedJobs = 0;
+};
+
+/// Runs @p scenario with @p policy; the same seed gives the same arrivals and task times to every policy.
+VirtualFigures runVirtually(const VirtualScenario &scenario, PlacementPolicy policy, std::uint64_t seed);
+
+} // namespace Citronpitch
