Put off work that has missed its target, so that other work can meet its own

Cause: with more work than capacity, jobs that were late already were always the most urgent and made the next ones late too.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -172,7 +172,7 @@
     m_state->updateAdvances(now);
     m_state->queue.beginRound();
     while (m_state->freeUpstreams > 0) {
-        const auto head = m_state->queue.next();
+        const auto head = m_state->queue.next(now);
         if (!head)
             break;
         if (head->deadline <= now) {
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Target times by which work is put off that has missed its target, so that other work can still meet its own.
+constexpr int lateFactor = 4;
+
 /// How often estimates are taken over into a ranking.
 constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
 constexpr Duration advancePeriod = std::chrono::milliseconds(100);
@@ -52,7 +55,8 @@
 Dispatcher::State::State(const DispatcherOptions &options)
     : options(options)
     , baseline(baselineChoice(options.placement, options.seed))
-    , queue([this](const QueuedJob &job) { return dueTime(job); })
+    , queue([this](const QueuedJob &job) { return dueTime(job); },
+            [this](const QueuedJob &job) { return lateDueTime(job); })
     , placer(upstreams)
 {
 }
@@ -72,6 +76,14 @@
     return std::min(job.arrival + entry.declaration.targetTime + job.alone, job.deadline);
 }
 
+TimePoint Dispatcher::State::lateDueTime(const QueuedJob &job) const
+{
+    const auto &entry = classes.at(job.of);
+    if (isBaseline() || !entry.hasTarget())
+        return dueTime(job);
+    return std::min(dueTime(job) + lateFactor * entry.declaration.targetTime, job.deadline);
+}
+
 Duration Dispatcher::State::aloneTime(ClassIndex of, const Submission &submission) const
 {
     Duration work{};
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -29,6 +29,9 @@
     /// Moment at which a job is due: its target or its deadline, whichever is earlier.
     TimePoint dueTime(const QueuedJob &job) const;
 
+    /// Moment at which a job is due that has missed its target.
+    TimePoint lateDueTime(const QueuedJob &job) const;
+
     /// Work of a job if nothing else waited.
     Duration aloneTime(ClassIndex of, const Submission &submission) const;
 
--- a/src/core/dispatch/taskqueue.cpp
+++ b/src/core/dispatch/taskqueue.cpp
@@ -33,8 +33,9 @@
 
 } // namespace
 
-TaskQueue::TaskQueue(DueTime dueTime)
+TaskQueue::TaskQueue(DueTime dueTime, DueTime lateDueTime)
     : m_dueTime(std::move(dueTime))
+    , m_lateDueTime(std::move(lateDueTime))
 {
 }
 
@@ -67,6 +68,7 @@
             if (it->tasks.empty())
                 continue;
             leave(*it);
+            it->isLate = false;
             enter(job, *it);
         }
     }
@@ -120,9 +122,20 @@
     ++m_round;
 }
 
-std::optional<LaneHead> TaskQueue::next() const
+std::optional<LaneHead> TaskQueue::next(TimePoint now)
 {
-    const Flow *best = nullptr;
+    while (const auto *flow = mostUrgent()) {
+        auto &batch = *flow->batches.begin()->second;
+        if (batch.due >= now || batch.isLate)
+            return LaneHead{flow->lane, batch.job, batch.need, m_jobs.at(batch.job).queued.deadline};
+        demote(batch);
+    }
+    return std::nullopt;
+}
+
+TaskQueue::Flow *TaskQueue::mostUrgent() const
+{
+    Flow *best = nullptr;
     Urgency bestUrgency;
     for (const auto &[key, lane] : m_lanes) {
         if (lane.heldInRound == m_round)
@@ -136,10 +149,15 @@
         best = heads.begin()->second;
         bestUrgency = urgency;
     }
-    if (best == nullptr)
-        return std::nullopt;
-    const auto &batch = *best->batches.begin()->second;
-    return LaneHead{best->lane, batch.job, batch.need, m_jobs.at(batch.job).queued.deadline};
+    return best;
+}
+
+void TaskQueue::demote(Batch &batch)
+{
+    const auto &job = m_jobs.at(batch.job);
+    leave(batch);
+    batch.isLate = true;
+    enter(job, batch);
 }
 
 void TaskQueue::hold(const LaneKey &lane)
@@ -267,7 +285,7 @@
     flow.lane = lane;
     flow.team = &team;
     batch.flow = &flow;
-    batch.due = job.due;
+    batch.due = batch.isLate ? m_lateDueTime(job.queued) : job.due;
     flow.batches.emplace(BatchKey{batch.due, batch.order}, &batch);
     if (lane.of >= m_queuedOfClass.size())
         m_queuedOfClass.resize(lane.of + 1);
--- a/src/core/dispatch/taskqueue.h
+++ b/src/core/dispatch/taskqueue.h
@@ -69,7 +69,8 @@
     /// Moment at which a job is due; the earliest is served first.
     using DueTime = std::function<TimePoint(const QueuedJob &job)>;
 
-    explicit TaskQueue(DueTime dueTime);
+    /// @p dueTime orders jobs, and @p lateDueTime those that are past it.
+    TaskQueue(DueTime dueTime, DueTime lateDueTime);
 
     /// Sets the quotas, in tasks in flight; a team that is not named has none and is never over it.
     void setQuotas(const std::vector<TeamDeclaration> &teams);
@@ -96,7 +97,7 @@
     void beginRound();
 
     /// Head of the most urgent lane that is not held.
-    std::optional<LaneHead> next() const;
+    std::optional<LaneHead> next(TimePoint now);
 
     /// Leaves @p lane out for the rest of the round.
     void hold(const LaneKey &lane);
@@ -135,6 +136,8 @@
         TimePoint due;
         std::vector<std::uint32_t> tasks;
         Flow *flow = nullptr;
+        /// The moment at which it was due has passed.
+        bool isLate = false;
     };
 
     struct BatchKey
@@ -179,6 +182,8 @@
         bool isDropped = false;
     };
 
+    Flow *mostUrgent() const;
+    void demote(Batch &batch);
     Batch &batchOf(JobId id, Job &job, const QueuedTask &task);
     Team &team(const std::string &name);
     void enter(const Job &job, Batch &batch);
@@ -191,6 +196,7 @@
     const std::map<BatchKey, Flow *> &side(const Lane &lane) const;
 
     DueTime m_dueTime;
+    DueTime m_lateDueTime;
     std::unordered_map<JobId, Job> m_jobs;
     std::map<std::string, Team, std::less<>> m_teams;
     std::map<std::string, std::uint32_t, std::less<>> m_quotas;
