Give a job slack of three times what it takes alone

Cause: the slack of a large job was as small as that of a single task, and small jobs waited behind it.

--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -11,6 +11,10 @@
 /// Target times by which work is put off that has missed its target, so that other work can still meet its own.
 constexpr int lateFactor = 4;
 
+/// Slack of a job in multiples of the time that it takes alone: large jobs give way to small ones, which gain
+/// more by it than the large ones lose.
+constexpr int aloneFactor = 3;
+
 /// How often estimates are taken over into a ranking.
 constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
 constexpr Duration advancePeriod = std::chrono::milliseconds(100);
@@ -73,7 +77,7 @@
     const auto &entry = classes.at(job.of);
     if (!entry.hasTarget())
         return job.deadline;
-    return std::min(job.arrival + entry.declaration.targetTime + job.alone, job.deadline);
+    return std::min(job.arrival + entry.declaration.targetTime + aloneFactor * job.alone, job.deadline);
 }
 
 TimePoint Dispatcher::State::lateDueTime(const QueuedJob &job) const
