Lend idle capacity between the entry VMs of a failure domain

Cause: with an even split a VM with much work leaves the slots of its neighbours idle. A VM without room asks; a neighbour with an empty queue lends half of what is idle under a lease, and both sides stop counting on it without a renewal, the borrower first. A grant lists all that is lent, so lost or late messages cost time and never a slot twice. The share of a silent VM comes over once the leases of the announcements that were passed on to it have ended; suspected VMs get no more of them.

--- a/bench/decisions/decisionbench.cpp
+++ b/bench/decisions/decisionbench.cpp
@@ -50,6 +50,35 @@
     }
 }
 
+void compareSharing(std::uint64_t seed)
+{
+    struct Way
+    {
+        const char *name;
+        SlotSharing sharing;
+    };
+    const std::vector<Way> ways{{"split", SlotSharing::Split},
+                                {"loans", SlotSharing::Loans},
+                                {"optimistic", SlotSharing::Optimistic}};
+    for (const double load : {0.6, 0.9}) {
+        for (const double firstVmShare : {0.5, 0.8}) {
+            for (const auto &[name, sharing] : ways) {
+                VirtualScenario scenario;
+                scenario.load = load;
+                scenario.vms = 2;
+                scenario.firstVmShare = firstVmShare;
+                scenario.sharing = sharing;
+                const auto it = runVirtually(scenario, PlacementPolicy::Target, seed);
+                std::printf(
+                    "load %.1f, %.1f at the first of 2 VMs, %-10s mean %6.2f p99 %7.2f of ideal, target met "
+                    "%.4f, %u starts, %u declined, %u control messages\n",
+                    load, firstVmShare, name, it.meanRatio, it.p99Ratio, it.targetShare, it.starts,
+                    it.declined, it.control);
+            }
+        }
+    }
+}
+
 /// Starts a second of one dispatcher that keeps @p upstreams upstreams busy.
 void measureCost(std::uint32_t upstreams, std::uint32_t classes, std::uint32_t starts)
 {
@@ -104,6 +133,7 @@
     for (const auto upstreams : {50U, 200U, 600U, 2400U})
         measureCost(upstreams, 10, 200'000);
     measureCost(600, 50, 200'000);
+    compareSharing(seed);
     comparePolicies(seed);
     return 0;
 }
--- a/bench/decisions/virtualrun.cpp
+++ b/bench/decisions/virtualrun.cpp
@@ -2,10 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <map>
-#include <queue>
 #include <random>
-#include <tuple>
 
 namespace Citronpitch {
 
@@ -29,18 +28,6 @@
     Duration ideal{};
 };
 
-struct Ending
-{
-    TimePoint at;
-    AttemptId attempt = 0;
-    JobId job = 0;
-    bool isFailure = false;
-    bool operator>(const Ending &other) const
-    {
-        return std::tie(at, attempt) > std::tie(other.at, other.attempt);
-    }
-};
-
 bool isSlow(const VirtualScenario &scenario, std::uint32_t upstream)
 {
     return upstream % 10 < scenario.slowShare * 10;
@@ -103,39 +90,54 @@
     return jobs;
 }
 
-/// One run: arrivals, endings and the dispatcher between them.
+/// Messages that an upstream or an entry VM answers after this time, one way.
+constexpr Duration messageTime = 500us;
+
+/// One run: arrivals, endings and the dispatchers between them.
 class VirtualRun
 {
 public:
     VirtualRun(const VirtualScenario &scenario, PlacementPolicy policy, std::uint64_t seed)
         : m_scenario(scenario)
         , m_arrivals(arrivalsOf(scenario, seed))
-        , m_dispatcher({policy, seed})
+        , m_random(seed + 1)
+        , m_busy(scenario.upstreams)
     {
         Configuration configuration;
         configuration.classes = {{"short", 990000, targetOfShort}, {"long", 990000, targetOfLong}};
-        m_dispatcher.setConfiguration(configuration);
-        for (std::uint32_t i = 0; i < scenario.upstreams; ++i)
-            announce(i);
+        const bool isSplit = scenario.sharing != SlotSharing::Optimistic;
+        for (std::uint32_t vm = 0; vm < scenario.vms; ++vm) {
+            auto &dispatcher = m_dispatchers.emplace_back(DispatcherOptions{policy, seed});
+            dispatcher.setConfiguration(configuration);
+            dispatcher.setShare(start, isSplit ? vm : 0, isSplit ? scenario.vms : 1);
+            if (scenario.sharing == SlotSharing::Loans)
+                dispatcher.setNeighbours(neighboursOf(vm));
+            for (std::uint32_t i = 0; i < scenario.upstreams; ++i)
+                announce(dispatcher, i);
+        }
     }
 
     VirtualFigures run()
     {
         std::size_t next = 0;
         auto tick = start;
-        while (next < m_arrivals.size() || !m_endings.empty() || m_dispatcher.queuedTasks() > 0) {
+        while (next < m_arrivals.size() || !m_running.empty()) {
             auto now = tick;
             if (next < m_arrivals.size())
                 now = std::min(now, m_arrivals[next].arrival);
-            if (!m_endings.empty())
-                now = std::min(now, m_endings.top().at);
+            if (!m_events.empty())
+                now = std::min(now, m_events.begin()->first);
             if (next < m_arrivals.size() && m_arrivals[next].arrival == now)
                 arrive(now, next++);
-            while (!m_endings.empty() && m_endings.top().at <= now)
-                end(now);
+            while (!m_events.empty() && m_events.begin()->first <= now) {
+                const auto event = std::move(m_events.begin()->second);
+                m_events.erase(m_events.begin());
+                event(now);
+            }
             if (now == tick)
                 tick += 5ms;
-            place(now);
+            for (std::uint32_t vm = 0; vm < m_scenario.vms; ++vm)
+                place(now, vm);
         }
         return figures();
     }
@@ -145,9 +147,20 @@
     {
         std::size_t index = 0;
         std::size_t left = 0;
+        std::uint32_t vm = 0;
     };
 
-    void announce(std::uint32_t number)
+    std::vector<std::string> neighboursOf(std::uint32_t vm) const
+    {
+        std::vector<std::string> names;
+        for (std::uint32_t i = 0; i < m_scenario.vms; ++i) {
+            if (i != vm)
+                names.push_back(std::to_string(i));
+        }
+        return names;
+    }
+
+    void announce(Dispatcher &dispatcher, std::uint32_t number) const
     {
         UpstreamAnnouncement announcement;
         announcement.name = "u" + std::to_string(number);
@@ -157,43 +170,90 @@
         announcement.rack = "rack" + std::to_string(number / 6);
         announcement.incarnation = 1;
         announcement.leaseDeadline = start + 1h;
-        m_dispatcher.announce(start, announcement);
+        dispatcher.announce(start, announcement);
+    }
+
+    std::uint32_t arrivalVm()
+    {
+        std::uniform_real_distribution<double> uniform;
+        if (m_scenario.vms == 1 || uniform(m_random) < m_scenario.firstVmShare)
+            return 0;
+        return 1 + static_cast<std::uint32_t>(m_random() % (m_scenario.vms - 1));
     }
 
     void arrive(TimePoint now, std::size_t index)
     {
         const auto &submission = m_arrivals[index].submission;
-        if (m_dispatcher.refusal(now, submission)) {
-            ++m_refused;
+        const auto vm = arrivalVm();
+        if (m_dispatchers[vm].refusal(now, submission)) {
+            ++m_figures.refusedJobs;
             return;
         }
-        m_running[index] = {index, submission.tasks.size()};
-        m_dispatcher.add(now, index, submission);
+        m_running[index] = {index, submission.tasks.size(), vm};
+        m_dispatchers[vm].add(now, index, submission);
     }
 
-    void place(TimePoint now)
+    void place(TimePoint now, std::uint32_t vm)
     {
-        for (const auto &it : m_dispatcher.place(now)) {
-            const auto number = static_cast<std::uint32_t>(std::stoul(it.upstream.substr(1)));
-            const bool isBlackHole = number < m_scenario.blackHoles;
-            const double factor = isSlow(m_scenario, number) ? m_scenario.slowness : 1;
-            const auto time = static_cast<double>(m_arrivals[it.job].times[it.task].count()) * factor;
-            const auto took = isBlackHole ? Duration(1000) : Duration(static_cast<std::int64_t>(time));
-            m_endings.push({now + took, it.attempt, it.job, isBlackHole});
+        for (const auto &it : m_dispatchers[vm].place(now))
+            begin(now, vm, it);
+        for (const auto &it : m_dispatchers[vm].capacityRequests(now)) {
+            ++m_figures.control;
+            m_events.emplace(now + messageTime, [this, vm, it](TimePoint at) { lend(at, vm, it); });
         }
     }
 
-    void end(TimePoint now)
+    void lend(TimePoint now, std::uint32_t borrower, const AddressedCapacityRequest &addressed)
+    {
+        const auto lender = static_cast<std::size_t>(std::stoul(addressed.vm));
+        const auto grant = m_dispatchers[lender].lend(now, std::to_string(borrower), 1, addressed.request);
+        if (!grant)
+            return;
+        ++m_figures.control;
+        m_events.emplace(now + messageTime,
+                         [this, borrower, vm = addressed.vm, grant = *grant](TimePoint at) {
+                             m_dispatchers[borrower].borrow(at, vm, 1, grant);
+                         });
+    }
+
+    void begin(TimePoint now, std::uint32_t vm, const Placement &placement)
+    {
+        ++m_figures.starts;
+        const auto number = static_cast<std::uint32_t>(std::stoul(placement.upstream.substr(1)));
+        if (m_busy[number] >= m_scenario.slots) {
+            ++m_figures.declined;
+            m_events.emplace(now + 2 * messageTime,
+                             [this, vm, placement](TimePoint at) { decline(at, vm, placement); });
+            return;
+        }
+        ++m_busy[number];
+        const bool isBlackHole = number < m_scenario.blackHoles;
+        const double factor = isSlow(m_scenario, number) ? m_scenario.slowness : 1;
+        const auto time =
+            static_cast<double>(m_arrivals[placement.job].times[placement.task].count()) * factor;
+        const auto took = isBlackHole ? Duration(1000) : Duration(static_cast<std::int64_t>(time));
+        m_events.emplace(now + took, [this, vm, placement, number, isBlackHole](TimePoint at) {
+            --m_busy[number];
+            end(at, vm, placement, isBlackHole);
+        });
+    }
+
+    void decline(TimePoint now, std::uint32_t vm, const Placement &placement)
+    {
+        auto &dispatcher = m_dispatchers[vm];
+        dispatcher.finish(now, placement.attempt, {AttemptEnd::Declined, 503, {}});
+        dispatcher.requeue(now, placement.job, m_arrivals[placement.job].submission, placement.task);
+    }
+
+    void end(TimePoint now, std::uint32_t vm, const Placement &placement, bool isFailure)
     {
-        const auto ending = m_endings.top();
-        m_endings.pop();
-        m_dispatcher.finish(now, ending.attempt, {AttemptEnd::Answered, ending.isFailure ? 500 : 200, {}});
-        const auto it = m_running.find(ending.job);
+        m_dispatchers[vm].finish(now, placement.attempt, {AttemptEnd::Answered, isFailure ? 500 : 200, {}});
+        const auto it = m_running.find(placement.job);
         if (it == m_running.end())
             return;
-        if (ending.isFailure) {
-            ++m_failed;
-            leave(now, ending.job);
+        if (isFailure) {
+            ++m_figures.failedJobs;
+            leave(now, placement.job);
         } else if (--it->second.left == 0) {
             const auto &job = m_arrivals[it->second.index];
             const auto response = now - job.arrival;
@@ -201,42 +261,42 @@
                                / static_cast<double>(job.ideal.count()));
             const auto target = job.submission.className == "short" ? targetOfShort : targetOfLong;
             m_met += response <= target ? 1 : 0;
-            leave(now, ending.job);
+            leave(now, placement.job);
         }
     }
 
     void leave(TimePoint now, JobId job)
     {
+        const auto vm = m_running.at(job).vm;
         m_running.erase(job);
-        m_dispatcher.remove(now, job);
+        m_dispatchers[vm].remove(now, job);
     }
 
     VirtualFigures figures()
     {
-        VirtualFigures figures;
-        figures.jobs = static_cast<std::uint32_t>(m_arrivals.size());
-        figures.failedJobs = m_failed;
-        figures.refusedJobs = m_refused;
+        m_figures.jobs = static_cast<std::uint32_t>(m_arrivals.size());
         if (m_ratios.empty())
-            return figures;
+            return m_figures;
         std::sort(m_ratios.begin(), m_ratios.end());
         for (const auto it : m_ratios)
-            figures.meanRatio += it / static_cast<double>(m_ratios.size());
-        figures.medianRatio = m_ratios[m_ratios.size() / 2];
-        figures.p99Ratio = m_ratios[m_ratios.size() * 99 / 100];
-        figures.targetShare = static_cast<double>(m_met) / static_cast<double>(figures.jobs);
-        return figures;
+            m_figures.meanRatio += it / static_cast<double>(m_ratios.size());
+        m_figures.medianRatio = m_ratios[m_ratios.size() / 2];
+        m_figures.p99Ratio = m_ratios[m_ratios.size() * 99 / 100];
+        m_figures.targetShare = static_cast<double>(m_met) / static_cast<double>(m_figures.jobs);
+        return m_figures;
     }
 
     VirtualScenario m_scenario;
     std::vector<ArrivingJob> m_arrivals;
-    Dispatcher m_dispatcher;
+    std::vector<Dispatcher> m_dispatchers;
     std::map<JobId, Running> m_running;
-    std::priority_queue<Ending, std::vector<Ending>, std::greater<>> m_endings;
+    std::multimap<TimePoint, std::function<void(TimePoint)>> m_events;
+    std::mt19937_64 m_random;
+    /// Tasks on each upstream.
+    std::vector<std::uint32_t> m_busy;
     std::vector<double> m_ratios;
     std::uint32_t m_met = 0;
-    std::uint32_t m_failed = 0;
-    std::uint32_t m_refused = 0;
+    VirtualFigures m_figures;
 };
 
 } // namespace
--- a/bench/decisions/virtualrun.h
+++ b/bench/decisions/virtualrun.h
@@ -8,6 +8,16 @@
 
 namespace Citronpitch {
 
+/// How several entry VMs of a failure domain share the slots.
+enum class SlotSharing {
+    /// Each has a fixed part.
+    Split,
+    /// Each has a part, and borrows what others leave idle.
+    Loans,
+    /// Each uses all of them; an upstream declines what is too much.
+    Optimistic,
+};
+
 /// One experiment over the decision library in virtual time.
 struct VirtualScenario
 {
@@ -26,6 +36,10 @@
     /// Share of the jobs with many tasks, and how many they have.
     double wideShare = 0.05;
     std::uint32_t wideTasks = 64;
+    std::uint32_t vms = 1;
+    /// Share of the jobs that arrive at the first entry VM; the others share the rest evenly.
+    double firstVmShare = 1;
+    SlotSharing sharing = SlotSharing::Loans;
     Duration length = std::chrono::seconds(30);
 };
 
@@ -40,6 +54,11 @@
     std::uint32_t jobs = 0;
     std::uint32_t failedJobs = 0;
     std::uint32_t refusedJobs = 0;
+    std::uint32_t starts = 0;
+    /// Starts that an upstream declined; each wastes two messages.
+    std::uint32_t declined = 0;
+    /// Messages between entry VMs.
+    std::uint32_t control = 0;
 };
 
 /// Runs @p scenario with @p policy; the same seed gives the same arrivals and task times to every policy.
--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronpitch/capacityloan.h"
 #include "citronpitch/claimbook.h"
 #include "citronpitch/configuration.h"
 #include "citronpitch/job.h"
@@ -114,6 +115,19 @@
     /// Frees the slot of an attempt and learns from how it ended.
     void finish(TimePoint now, AttemptId attempt, const AttemptResult &result);
 
+    /// Sets the entry VMs of the failure domain of which capacity can be borrowed.
+    void setNeighbours(const std::vector<std::string> &vms);
+
+    /// Requests for capacity that have to be sent after a call of place().
+    std::vector<AddressedCapacityRequest> capacityRequests(TimePoint now);
+
+    /// Answers the request of @p vm; nothing for one of an ended incarnation.
+    std::optional<CapacityGrant> lend(TimePoint now, const std::string &vm, std::uint64_t incarnation,
+                                      const CapacityRequest &request);
+
+    /// Takes over what @p vm has lent.
+    void borrow(TimePoint now, const std::string &vm, std::uint64_t incarnation, const CapacityGrant &grant);
+
     /// The known upstreams, by name.
     std::vector<UpstreamStatus> upstreams() const;
     /// The declared classes.
--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -26,6 +26,8 @@
     std::vector<VmIdentity> vms;
     Duration heartbeatPeriod = std::chrono::milliseconds(250);
     Duration suspicionTime = std::chrono::milliseconds(1500);
+    /// How long an announcement of an upstream holds.
+    Duration upstreamLease = std::chrono::seconds(2);
     /// How long answers are kept.
     Duration retention = std::chrono::hours(1);
     /// How waiting tasks are ordered and upstreams chosen.
@@ -142,6 +144,9 @@
     void resendForwards(TimePoint now);
     void sendHeartbeats(TimePoint now);
     void updateShare(TimePoint now);
+    bool holdsShare(TimePoint now, const std::string &vm) const;
+    void exchangeCapacity(TimePoint now);
+    void capacityRequested(TimePoint now, const citronpitch::wire::PeerMessage &message);
     void reply(const Waiter &waiter, const Answer &answer);
     void send(const std::string &vm, std::shared_ptr<citronpitch::wire::PeerMessage> message);
     std::shared_ptr<citronpitch::wire::PeerMessage> newMessage(std::uint64_t receiverIncarnation) const;
--- a/include/citronpitch/wireconvert.h
+++ b/include/citronpitch/wireconvert.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronpitch/capacityloan.h"
 #include "citronpitch/job.h"
 #include "citronpitch/upstream.h"
 
@@ -7,6 +8,8 @@
 
 namespace citronpitch::wire {
 class Answer;
+class CapacityGrant;
+class CapacityRequest;
 class Submission;
 class UpstreamAnnouncement;
 } // namespace citronpitch::wire
@@ -17,10 +20,15 @@
 void toWire(const Submission &from, citronpitch::wire::Submission *to);
 void toWire(const Answer &from, citronpitch::wire::Answer *to);
 void toWire(const UpstreamAnnouncement &from, citronpitch::wire::UpstreamAnnouncement *to);
+void toWire(const CapacityRequest &from, citronpitch::wire::CapacityRequest *to);
+void toWire(const CapacityGrant &from, citronpitch::wire::CapacityGrant *to);
 
 /// Reads a message from a peer or the journal; nothing where a field is out of its range.
 std::optional<Submission> fromWire(const citronpitch::wire::Submission &from);
 std::optional<Answer> fromWire(const citronpitch::wire::Answer &from);
 std::optional<UpstreamAnnouncement> fromWire(const citronpitch::wire::UpstreamAnnouncement &from);
 
+CapacityRequest fromWire(const citronpitch::wire::CapacityRequest &from);
+CapacityGrant fromWire(const citronpitch::wire::CapacityGrant &from);
+
 } // namespace Citronpitch
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -71,10 +71,11 @@
         return;
     if (effect == AnnouncementEffect::Added) {
         m_state->health.add(upstream);
+        m_state->loans.forgetUpstream(upstream);
         ++m_state->upstreamSet;
     }
     auto &entry = m_state->upstreams.at(upstream);
-    entry.own = m_state->share.base(entry);
+    entry.own = m_state->ownCapacity(upstream);
     m_state->wakeups.emplace(entry.announcement.leaseDeadline, upstream);
     m_state->refresh(now, upstream);
 }
@@ -167,11 +168,12 @@
 {
     m_state->passTime(now);
     std::vector<Placement> placements;
-    if (m_state->queue.size() == 0 || m_state->freeUpstreams == 0)
+    m_state->unmetNeed.reset();
+    if (m_state->queue.size() == 0)
         return placements;
     m_state->updateAdvances(now);
     m_state->queue.beginRound();
-    while (m_state->freeUpstreams > 0) {
+    while (true) {
         const auto head = m_state->queue.next(now);
         if (!head)
             break;
@@ -179,14 +181,70 @@
             m_state->queue.dropTasks(head->job);
             continue;
         }
+        if (m_state->freeUpstreams == 0) {
+            m_state->unmetNeed = m_state->unmetNeed.value_or(head->need);
+            break;
+        }
         if (auto placement = m_state->startFrom(now, *head))
             placements.push_back(std::move(*placement));
-        else
+        else {
+            m_state->unmetNeed = m_state->unmetNeed.value_or(head->need);
             m_state->queue.hold(head->lane);
+        }
     }
     return placements;
 }
 
+void Dispatcher::setNeighbours(const std::vector<std::string> &vms)
+{
+    m_state->loans.setNeighbours(m_state->isBaseline() ? std::vector<std::string>() : vms);
+}
+
+std::vector<AddressedCapacityRequest> Dispatcher::capacityRequests(TimePoint now)
+{
+    const auto inUse = [this](UpstreamIndex upstream) { return m_state->borrowedInUse(upstream); };
+    const auto &need = m_state->unmetNeed;
+    std::vector<AddressedCapacityRequest> requests;
+    for (const auto &it : m_state->loans.dueRequests(now, need.has_value(), inUse)) {
+        CapacityRequest request{it.leaseDeadline, it.seenGrant, 0, {}, m_state->loansTo(it.held)};
+        if (it.isAsking) {
+            request.tasks = std::min(m_state->queue.size(), static_cast<std::uint32_t>(maximumTasksPerJob));
+            request.need = need.value_or(Resources());
+        }
+        requests.push_back({it.vm, std::move(request)});
+    }
+    if (!requests.empty())
+        m_state->refreshAll(now);
+    return requests;
+}
+
+std::optional<CapacityGrant> Dispatcher::lend(TimePoint now, const std::string &vm, std::uint64_t incarnation,
+                                              const CapacityRequest &request)
+{
+    auto &loans = m_state->loans;
+    if (!loans.renew(now, vm, incarnation, request.seenGrant, m_state->loansFrom(request.held)))
+        return std::nullopt;
+    m_state->refreshAll(now);
+    if (request.tasks > 0) {
+        loans.recall(vm);
+        m_state->releaseRecalled(now);
+    }
+    const bool isIdle = m_state->queue.size() == 0;
+    if (isIdle && request.tasks > 0)
+        m_state->lendIdle(vm, request.tasks, request.need);
+    m_state->refreshAll(now);
+    const auto number = loans.nextGrant(vm);
+    return CapacityGrant{number, request.leaseDeadline, !isIdle, m_state->loansTo(loans.lentTo(vm))};
+}
+
+void Dispatcher::borrow(TimePoint now, const std::string &vm, std::uint64_t incarnation,
+                        const CapacityGrant &grant)
+{
+    if (m_state->loans.borrow(now, vm, incarnation, grant, m_state->loansFrom(grant.lent)))
+        m_state->refreshAll(now);
+    m_state->releaseRecalled(now);
+}
+
 void Dispatcher::finish(TimePoint now, AttemptId attempt, const AttemptResult &result)
 {
     const auto ended = m_state->attempts.remove(attempt);
@@ -202,6 +260,7 @@
     entry.used -= ended->cost;
     entry.busy -= entry.busy > 0 ? 1 : 0;
     m_state->learn(now, *ended, result);
+    m_state->releaseRecalled(now);
     m_state->refresh(now, ended->upstream);
 }
 
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -3,12 +3,14 @@
 #include "core/dispatch/admission.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Citronpitch {
 
 namespace {
 
-/// Target times by which work is put off that has missed its target, so that other work can still meet its own.
+/// Target times by which work is put off that has missed its target, so that other work can still meet its
+/// own.
 constexpr int lateFactor = 4;
 
 /// Slack of a job in multiples of the time that it takes alone: large jobs give way to small ones, which gain
@@ -126,11 +128,93 @@
 {
     for (const auto &[name, upstream] : upstreams.byName()) {
         auto &entry = upstreams.at(upstream);
-        entry.own = share.base(entry);
+        entry.own = ownCapacity(upstream);
         refresh(now, upstream);
     }
 }
 
+Capacity Dispatcher::State::ownCapacity(UpstreamIndex upstream) const
+{
+    auto own = ownWithoutBorrowed(upstream);
+    own += loans.borrowed(upstream);
+    return own;
+}
+
+Capacity Dispatcher::State::ownWithoutBorrowed(UpstreamIndex upstream) const
+{
+    auto own = share.base(upstreams.at(upstream));
+    own -= loans.lent(upstream);
+    return own;
+}
+
+Capacity Dispatcher::State::borrowedInUse(UpstreamIndex upstream) const
+{
+    auto used = upstreams.at(upstream).used;
+    used -= ownWithoutBorrowed(upstream);
+    return used;
+}
+
+void Dispatcher::State::releaseRecalled(TimePoint now)
+{
+    if (loans.releaseRecalled([this](UpstreamIndex upstream) { return borrowedInUse(upstream); }))
+        refreshAll(now);
+}
+
+std::vector<UpstreamCapacity> Dispatcher::State::loansFrom(const std::vector<LoanedCapacity> &from) const
+{
+    std::vector<UpstreamCapacity> list;
+    for (const auto &it : from) {
+        const auto upstream = upstreams.find(it.upstream);
+        if (upstream && upstreams.at(*upstream).announcement.incarnation == it.incarnation)
+            list.push_back({*upstream, {it.slots, it.resources}});
+    }
+    return list;
+}
+
+std::vector<LoanedCapacity> Dispatcher::State::loansTo(const std::vector<UpstreamCapacity> &from) const
+{
+    std::vector<LoanedCapacity> list;
+    for (const auto &it : from) {
+        const auto &announcement = upstreams.at(it.upstream).announcement;
+        list.push_back(
+            {announcement.name, announcement.incarnation, it.capacity.slots, it.capacity.resources});
+    }
+    return list;
+}
+
+void Dispatcher::State::lendIdle(const std::string &vm, std::uint32_t tasks, const Resources &need)
+{
+    struct Offer
+    {
+        Duration time;
+        UpstreamIndex upstream;
+    };
+    std::vector<Offer> offers;
+    for (const auto &[name, upstream] : upstreams.byName()) {
+        if (upstreams.at(upstream).isFree && !health.taskLimit(upstream))
+            offers.push_back({times.speed(upstream), upstream});
+    }
+    std::sort(offers.begin(), offers.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.time, left.upstream) < std::tie(right.time, right.upstream);
+    });
+    for (const auto &it : offers) {
+        const auto &entry = upstreams.at(it.upstream);
+        const auto cost = costOf(need, entry.whole);
+        auto idle = ownWithoutBorrowed(it.upstream);
+        idle -= entry.used;
+        Capacity offered;
+        for (bool isKept = false; tasks > 0 && idle.contains(cost); isKept = !isKept) {
+            idle -= cost;
+            if (isKept)
+                continue;
+            offered += cost;
+            --tasks;
+        }
+        if (!offered.isEmpty())
+            loans.lend(vm, {it.upstream, offered});
+    }
+}
+
 void Dispatcher::State::passTime(TimePoint now)
 {
     while (!wakeups.empty() && wakeups.begin()->first <= now) {
@@ -139,6 +223,8 @@
         health.passTime(now, upstream);
         refresh(now, upstream);
     }
+    if (loans.expire(now))
+        refreshAll(now);
     for (const auto &it : attempts.takeStuck(now))
         observe(now, it, HealthSign::Stuck);
     if (now - forgottenAt < forgetPeriod)
@@ -146,6 +232,7 @@
     forgottenAt = now;
     for (const auto it : upstreams.forget(now - upstreamMemory)) {
         health.remove(it);
+        loans.forgetUpstream(it);
         times.forgetUpstream(it);
         ++upstreamSet;
     }
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -3,6 +3,7 @@
 #include "citronpitch/dispatcher.h"
 #include "core/dispatch/attempttable.h"
 #include "core/dispatch/baseline.h"
+#include "core/dispatch/capacityloans.h"
 #include "core/dispatch/capacityshare.h"
 #include "core/dispatch/classtable.h"
 #include "core/dispatch/placer.h"
@@ -42,6 +43,23 @@
     void refresh(TimePoint now, UpstreamIndex upstream);
     void refreshAll(TimePoint now);
 
+    /// This VM's capacity of an upstream, with the loans.
+    Capacity ownCapacity(UpstreamIndex upstream) const;
+    /// The same without what is borrowed.
+    Capacity ownWithoutBorrowed(UpstreamIndex upstream) const;
+
+    /// Loans in numbers of upstreams; those on unknown upstreams or ended incarnations are left out.
+    std::vector<UpstreamCapacity> loansFrom(const std::vector<LoanedCapacity> &from) const;
+    std::vector<LoanedCapacity> loansTo(const std::vector<UpstreamCapacity> &from) const;
+
+    /// Part of the capacity of an upstream that is in use beyond this VM's own part.
+    Capacity borrowedInUse(UpstreamIndex upstream) const;
+    /// Gives up the idle part of recalled loans.
+    void releaseRecalled(TimePoint now);
+
+    /// Lends idle capacity for @p tasks tasks, half of what is idle at most.
+    void lendIdle(const std::string &vm, std::uint32_t tasks, const Resources &need);
+
     /// Handles leases, backoffs and stuck attempts that came due.
     void passTime(TimePoint now);
 
@@ -67,6 +85,7 @@
     ClassTable classes;
     UpstreamTable upstreams;
     CapacityShare share;
+    CapacityLoans loans;
     ServiceTimes times;
     UpstreamHealth health;
     TaskQueue queue;
@@ -82,6 +101,8 @@
     std::uint64_t upstreamSet = 1;
     TimePoint advancesUpdatedAt;
     TimePoint forgottenAt;
+    /// Need of the most urgent task that found no room when tasks were last placed.
+    std::optional<Resources> unmetNeed;
 };
 
 } // namespace Citronpitch
--- a/src/core/dispatch/servicetimes.cpp
+++ b/src/core/dispatch/servicetimes.cpp
@@ -84,6 +84,14 @@
     return durationOf(classLog(of, declared) + ordinaryLog(of));
 }
 
+Duration ServiceTimes::speed(UpstreamIndex upstream) const
+{
+    const bool isKnown = upstream < m_speeds.size() && m_speeds[upstream].residual.samples > 0;
+    const double residual =
+        isKnown ? m_speeds[upstream].residual.cautious(upstreamPriorSamples) : m_ordinarySpeed.value();
+    return durationOf(std::log(unknownTime) + residual);
+}
+
 Duration ServiceTimes::stuckAfter(TimePoint now, ClassIndex of, UpstreamIndex upstream,
                                   Duration declared) const
 {
--- a/src/core/dispatch/servicetimes.h
+++ b/src/core/dispatch/servicetimes.h
@@ -33,6 +33,9 @@
     /// Expected time on an upstream of ordinary speed.
     Duration expected(ClassIndex of, Duration declared) const;
 
+    /// Expected time on @p upstream of a task of no special class, for comparing upstreams.
+    Duration speed(UpstreamIndex upstream) const;
+
     /// Time after which a task that has not ended is taken for stuck.
     Duration stuckAfter(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared) const;
 
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -81,7 +81,8 @@
 {
     m_dispatcher.announce(now, announcement);
     for (const auto &it : m_membership.others()) {
-        if (it.failureDomain != m_options.self.failureDomain)
+        const auto isSuspected = m_membership.findReport(it.name)->state == VmState::Suspected;
+        if (it.failureDomain != m_options.self.failureDomain || isSuspected)
             continue;
         auto message = newMessage(0);
         toWire(announcement, message->mutable_upstream());
@@ -133,6 +134,13 @@
             place(now);
         }
         break;
+    case wire::PeerMessage::kCapacityRequest:
+        capacityRequested(now, message);
+        break;
+    case wire::PeerMessage::kCapacityGrant:
+        m_dispatcher.borrow(now, message.sender(), message.incarnation(), fromWire(message.capacity_grant()));
+        place(now);
+        break;
     default:
         break;
     }
@@ -158,10 +166,9 @@
 
 void EntryVm::tick(TimePoint now)
 {
-    for (const auto &it : m_membership.suspect(now)) {
+    for (const auto &it : m_membership.suspect(now))
         failForwards(now, it);
-        updateShare(now);
-    }
+    updateShare(now);
     failLateJobs(now);
     resendForwards(now);
     m_claims.expire(now);
@@ -392,6 +399,28 @@
     }
     for (const auto &it : placements)
         startAttempt(it);
+    exchangeCapacity(now);
+}
+
+void EntryVm::exchangeCapacity(TimePoint now)
+{
+    for (const auto &it : m_dispatcher.capacityRequests(now)) {
+        auto message = newMessage(0);
+        toWire(it.request, message->mutable_capacity_request());
+        send(it.vm, std::move(message));
+    }
+}
+
+void EntryVm::capacityRequested(TimePoint now, const wire::PeerMessage &message)
+{
+    const auto grant =
+        m_dispatcher.lend(now, message.sender(), message.incarnation(), fromWire(message.capacity_request()));
+    if (!grant)
+        return;
+    auto answer = newMessage(message.incarnation());
+    toWire(*grant, answer->mutable_capacity_grant());
+    send(message.sender(), std::move(answer));
+    exchangeCapacity(now);
 }
 
 void EntryVm::startAttempt(const Placement &placement)
@@ -483,18 +512,30 @@
 {
     std::uint32_t part = 0;
     std::uint32_t parts = 0;
+    std::vector<std::string> neighbours;
     for (const auto &it : m_options.vms) {
         if (it.failureDomain != m_options.self.failureDomain)
             continue;
         if (it.name == m_options.self.name)
             part = parts;
-        else if (!m_membership.isReachable(it.name))
+        else if (!holdsShare(now, it.name))
             continue;
+        if (m_membership.isReachable(it.name))
+            neighbours.push_back(it.name);
         ++parts;
     }
+    m_dispatcher.setNeighbours(neighbours);
     m_dispatcher.setShare(now, part, parts);
 }
 
+bool EntryVm::holdsShare(TimePoint now, const std::string &vm) const
+{
+    const auto *report = m_membership.findReport(vm);
+    const auto started = timePointOf(static_cast<std::int64_t>(m_options.incarnation));
+    const auto lastHeard = std::max(report->lastHeard, started);
+    return now < lastHeard + m_options.suspicionTime + m_options.upstreamLease;
+}
+
 void EntryVm::reply(const Waiter &waiter, const Answer &answer)
 {
     if (waiter.vm.empty()) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,6 +39,7 @@
     options.heartbeatPeriod = settings.heartbeatPeriod;
     options.suspicionTime = settings.suspicionTime;
     options.retention = settings.answerRetention;
+    options.upstreamLease = settings.upstreamLease;
     options.dispatching.placement = settings.placement;
     options.dispatching.entryVms = static_cast<std::uint32_t>(settings.vms.size());
     return options;
--- a/src/wire/wireconvert.cpp
+++ b/src/wire/wireconvert.cpp
@@ -22,6 +22,19 @@
     return {from.millicores(), from.memory_bytes(), from.accelerators()};
 }
 
+void toWire(const LoanedCapacity &from, wire::LoanedCapacity *to)
+{
+    to->set_upstream(from.upstream);
+    to->set_incarnation(from.incarnation);
+    to->set_slots(from.slots);
+    toWire(from.resources, to->mutable_resources());
+}
+
+LoanedCapacity fromWire(const wire::LoanedCapacity &from)
+{
+    return {from.upstream(), from.incarnation(), from.slots(), fromWire(from.resources())};
+}
+
 } // namespace
 
 void toWire(const Submission &from, wire::Submission *to)
@@ -70,6 +83,42 @@
     to->set_leaving(from.leaving);
 }
 
+void toWire(const CapacityRequest &from, wire::CapacityRequest *to)
+{
+    to->set_lease_deadline_us(microsecondsOf(from.leaseDeadline));
+    to->set_seen_grant(from.seenGrant);
+    to->set_tasks(from.tasks);
+    toWire(from.need, to->mutable_need());
+    for (const auto &it : from.held)
+        toWire(it, to->add_held());
+}
+
+void toWire(const CapacityGrant &from, wire::CapacityGrant *to)
+{
+    to->set_number(from.number);
+    to->set_lease_deadline_us(microsecondsOf(from.leaseDeadline));
+    to->set_recalled(from.isRecalled);
+    for (const auto &it : from.lent)
+        toWire(it, to->add_lent());
+}
+
+CapacityRequest fromWire(const wire::CapacityRequest &from)
+{
+    CapacityRequest to{
+        timePointOf(from.lease_deadline_us()), from.seen_grant(), from.tasks(), fromWire(from.need()), {}};
+    for (const auto &it : from.held())
+        to.held.push_back(fromWire(it));
+    return to;
+}
+
+CapacityGrant fromWire(const wire::CapacityGrant &from)
+{
+    CapacityGrant to{from.number(), timePointOf(from.lease_deadline_us()), from.recalled(), {}};
+    for (const auto &it : from.lent())
+        to.lent.push_back(fromWire(it));
+    return to;
+}
+
 std::optional<Submission> fromWire(const wire::Submission &from)
 {
     if (from.tasks_size() > static_cast<int>(maximumTasksPerJob))
