--- a/bench/decisions/decisionbench.cpp
+++ b/bench/decisions/decisionbench.cpp
@@ -41,11 +41,11 @@
     for (const auto &scenario : scenarios()) {
         for (const auto &[policy, name] : placementPolicyNames) {
             const auto it = runVirtually(scenario, policy, seed);
-            std::printf(
-                "%-13s %-18s mean %6.2f p50 %6.2f p99 %7.2f of ideal, target met %.4f, %u jobs, %u failed, "
-                "%u refused\n",
-                scenario.name.c_str(), std::string(name).c_str(), it.meanRatio, it.medianRatio, it.p99Ratio,
-                it.targetShare, it.jobs, it.failedJobs, it.refusedJobs);
+            std::printf("%-13s %-18s mean %6.2f p50 %6.2f p99 %7.2f of ideal, target met %.4f, %.3f of the "
+                        "slots used, %u jobs, %u failed, "
+                        "%u refused\n",
+                        scenario.name.c_str(), std::string(name).c_str(), it.meanRatio, it.medianRatio,
+                        it.p99Ratio, it.targetShare, it.utilisation, it.jobs, it.failedJobs, it.refusedJobs);
         }
     }
 }
@@ -71,9 +71,9 @@
                 const auto it = runVirtually(scenario, PlacementPolicy::Target, seed);
                 std::printf(
                     "load %.1f, %.1f at the first of 2 VMs, %-10s mean %6.2f p99 %7.2f of ideal, target met "
-                    "%.4f, %u starts, %u declined, %u control messages\n",
-                    load, firstVmShare, name, it.meanRatio, it.p99Ratio, it.targetShare, it.starts,
-                    it.declined, it.control);
+                    "%.4f, %.3f of the slots used, %u starts, %u declined, %u control messages\n",
+                    load, firstVmShare, name, it.meanRatio, it.p99Ratio, it.targetShare, it.utilisation,
+                    it.starts, it.declined, it.control);
             }
         }
     }
@@ -130,10 +130,15 @@
 int main(int argc, char **argv)
 {
     const std::uint64_t seed = argc > 1 ? std::stoull(argv[1]) : 1;
-    for (const auto upstreams : {50U, 200U, 600U, 2400U})
-        measureCost(upstreams, 10, 200'000);
-    measureCost(600, 50, 200'000);
-    compareSharing(seed);
-    comparePolicies(seed);
+    const std::string part = argc > 2 ? argv[2] : "all";
+    if (part == "all" || part == "cost") {
+        for (const auto upstreams : {50U, 200U, 600U, 2400U})
+            measureCost(upstreams, 10, 200'000);
+        measureCost(600, 50, 200'000);
+    }
+    if (part == "all" || part == "sharing")
+        compareSharing(seed);
+    if (part == "all" || part == "policies")
+        comparePolicies(seed);
     return 0;
 }
--- a/bench/decisions/virtualrun.cpp
+++ b/bench/decisions/virtualrun.cpp
@@ -232,6 +232,8 @@
         const auto time =
             static_cast<double>(m_arrivals[placement.job].times[placement.task].count()) * factor;
         const auto took = isBlackHole ? Duration(1000) : Duration(static_cast<std::int64_t>(time));
+        const auto counted = std::min(now + took, start + m_scenario.length) - now;
+        m_used += std::max(counted, Duration());
         m_events.emplace(now + took, [this, vm, placement, number, isBlackHole](TimePoint at) {
             --m_busy[number];
             end(at, vm, placement, isBlackHole);
@@ -275,6 +277,8 @@
     VirtualFigures figures()
     {
         m_figures.jobs = static_cast<std::uint32_t>(m_arrivals.size());
+        const auto slotTime = m_scenario.length * m_scenario.slots * m_scenario.upstreams;
+        m_figures.utilisation = static_cast<double>(m_used.count()) / static_cast<double>(slotTime.count());
         if (m_ratios.empty())
             return m_figures;
         std::sort(m_ratios.begin(), m_ratios.end());
@@ -295,6 +299,7 @@
     /// Tasks on each upstream.
     std::vector<std::uint32_t> m_busy;
     std::vector<double> m_ratios;
+    Duration m_used{};
     std::uint32_t m_met = 0;
     VirtualFigures m_figures;
 };
--- a/bench/decisions/virtualrun.h
+++ b/bench/decisions/virtualrun.h
@@ -54,6 +54,8 @@
     std::uint32_t jobs = 0;
     std::uint32_t failedJobs = 0;
     std::uint32_t refusedJobs = 0;
+    /// Share of the slots' time that was used while jobs arrived.
+    double utilisation = 0;
     std::uint32_t starts = 0;
     /// Starts that an upstream declined; each wastes two messages.
     std::uint32_t declined = 0;
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -203,12 +203,9 @@
         auto idle = ownWithoutBorrowed(it.upstream);
         idle -= entry.used;
         Capacity offered;
-        for (bool isKept = false; tasks > 0 && idle.contains(cost); isKept = !isKept) {
+        for (; tasks > 0 && idle.contains(cost); --tasks) {
             idle -= cost;
-            if (isKept)
-                continue;
             offered += cost;
-            --tasks;
         }
         if (!offered.isEmpty())
             loans.lend(vm, {it.upstream, offered});
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -57,7 +57,7 @@
     /// Gives up the idle part of recalled loans.
     void releaseRecalled(TimePoint now);
 
-    /// Lends idle capacity for @p tasks tasks, half of what is idle at most.
+    /// Lends idle capacity for @p tasks tasks, on the fastest upstreams first.
     void lendIdle(const std::string &vm, std::uint32_t tasks, const Resources &need);
 
     /// Handles leases, backoffs and stuck attempts that came due.
