--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -53,11 +53,13 @@
                "It said so in its heartbeat."},
     EventEntry{Event::ConfigurationInForce, EventLevel::Info, "configuration is in force", "version",
                "This entry VM works by this version from now on."},
-    EventEntry{Event::ConfigurationLeader, EventLevel::Info, "leader of the configuration changed", "leader term",
+    EventEntry{Event::ConfigurationLeader, EventLevel::Info, "leader of the configuration changed",
+               "leader term",
                "Changes are accepted by this entry VM from now on. Nothing to do, unless it comes often."},
-    EventEntry{Event::ConfigurationStorageFailed, EventLevel::Error, "the journal of the configuration can't be written",
-               "error",
-               "This entry VM no longer votes or learns; its other work goes on. Mend the disk and restart it."},
+    EventEntry{
+        Event::ConfigurationStorageFailed, EventLevel::Error,
+        "the journal of the configuration can't be written", "error",
+        "This entry VM no longer votes or learns; its other work goes on. Mend the disk and restart it."},
     EventEntry{Event::CallerInputRefused, EventLevel::Warning, "caller's request refused as malformed",
                "peer error", "The caller got the same text; nothing was run."},
 };
--- a/src/settings/settingspec.cpp
+++ b/src/settings/settingspec.cpp
@@ -39,6 +39,8 @@
     SettingSpec{"vms[].name", Kind::Name, "", 1, longestName, "", Reload::Restart, "Name of the entry VM."},
     SettingSpec{"vms[].failureDomain", Kind::Name, "", 1, longestName, "", Reload::Restart,
                 "Failure domain it stands in."},
+    SettingSpec{"vms[].voter", Kind::Switch, "true", 0, 0, "", Reload::Restart,
+                "Whether it votes on the replicated configuration; such a VM needs a data folder."},
     SettingSpec{"vms[].peers", Kind::Object, "", 0, 0, "", Reload::Restart,
                 "Where its link for other entry VMs is reached from here."},
     SettingSpec{"vms[].peers.address", Kind::Address, "", 0, 0, "", Reload::Restart, "IP number."},
