Claims that outlive the process: replay, floors, fingerprints, truthful recovery

A restart forgot every claim, so a resubmission ran again. What a lost tail or a lost folder may hide lies below floors: dated keys older than restart + 2 clock skews, and undated keys after a lost folder, are unknown and never started. Memory is bounded: answers by retention and bytes, dated keys by their age, undated ones by a count of 64-bit fingerprints. A copy of a forwarded request that was refused is not taken as a new one. Retries are for idempotent jobs of one task only. ClaimBook::leave looks its waiter up instead of walking all claims.

The fuzzer found that a job cancelled, or failed for want of a disk, before its undated claim was synced was reported as failed with tasks not run, and ran when resubmitted after a loss of power: such a job is now refused.

--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -2,10 +2,12 @@
 
 #include "citronpitch/action.h"
 #include "citronpitch/claimbook.h"
+#include "citronpitch/claimreplay.h"
 #include "citronpitch/configuration.h"
 #include "citronpitch/dispatcher.h"
 #include "citronpitch/jobrun.h"
 #include "citronpitch/membership.h"
+#include "citronpitch/testfaults.h"
 
 #include <cstdint>
 #include <map>
@@ -26,8 +28,8 @@
     std::vector<VmIdentity> vms;
     Duration heartbeatPeriod = std::chrono::milliseconds(250);
     Duration suspicionTime = std::chrono::milliseconds(1500);
-    /// How long answers are kept.
-    Duration retention = std::chrono::hours(1);
+    ClaimLimits claimLimits;
+    TestFaults testFaults;
 };
 
 /// What a caller asks for with a key.
@@ -59,6 +61,22 @@
 public:
     explicit EntryVm(const EntryVmOptions &options);
 
+    /**
+     * Takes over the claims of earlier lives; called once, before any request or message.
+     *
+     * The owner replaces the journal by claimSnapshot() and syncs it before it carries out the actions. Jobs
+     * of which no task may have run go on; all others are answered at once. An owner that never calls it says
+     * that this is the first life.
+     */
+    void recover(TimePoint now, const ClaimRecovery &recovery);
+
+    /// Records that stand for everything that the journal of claims has to hold, in the order to write them.
+    std::vector<std::string> claimSnapshot() const;
+
+    /// The journal of claims can't be written any more: new keys are refused, and jobs with tasks that wait
+    /// fail.
+    void storageFailed(TimePoint now);
+
     /// A caller's request arrived; @p caller gets exactly one AnswerCaller unless callerGone() is called
     /// first.
     void request(TimePoint now, CallerId caller, CallerRequest request);
@@ -122,9 +140,25 @@
         TimePoint deadline;
     };
 
+    /// Replies to forwarded requests of one VM that the claim book does not remember.
+    struct ForwardReplies
+    {
+        std::uint64_t incarnation = 0;
+        /// Requests with a lower number are over.
+        std::uint64_t lowestOpen = 0;
+        std::map<std::uint64_t, Answer> replies;
+    };
+
+    const TestFaults &faults() const;
+    std::string homeOfKey(const ClaimKey &key) const;
+    void recoverAnswered(const ClaimReplay &replay);
+    void recoverOpen(TimePoint now, ClaimMemory memory, const ClaimKey &key, const ReplayedClaim &claim);
+    std::uint64_t lowestOpenForward() const;
+    void noteLowestOpen(const std::string &vm, std::uint64_t incarnation, std::uint64_t lowestOpen);
+    void rememberReply(const Waiter &waiter, const Answer &answer);
     void handleAtHome(TimePoint now, const Waiter &waiter, CallerRequest request);
     void submitAtHome(TimePoint now, const Waiter &waiter, CallerRequest request);
-    void fetchAtHome(const Waiter &waiter, const CallerRequest &request);
+    void fetchAtHome(TimePoint now, const Waiter &waiter, const CallerRequest &request);
     void cancelAtHome(TimePoint now, const Waiter &waiter, const CallerRequest &request);
     void acceptJob(TimePoint now, const Waiter &waiter, CallerRequest request);
     void enqueueJob(TimePoint now, JobId job);
@@ -135,7 +169,8 @@
     void failForwards(TimePoint now, const std::string &home);
     void place(TimePoint now);
     void startAttempt(const Placement &placement);
-    void finishJob(TimePoint now, JobId job, const Answer &answer);
+    bool isAwaitingSync(JobId job) const;
+    void finishJob(TimePoint now, JobId job, Answer answer);
     void failLateJobs(TimePoint now);
     void resendForwards(TimePoint now);
     void sendHeartbeats(TimePoint now);
@@ -146,6 +181,7 @@
 
     EntryVmOptions m_options;
     std::vector<std::string> m_vmNames;
+    std::vector<std::string> m_diskVmNames;
     Membership m_membership;
     ClaimBook m_claims;
     Dispatcher m_dispatcher;
@@ -155,12 +191,14 @@
     std::map<AttemptId, OpenAttempt> m_attempts;
     std::map<std::uint64_t, JobId> m_awaitingSync;
     std::map<std::uint64_t, Forward> m_forwards;
+    std::map<std::string, ForwardReplies> m_forwardReplies;
     std::vector<Action> m_actions;
     TimePoint m_nextHeartbeat;
     JobId m_nextJob = 1;
     std::uint64_t m_nextForward = 1;
     std::uint64_t m_nextSyncToken = 1;
     bool m_isDraining = false;
+    bool m_hasStorageFailed = false;
 };
 
 } // namespace Citronpitch
--- a/include/citronpitch/jobrun.h
+++ b/include/citronpitch/jobrun.h
@@ -2,6 +2,7 @@
 
 #include "citronpitch/action.h"
 #include "citronpitch/job.h"
+#include "citronpitch/testfaults.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,19 +23,22 @@
 /**
  * @brief Progress of one accepted job: what is known of each of its tasks, and the final answer.
  *
- * A task that may have run is never placed again unless the job is idempotent. The job fails as soon as one
- * task cannot succeed any more. Used by EntryVm.
+ * A task that may have run is never placed again, unless it is the only one of a job declared idempotent, and
+ * then a bounded number of times. The job fails as soon as one task cannot succeed any more. Used by EntryVm.
  */
 class JobRun
 {
 public:
-    explicit JobRun(Submission submission);
+    explicit JobRun(Submission submission, const TestFaults &faults = {});
 
     const Submission &submission() const;
 
     /// Notes that the start message of @p task may be sent to @p upstream from now on.
     void start(std::uint32_t task, AttemptId attempt, const std::string &upstream);
 
+    /// Notes that an earlier life of the VM may have sent a start message of @p task.
+    void startedEarlier(std::uint32_t task);
+
     /// Notes how the attempt of @p task ended.
     AfterAttempt end(std::uint32_t task, const AttemptResult &result);
 
@@ -44,6 +48,12 @@
     /// Whether a task of the job has an attempt whose end is not known.
     bool hasOpenAttempts() const;
 
+    /// Whether a start message of the task may ever have been sent.
+    bool hasStarted(std::uint32_t task) const;
+
+    /// Whether every task has succeeded or has an attempt whose end is not known.
+    bool isAllPlaced() const;
+
     /// Complete answer; every task must have succeeded.
     Answer completeAnswer() const;
 
@@ -57,13 +67,17 @@
     struct Task
     {
         std::optional<AttemptId> attempt;
-        std::uint32_t attempts = 0;
+        /// Attempts whose end will never be known.
+        std::uint32_t brokenAttempts = 0;
+        bool hasStarted = false;
         TaskReport report;
     };
 
+    bool mayRunAgain(const Task &task) const;
     AfterAttempt fail(Reason reason, std::string detail);
 
     Submission m_submission;
+    TestFaults m_faults;
     std::vector<Task> m_tasks;
     std::size_t m_succeeded = 0;
     Reason m_failure = Reason::None;
--- a/include/citronpitch/membership.h
+++ b/include/citronpitch/membership.h
@@ -16,6 +16,8 @@
 {
     std::string name;
     std::string failureDomain;
+    /// Whether it has a data folder; only such a VM is home to keys without a date.
+    bool hasDisk = true;
 };
 
 /// Whether another entry VM can be worked with.
--- a/src/core/claims/claimbook.cpp
+++ b/src/core/claims/claimbook.cpp
@@ -1,108 +1,231 @@
 #include "citronpitch/claimbook.h"
 
+#include "citronpitch/jobkey.h"
+
 #include <algorithm>
 #include <utility>
+#include <xxhash.h>
 
 namespace Citronpitch {
 
-ClaimBook::ClaimBook(Duration retention)
-    : m_retention(retention)
+namespace {
+
+/// Length of the spans by which fingerprints of dated keys are grouped.
+constexpr Duration datedSpan = std::chrono::minutes(1);
+
+std::optional<TimePoint> dateOf(const ClaimKey &key)
+{
+    const auto parsed = parseJobKey(key.key);
+    return parsed ? parsed->date : std::nullopt;
+}
+
+std::uint64_t fingerprintOf(const ClaimKey &key)
+{
+    const auto team = XXH3_64bits(key.team.data(), key.team.size());
+    return XXH3_64bits_withSeed(key.key.data(), key.key.size(), team);
+}
+
+TimePoint spanEnd(TimePoint date)
+{
+    return TimePoint((date.time_since_epoch() / datedSpan + 1) * datedSpan);
+}
+
+std::size_t bytesOf(const Answer &answer)
+{
+    std::size_t n = sizeof answer + answer.detail.size();
+    for (const auto &it : answer.tasks)
+        n += sizeof it + it.result.size();
+    return n;
+}
+
+} // namespace
+
+ClaimBook::ClaimBook(const ClaimLimits &limits)
+    : m_limits(limits)
 {
 }
 
-ClaimState ClaimBook::state(const std::string &team, const std::string &key,
-                            std::optional<std::uint64_t> bodyHash) const
+ClaimState ClaimBook::state(TimePoint now, const ClaimKey &key, std::optional<std::uint64_t> bodyHash) const
 {
-    const auto *claim = find(team, key);
-    if (claim == nullptr)
-        return ClaimState::Free;
-    if (bodyHash && *bodyHash != claim->bodyHash)
+    const auto it = m_claims.find(key);
+    if (it == m_claims.end())
+        return unknownKeyState(now, key);
+    if (bodyHash && *bodyHash != it->second.bodyHash)
         return ClaimState::Conflict;
-    if (claim->isExpired)
-        return ClaimState::Unknown;
-    return claim->answer ? ClaimState::Answered : ClaimState::Open;
+    return it->second.answer ? ClaimState::Answered : ClaimState::Open;
 }
 
-void ClaimBook::claim(TimePoint, const std::string &team, const std::string &key, std::uint64_t bodyHash,
-                      JobId job)
+ClaimState ClaimBook::unknownKeyState(TimePoint now, const ClaimKey &key) const
 {
-    auto &claim = m_claims[{team, key}];
-    claim.job = job;
-    claim.bodyHash = bodyHash;
+    const auto date = dateOf(key);
+    const auto fingerprint = fingerprintOf(key);
+    if (!date) {
+        if (m_undated.contains(fingerprint))
+            return ClaimState::Expired;
+        if (m_floors.isUndatedLost)
+            return ClaimState::MemoryLost;
+        const bool isFull = m_undatedClaims + m_undated.size() >= m_limits.maximumUndatedKeys;
+        return isFull || size() >= m_limits.maximumKeys ? ClaimState::Full : ClaimState::Free;
+    }
+    const auto span = m_dated.find(spanEnd(*date));
+    if (span != m_dated.end() && span->second.contains(fingerprint))
+        return ClaimState::Expired;
+    if (*date < ageFloor(now))
+        return ClaimState::Expired;
+    if (*date < m_floors.loss)
+        return ClaimState::MemoryLost;
+    if (*date > now + m_limits.clockSkew)
+        return ClaimState::DatedAhead;
+    return size() >= m_limits.maximumKeys ? ClaimState::Full : ClaimState::Free;
 }
 
-std::optional<JobId> ClaimBook::findJob(const std::string &team, const std::string &key) const
+void ClaimBook::claim(const ClaimKey &key, std::uint64_t bodyHash, JobId job)
 {
-    const auto *claim = find(team, key);
-    if (claim == nullptr || claim->answer || claim->isExpired)
+    const auto [it, isNew] = m_claims.try_emplace(key);
+    it->second.job = job;
+    it->second.bodyHash = bodyHash;
+    if (isNew && !dateOf(key))
+        ++m_undatedClaims;
+}
+
+std::optional<JobId> ClaimBook::findJob(const ClaimKey &key) const
+{
+    const auto it = m_claims.find(key);
+    if (it == m_claims.end() || it->second.answer)
         return std::nullopt;
-    return claim->job;
+    return it->second.job;
 }
 
-void ClaimBook::join(const std::string &team, const std::string &key, const Waiter &waiter)
+void ClaimBook::join(const ClaimKey &key, const Waiter &waiter)
 {
-    auto *claim = find(team, key);
-    if (claim == nullptr)
+    const auto it = m_claims.find(key);
+    if (it == m_claims.end() || it->second.answer || !m_waiters.emplace(waiter, key).second)
         return;
-    auto &waiters = claim->waiters;
-    if (std::find(waiters.begin(), waiters.end(), waiter) == waiters.end())
-        waiters.push_back(waiter);
+    it->second.waiters.push_back(waiter);
 }
 
 void ClaimBook::leave(const Waiter &waiter)
 {
-    for (auto &[key, claim] : m_claims)
-        std::erase(claim.waiters, waiter);
+    const auto it = m_waiters.find(waiter);
+    if (it == m_waiters.end())
+        return;
+    std::erase(m_claims.at(it->second).waiters, waiter);
+    m_waiters.erase(it);
 }
 
-std::vector<Waiter> ClaimBook::answer(TimePoint now, const std::string &team, const std::string &key,
-                                      Answer answer)
+std::vector<Waiter> ClaimBook::answer(TimePoint now, const ClaimKey &key, const Answer &answer)
 {
-    auto *claim = find(team, key);
-    if (claim == nullptr)
+    const auto it = m_claims.find(key);
+    if (it == m_claims.end())
         return {};
-    claim->answer = std::move(answer);
-    m_expiries.push_back({now + m_retention, {team, key}});
-    return std::exchange(claim->waiters, {});
+    auto &claim = it->second;
+    claim.answer = answer;
+    claim.answeredAt = now;
+    const auto bytes = bytesOf(answer);
+    m_expiries.push_back({now + m_limits.retention, key, bytes});
+    m_answerBytes += bytes;
+    auto waiters = std::exchange(claim.waiters, {});
+    for (const auto &waiter : waiters)
+        m_waiters.erase(waiter);
+    while (m_answerBytes > m_limits.maximumAnswerBytes && m_expiries.size() > 1)
+        dropOldestAnswer();
+    return waiters;
 }
 
-const Answer *ClaimBook::findAnswer(const std::string &team, const std::string &key) const
+const Answer *ClaimBook::findAnswer(const ClaimKey &key) const
 {
-    const auto *claim = find(team, key);
-    return claim != nullptr && claim->answer ? &*claim->answer : nullptr;
+    const auto it = m_claims.find(key);
+    return it != m_claims.end() && it->second.answer ? &*it->second.answer : nullptr;
 }
 
 void ClaimBook::expire(TimePoint now)
 {
-    while (m_firstExpiry < m_expiries.size() && m_expiries[m_firstExpiry].deadline <= now) {
-        const auto &it = m_expiries[m_firstExpiry].key;
-        if (auto *claim = find(it.team, it.key)) {
-            claim->answer.reset();
-            claim->isExpired = true;
-        }
-        ++m_firstExpiry;
-    }
-    if (m_firstExpiry * 2 > m_expiries.size()) {
-        m_expiries.erase(m_expiries.begin(), m_expiries.begin() + static_cast<std::ptrdiff_t>(m_firstExpiry));
-        m_firstExpiry = 0;
+    m_floors.age = ageFloor(now);
+    while (!m_expiries.empty() && m_expiries.front().deadline <= now)
+        dropOldestAnswer();
+    while (!m_dated.empty() && m_dated.begin()->first <= m_floors.age) {
+        m_datedFingerprints -= m_dated.begin()->second.size();
+        m_dated.erase(m_dated.begin());
     }
 }
 
+void ClaimBook::dropOldestAnswer()
+{
+    const auto expiry = std::move(m_expiries.front());
+    m_expiries.pop_front();
+    m_answerBytes -= expiry.bytes;
+    m_claims.erase(expiry.key);
+    const auto date = dateOf(expiry.key);
+    if (!date)
+        --m_undatedClaims;
+    ExpiredKeys keys;
+    if (date)
+        keys.until = spanEnd(*date);
+    keys.fingerprints.push_back(fingerprintOf(expiry.key));
+    addExpiredKeys(keys);
+}
+
 std::size_t ClaimBook::size() const
 {
-    return m_claims.size();
+    return m_claims.size() + m_undated.size() + m_datedFingerprints;
+}
+
+const ClaimLimits &ClaimBook::limits() const
+{
+    return m_limits;
+}
+
+const ClaimFloors &ClaimBook::floors() const
+{
+    return m_floors;
+}
+
+void ClaimBook::raiseFloors(const ClaimFloors &floors)
+{
+    m_floors.loss = std::max(m_floors.loss, floors.loss);
+    m_floors.age = std::max(m_floors.age, floors.age);
+    m_floors.isUndatedLost = m_floors.isUndatedLost || floors.isUndatedLost;
+}
+
+std::vector<ExpiredKeys> ClaimBook::expiredKeys() const
+{
+    std::vector<ExpiredKeys> list;
+    if (m_undated.size() > 0)
+        list.push_back({std::nullopt, m_undated.all()});
+    for (const auto &[until, fingerprints] : m_dated)
+        list.push_back({until, fingerprints.all()});
+    return list;
 }
 
-ClaimBook::Claim *ClaimBook::find(const std::string &team, const std::string &key)
+void ClaimBook::addExpiredKeys(const ExpiredKeys &keys)
 {
-    const auto it = m_claims.find({team, key});
-    return it == m_claims.end() ? nullptr : &it->second;
+    if (!keys.until) {
+        for (const auto it : keys.fingerprints)
+            m_undated.insert(it);
+        return;
+    }
+    if (*keys.until <= m_floors.age)
+        return;
+    auto &span = m_dated[*keys.until];
+    const auto before = span.size();
+    for (const auto it : keys.fingerprints)
+        span.insert(it);
+    m_datedFingerprints += span.size() - before;
+}
+
+std::vector<AnsweredClaim> ClaimBook::answeredClaims() const
+{
+    std::vector<AnsweredClaim> list;
+    for (const auto &it : m_expiries) {
+        const auto &claim = m_claims.at(it.key);
+        list.push_back({it.key, claim.bodyHash, *claim.answer, claim.answeredAt});
+    }
+    return list;
 }
 
-const ClaimBook::Claim *ClaimBook::find(const std::string &team, const std::string &key) const
+TimePoint ClaimBook::ageFloor(TimePoint now) const
 {
-    const auto it = m_claims.find({team, key});
-    return it == m_claims.end() ? nullptr : &it->second;
+    return std::max(m_floors.age, now - m_limits.keyAge);
 }
 
 } // namespace Citronpitch
--- a/src/core/claims/jobrun.cpp
+++ b/src/core/claims/jobrun.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Attempts that an idempotent task gets in all.
-constexpr std::uint32_t maximumAttempts = 3;
+/// Attempts of an idempotent task that may have run without an answer, in all.
+constexpr std::uint32_t maximumBrokenAttempts = 3;
 
 constexpr int firstSuccess = 200;
 constexpr int firstRedirect = 300;
@@ -20,8 +20,9 @@
 
 } // namespace
 
-JobRun::JobRun(Submission submission)
+JobRun::JobRun(Submission submission, const TestFaults &faults)
     : m_submission(std::move(submission))
+    , m_faults(faults)
     , m_tasks(m_submission.tasks.size())
 {
 }
@@ -35,10 +36,17 @@
 {
     auto &it = m_tasks.at(task);
     it.attempt = attempt;
-    ++it.attempts;
+    it.hasStarted = true;
     it.report.upstream = upstream;
 }
 
+void JobRun::startedEarlier(std::uint32_t task)
+{
+    auto &it = m_tasks.at(task);
+    it.hasStarted = true;
+    ++it.brokenAttempts;
+}
+
 AfterAttempt JobRun::end(std::uint32_t task, const AttemptResult &result)
 {
     auto &it = m_tasks.at(task);
@@ -46,7 +54,8 @@
     if (result.end == AttemptEnd::NotSent || result.end == AttemptEnd::Declined)
         return AfterAttempt::PlaceAgain;
     if (result.end == AttemptEnd::Broken) {
-        if (m_submission.idempotent && it.attempts < maximumAttempts)
+        ++it.brokenAttempts;
+        if (mayRunAgain(it))
             return AfterAttempt::PlaceAgain;
         it.report.state = TaskState::MayHaveRun;
         return fail(Reason::OutcomeOfTaskUnknown,
@@ -58,7 +67,8 @@
     if (!isSuccess(result.status))
         return fail(Reason::TaskFailed, "task: upstream " + it.report.upstream + " answered with an error");
     ++m_succeeded;
-    return m_succeeded == m_tasks.size() ? AfterAttempt::AnswerJob : AfterAttempt::Continue;
+    return m_succeeded == m_tasks.size() || m_faults.answersPartially ? AfterAttempt::AnswerJob
+                                                                      : AfterAttempt::Continue;
 }
 
 std::vector<AttemptId> JobRun::openAttempts() const
@@ -76,12 +86,25 @@
     return std::any_of(m_tasks.begin(), m_tasks.end(), [](const auto &it) { return it.attempt.has_value(); });
 }
 
+bool JobRun::hasStarted(std::uint32_t task) const
+{
+    return m_tasks.at(task).hasStarted;
+}
+
+bool JobRun::isAllPlaced() const
+{
+    return std::all_of(m_tasks.begin(), m_tasks.end(),
+                       [](const auto &it) { return it.attempt || it.report.state == TaskState::Ran; });
+}
+
 Answer JobRun::completeAnswer() const
 {
     Answer answer{m_submission.key, Outcome::Complete, Reason::None, {}, {}, {}};
     answer.tasks.reserve(m_tasks.size());
     for (const auto &it : m_tasks)
         answer.tasks.push_back(it.report);
+    if (m_faults.reversesResults)
+        std::reverse(answer.tasks.begin(), answer.tasks.end());
     return answer;
 }
 
@@ -91,9 +114,8 @@
     answer.tasks.reserve(m_tasks.size());
     for (const auto &it : m_tasks) {
         answer.tasks.push_back(it.report);
-        const bool isBroken =
-            it.attempts > 0 && m_submission.idempotent && it.report.state == TaskState::NotRun;
-        if (it.attempt || isBroken)
+        const bool isUnknown = it.attempt || it.brokenAttempts > 0;
+        if (isUnknown && !m_faults.reportsInFlightAsNotRun && it.report.state == TaskState::NotRun)
             answer.tasks.back().state = TaskState::MayHaveRun;
     }
     return answer;
@@ -104,6 +126,12 @@
     return m_failure == Reason::None ? completeAnswer() : failedAnswer(m_failure, m_failureDetail);
 }
 
+bool JobRun::mayRunAgain(const Task &task) const
+{
+    const bool mayRepeat = (m_submission.idempotent && m_tasks.size() == 1) || m_faults.retriesBrokenAttempts;
+    return mayRepeat && task.brokenAttempts < maximumBrokenAttempts;
+}
+
 AfterAttempt JobRun::fail(Reason reason, std::string detail)
 {
     m_failure = reason;
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -35,6 +35,11 @@
     return {key, Outcome::Refused, refusal.reason, refusal.detail, refusal.retryAt, {}};
 }
 
+std::string storageDetail()
+{
+    return "journal: the data folder can't be written";
+}
+
 Answer pendingAnswer(const std::string &key)
 {
     return {key, Outcome::Pending, Reason::None, "the job is accepted and not answered yet", {}, {}};
@@ -45,18 +50,20 @@
 EntryVm::EntryVm(const EntryVmOptions &options)
     : m_options(options)
     , m_membership(options.self.name, options.vms, options.suspicionTime)
-    , m_claims(options.retention)
+    , m_claims(options.claimLimits)
 {
-    for (const auto &it : options.vms)
+    for (const auto &it : options.vms) {
         m_vmNames.push_back(it.name);
+        if (it.hasDisk)
+            m_diskVmNames.push_back(it.name);
+    }
     updateShare();
 }
 
 void EntryVm::request(TimePoint now, CallerId caller, CallerRequest request)
 {
     const auto &submission = request.submission;
-    const auto key = parseJobKey(submission.key);
-    const auto home = key ? homeOf(*key, submission.team, submission.key, m_vmNames) : std::string();
+    const auto home = homeOfKey({submission.team, submission.key});
     const Waiter waiter{{}, 0, caller};
     if (home.empty()) {
         reply(waiter,
@@ -98,7 +105,9 @@
         m_attempts.erase(it);
         auto &run = m_jobs.at(job);
         const auto next = run.end(task, result);
-        if (next == AfterAttempt::PlaceAgain)
+        if (next == AfterAttempt::PlaceAgain && m_hasStorageFailed)
+            finishJob(now, job, run.failedAnswer(Reason::StorageFailed, storageDetail()));
+        else if (next == AfterAttempt::PlaceAgain)
             m_dispatcher.requeue(now, job, task);
         else if (next == AfterAttempt::AnswerJob)
             finishJob(now, job, run.finalAnswer());
@@ -117,6 +126,7 @@
         const auto &heartbeat = message.heartbeat();
         m_membership.report(message.sender(), heartbeat.configuration_version(), heartbeat.free_slots(),
                             heartbeat.queued_tasks(), heartbeat.leaving());
+        noteLowestOpen(message.sender(), message.incarnation(), heartbeat.lowest_open());
         updateShare();
         break;
     }
@@ -148,6 +158,19 @@
         enqueueJob(now, job);
 }
 
+void EntryVm::storageFailed(TimePoint now)
+{
+    m_hasStorageFailed = true;
+    std::vector<JobId> waiting;
+    for (const auto &[job, run] : m_jobs) {
+        if (!run.isAllPlaced())
+            waiting.push_back(job);
+    }
+    for (const auto job : waiting)
+        finishJob(now, job, m_jobs.at(job).failedAnswer(Reason::StorageFailed, storageDetail()));
+    m_awaitingSync.clear();
+}
+
 void EntryVm::setConfiguration(TimePoint now, const Configuration &configuration)
 {
     m_configuration = configuration;
@@ -161,7 +184,6 @@
         failForwards(now, it);
         updateShare();
     }
-    failLateJobs(now);
     resendForwards(now);
     m_claims.expire(now);
     if (now >= m_nextHeartbeat)
@@ -207,7 +229,7 @@
         submitAtHome(now, waiter, std::move(request));
         break;
     case RequestKind::Fetch:
-        fetchAtHome(waiter, request);
+        fetchAtHome(now, waiter, request);
         break;
     case RequestKind::Cancel:
         cancelAtHome(now, waiter, request);
@@ -218,53 +240,57 @@
 void EntryVm::submitAtHome(TimePoint now, const Waiter &waiter, CallerRequest request)
 {
     const auto &submission = request.submission;
-    switch (m_claims.state(submission.team, submission.key, submission.bodyHash)) {
-    case ClaimState::Free:
+    const auto refuse = [&](Reason reason, std::string detail) {
+        reply(waiter, refusedAnswer(submission.key, {reason, std::move(detail), {}}));
+    };
+    const auto state = m_claims.state(now, {submission.team, submission.key}, submission.bodyHash);
+    if (state == ClaimState::Conflict)
+        refuse(Reason::KeyConflict, "key: it was used with another request body");
+    else if (state == ClaimState::Full)
+        refuse(Reason::KeyMemoryFull, "key: VM " + m_options.self.name + " has no room to remember it");
+    else if (state == ClaimState::DatedAhead)
+        refuse(Reason::KeyMalformed, "key: it is dated ahead of the clock of VM " + m_options.self.name);
+    else if (state == ClaimState::Free || (state == ClaimState::Answered && faults().forgetsAnsweredKeys))
         acceptJob(now, waiter, std::move(request));
-        break;
-    case ClaimState::Conflict:
-        reply(waiter,
-              refusedAnswer(submission.key,
-                            {Reason::KeyConflict, "key: it was used with another request body", {}}));
-        break;
-    default:
-        fetchAtHome(waiter, request);
-        break;
-    }
+    else
+        fetchAtHome(now, waiter, request);
 }
 
-void EntryVm::fetchAtHome(const Waiter &waiter, const CallerRequest &request)
+void EntryVm::fetchAtHome(TimePoint now, const Waiter &waiter, const CallerRequest &request)
 {
-    const auto &team = request.submission.team;
-    const auto &key = request.submission.key;
-    switch (m_claims.state(team, key, std::nullopt)) {
+    const ClaimKey key{request.submission.team, request.submission.key};
+    switch (m_claims.state(now, key, std::nullopt)) {
     case ClaimState::Answered:
-        reply(waiter, *m_claims.findAnswer(team, key));
+        reply(waiter, *m_claims.findAnswer(key));
         break;
     case ClaimState::Open:
         if (request.wait)
-            m_claims.join(team, key, waiter);
+            m_claims.join(key, waiter);
         else
-            reply(waiter, pendingAnswer(key));
+            reply(waiter, pendingAnswer(key.key));
+        break;
+    case ClaimState::Expired:
+        reply(waiter,
+              unknownAnswer(key.key, Reason::KeyExpired, "key: what became of it is no longer kept", {}));
         break;
-    case ClaimState::Free:
-        reply(waiter, unknownAnswer(key, Reason::KeyNotKnown, "key: it is not known here", {}));
+    case ClaimState::MemoryLost:
+        reply(waiter,
+              unknownAnswer(key.key, Reason::MemoryLost,
+                            "key: VM " + m_options.self.name + " has lost the memory of its time", {}));
         break;
     default:
-        reply(waiter, unknownAnswer(key, Reason::KeyExpired, "key: its answer is no longer kept", {}));
+        reply(waiter, unknownAnswer(key.key, Reason::KeyNotKnown, "key: it is not known here", {}));
         break;
     }
 }
 
 void EntryVm::cancelAtHome(TimePoint now, const Waiter &waiter, const CallerRequest &request)
 {
-    const auto &team = request.submission.team;
-    const auto &key = request.submission.key;
-    if (const auto job = m_claims.findJob(team, key)) {
+    if (const auto job = m_claims.findJob({request.submission.team, request.submission.key})) {
         const auto &run = m_jobs.at(*job);
         finishJob(now, *job, run.failedAnswer(Reason::Cancelled, "cancelled by the caller"));
     }
-    fetchAtHome(waiter, request);
+    fetchAtHome(now, waiter, request);
 }
 
 void EntryVm::acceptJob(TimePoint now, const Waiter &waiter, CallerRequest request)
@@ -276,15 +302,20 @@
         reply(waiter, refusedAnswer(submission.key, refusal));
         return;
     }
+    if (m_hasStorageFailed) {
+        reply(waiter, refusedAnswer(submission.key, {Reason::StorageFailed, storageDetail(), {}}));
+        return;
+    }
     if (const auto refusal = m_dispatcher.refusal(now, submission)) {
         reply(waiter, refusedAnswer(submission.key, *refusal));
         return;
     }
     const JobId job = m_nextJob++;
-    const bool needsSync = !parseJobKey(submission.key)->date.has_value();
-    m_claims.claim(now, submission.team, submission.key, submission.bodyHash, job);
+    const ClaimKey key{submission.team, submission.key};
+    const bool needsSync = !parseJobKey(key.key)->date && !faults().startsBeforeSync;
+    m_claims.claim(key, submission.bodyHash, job);
     if (request.wait)
-        m_claims.join(submission.team, submission.key, waiter);
+        m_claims.join(key, waiter);
     else
         reply(waiter, pendingAnswer(submission.key));
     auto record = std::make_shared<wire::ClaimJournalRecord>();
@@ -293,7 +324,7 @@
     const auto token = needsSync ? m_nextSyncToken++ : 0;
     m_actions.emplace_back(AppendClaimRecord{std::move(record), token});
     m_deadlines.insert({submission.deadline, job});
-    m_jobs.emplace(job, JobRun(std::move(submission)));
+    m_jobs.emplace(job, JobRun(std::move(submission), faults()));
     if (needsSync)
         m_awaitingSync.emplace(token, job);
     else
@@ -309,10 +340,11 @@
 void EntryVm::forward(TimePoint now, const std::string &home, CallerId caller, CallerRequest request)
 {
     if (!m_membership.isReachable(home)) {
-        const auto &key = request.submission.key;
-        reply({{}, 0, caller},
-              unknownAnswer(key, Reason::HomeUnreachable, "forward: VM " + home + " is out of reach",
-                            now + unreachableRetry));
+        auto answer = unknownAnswer(request.submission.key, Reason::HomeUnreachable,
+                                    "forward: VM " + home + " is out of reach", now + unreachableRetry);
+        if (faults().refusesUnreachable)
+            answer.outcome = Outcome::Refused;
+        reply({{}, 0, caller}, answer);
         return;
     }
     const auto deadline =
@@ -328,8 +360,10 @@
 
 void EntryVm::sendForward(std::uint64_t number, const Forward &forward)
 {
-    auto message = newMessage(0);
+    const auto *report = m_membership.findReport(forward.home);
+    auto message = newMessage(report->incarnation);
     auto *request = message->mutable_forwarded_request();
+    request->set_lowest_open(lowestOpenForward());
     request->set_request(number);
     request->set_kind(static_cast<std::uint32_t>(forward.request.kind));
     request->set_wait(forward.request.wait);
@@ -343,9 +377,21 @@
     auto submission = fromWire(forwarded.submission());
     if (!submission || forwarded.kind() >= requestKindNames.size())
         return;
+    const auto kind = static_cast<RequestKind>(forwarded.kind());
+    const bool isForThisHome = homeOfKey({submission->team, submission->key}) == m_options.self.name;
+    if (!isForThisHome || (kind == RequestKind::Submit && submission->tasks.empty()))
+        return;
+    noteLowestOpen(message.sender(), message.incarnation(), forwarded.lowest_open());
+    const auto &memory = m_forwardReplies[message.sender()];
+    if (forwarded.request() < memory.lowestOpen)
+        return;
     const Waiter waiter{message.sender(), message.incarnation(), forwarded.request()};
-    handleAtHome(now, waiter,
-                 {static_cast<RequestKind>(forwarded.kind()), std::move(*submission), forwarded.wait()});
+    const auto known = memory.replies.find(forwarded.request());
+    if (known != memory.replies.end() && !faults().forgetsRefusals) {
+        reply(waiter, Answer(known->second));
+        return;
+    }
+    handleAtHome(now, waiter, {kind, std::move(*submission), forwarded.wait()});
 }
 
 void EntryVm::forwardedAnswer(const wire::PeerMessage &message)
@@ -377,6 +423,7 @@
 
 void EntryVm::place(TimePoint now)
 {
+    failLateJobs(now);
     const auto placements = m_dispatcher.place(now);
     std::map<JobId, std::vector<std::uint32_t>> started;
     for (const auto &it : placements)
@@ -412,8 +459,19 @@
     m_actions.emplace_back(std::move(start));
 }
 
-void EntryVm::finishJob(TimePoint now, JobId job, const Answer &answer)
+bool EntryVm::isAwaitingSync(JobId job) const
 {
+    return std::any_of(m_awaitingSync.begin(), m_awaitingSync.end(),
+                       [job](const auto &it) { return it.second == job; });
+}
+
+void EntryVm::finishJob(TimePoint now, JobId job, Answer answer)
+{
+    // A loss of power can still undo the claim; a later attempt under the key would then be taken.
+    if (isAwaitingSync(job)) {
+        answer.outcome = Outcome::Refused;
+        answer.tasks.clear();
+    }
     const auto it = m_jobs.find(job);
     const auto submission = it->second.submission();
     for (const auto attempt : it->second.openAttempts()) {
@@ -429,13 +487,13 @@
     record->mutable_answer()->set_answered_at_us(microsecondsOf(now));
     toWire(answer, record->mutable_answer()->mutable_answer());
     m_actions.emplace_back(AppendClaimRecord{std::move(record), 0});
-    for (const auto &waiter : m_claims.answer(now, submission.team, submission.key, answer))
+    for (const auto &waiter : m_claims.answer(now, {submission.team, submission.key}, answer))
         reply(waiter, answer);
 }
 
 void EntryVm::failLateJobs(TimePoint now)
 {
-    while (!m_deadlines.empty() && m_deadlines.begin()->deadline <= now) {
+    while (!faults().ignoresDeadlines && !m_deadlines.empty() && m_deadlines.begin()->deadline <= now) {
         const auto job = m_deadlines.begin()->job;
         finishJob(now, job,
                   m_jobs.at(job).failedAnswer(Reason::DeadlinePassed, "the deadline of the job passed"));
@@ -474,6 +532,7 @@
         heartbeat->set_free_slots(m_dispatcher.freeSlots(now));
         heartbeat->set_queued_tasks(m_dispatcher.queuedTasks());
         heartbeat->set_leaving(m_isDraining);
+        heartbeat->set_lowest_open(lowestOpenForward());
         send(it.name, std::move(message));
     }
 }
@@ -497,9 +556,11 @@
 void EntryVm::reply(const Waiter &waiter, const Answer &answer)
 {
     if (waiter.vm.empty()) {
-        m_actions.emplace_back(AnswerCaller{waiter.request, answer});
+        const auto caller = waiter.request - (faults().mixesUpAnswers && waiter.request > 1 ? 1 : 0);
+        m_actions.emplace_back(AnswerCaller{caller, answer});
         return;
     }
+    rememberReply(waiter, answer);
     auto message = newMessage(waiter.incarnation);
     message->mutable_forwarded_answer()->set_request(waiter.request);
     toWire(answer, message->mutable_forwarded_answer()->mutable_answer());
--- /dev/null
+++ b/src/core/entryvmclaims.cpp
@@ -0,0 +1,204 @@
+// The part of EntryVm that deals with earlier lives and with copies of forwarded requests.
+#include "citronpitch/entryvm.h"
+#include "citronpitch/jobkey.h"
+#include "citronpitch/wireconvert.h"
+
+#include "wire/peer.pb.h"
+
+#include <algorithm>
+
+namespace Citronpitch {
+
+namespace wire = citronpitch::wire;
+
+namespace {
+
+/// Replies kept for copies of the forwarded requests of one VM.
+constexpr std::size_t maximumForwardReplies = 50'000;
+
+std::string serialized(const wire::ClaimJournalRecord &record)
+{
+    return record.SerializeAsString();
+}
+
+std::string claimRecord(const Submission &submission)
+{
+    wire::ClaimJournalRecord record;
+    toWire(submission, record.mutable_claim()->mutable_submission());
+    return serialized(record);
+}
+
+std::string floorsRecord(const ClaimFloors &floors)
+{
+    wire::ClaimJournalRecord record;
+    record.mutable_floors()->set_loss_floor_us(microsecondsOf(floors.loss));
+    record.mutable_floors()->set_age_floor_us(microsecondsOf(floors.age));
+    record.mutable_floors()->set_undated_lost(floors.isUndatedLost);
+    return serialized(record);
+}
+
+std::string expiredKeysRecord(const ExpiredKeys &keys)
+{
+    wire::ClaimJournalRecord record;
+    auto *to = record.mutable_fingerprints();
+    to->set_until_us(keys.until ? microsecondsOf(*keys.until) : 0);
+    to->mutable_fingerprints()->Add(keys.fingerprints.begin(), keys.fingerprints.end());
+    return serialized(record);
+}
+
+void addAnswered(const AnsweredClaim &claim, std::vector<std::string> &records)
+{
+    Submission submission;
+    submission.team = claim.key.team;
+    submission.key = claim.key.key;
+    submission.bodyHash = claim.bodyHash;
+    records.push_back(claimRecord(submission));
+    wire::ClaimJournalRecord record;
+    auto *to = record.mutable_answer();
+    to->set_team(claim.key.team);
+    to->set_key(claim.key.key);
+    to->set_answered_at_us(microsecondsOf(claim.answeredAt));
+    toWire(claim.answer, to->mutable_answer());
+    records.push_back(serialized(record));
+}
+
+void addOpen(const JobRun &run, std::vector<std::string> &records)
+{
+    const auto &submission = run.submission();
+    records.push_back(claimRecord(submission));
+    wire::ClaimJournalRecord record;
+    auto *intent = record.mutable_intent();
+    intent->set_team(submission.team);
+    intent->set_key(submission.key);
+    for (std::uint32_t i = 0; i < submission.tasks.size(); ++i) {
+        if (run.hasStarted(i))
+            intent->add_tasks(i);
+    }
+    if (intent->tasks_size() > 0)
+        records.push_back(serialized(record));
+}
+
+} // namespace
+
+const TestFaults &EntryVm::faults() const
+{
+    return m_options.testFaults;
+}
+
+std::string EntryVm::homeOfKey(const ClaimKey &key) const
+{
+    const auto parsed = parseJobKey(key.key);
+    if (!parsed)
+        return {};
+    return homeOf(*parsed, key.team, key.key, parsed->date ? m_vmNames : m_diskVmNames);
+}
+
+void EntryVm::recover(TimePoint now, const ClaimRecovery &recovery)
+{
+    const auto replay = replayClaims(recovery.records);
+    const auto memory = replay.malformedRecords > 0 ? ClaimMemory::Lost : recovery.memory;
+    m_claims.raiseFloors(replay.floors);
+    if (memory != ClaimMemory::Whole && !faults().raisesNoFloors) {
+        // An earlier life took keys dated up to one skew ahead of a clock that may have been one skew ahead.
+        const auto loss = now + 2 * m_options.claimLimits.clockSkew;
+        m_claims.raiseFloors({loss, {}, memory == ClaimMemory::Lost});
+    }
+    for (const auto &it : replay.expiredKeys)
+        m_claims.addExpiredKeys(it);
+    recoverAnswered(replay);
+    for (const auto &[key, claim] : replay.claims) {
+        if (!claim.answer)
+            recoverOpen(now, memory, key, claim);
+    }
+    m_claims.expire(now);
+    place(now);
+}
+
+void EntryVm::recoverAnswered(const ClaimReplay &replay)
+{
+    std::vector<std::pair<TimePoint, const ClaimKey *>> answered;
+    for (const auto &[key, claim] : replay.claims) {
+        if (claim.answer)
+            answered.emplace_back(claim.answeredAt, &key);
+    }
+    std::sort(answered.begin(), answered.end());
+    for (const auto &[answeredAt, key] : answered) {
+        const auto &claim = replay.claims.at(*key);
+        m_claims.claim(*key, claim.submission.bodyHash, 0);
+        m_claims.answer(answeredAt, *key, *claim.answer);
+    }
+}
+
+void EntryVm::recoverOpen(TimePoint now, ClaimMemory memory, const ClaimKey &key, const ReplayedClaim &claim)
+{
+    const auto job = m_nextJob++;
+    m_claims.claim(key, claim.submission.bodyHash, job);
+    auto &run = m_jobs.emplace(job, JobRun(claim.submission, faults())).first->second;
+    const auto startedTasks = faults().ignoresStartIntents ? std::set<std::uint32_t>() : claim.startedTasks;
+    for (const auto it : startedTasks) {
+        if (it < claim.submission.tasks.size())
+            run.startedEarlier(it);
+    }
+    if (memory != ClaimMemory::Whole) {
+        finishJob(now, job,
+                  {key.key,
+                   Outcome::Unknown,
+                   Reason::MemoryLost,
+                   "recovery: VM " + m_options.self.name + " may have lost what became of the job",
+                   {},
+                   {}});
+        return;
+    }
+    if (!startedTasks.empty()) {
+        finishJob(now, job,
+                  run.failedAnswer(Reason::OutcomeOfTaskUnknown,
+                                   "recovery: VM " + m_options.self.name
+                                       + " ended while tasks of the job were in flight"));
+        return;
+    }
+    m_deadlines.insert({claim.submission.deadline, job});
+    m_dispatcher.add(now, job, claim.submission);
+}
+
+std::vector<std::string> EntryVm::claimSnapshot() const
+{
+    std::vector<std::string> records{floorsRecord(m_claims.floors())};
+    for (const auto &it : m_claims.expiredKeys())
+        records.push_back(expiredKeysRecord(it));
+    for (const auto &it : m_claims.answeredClaims())
+        addAnswered(it, records);
+    for (const auto &[job, run] : m_jobs)
+        addOpen(run, records);
+    return records;
+}
+
+std::uint64_t EntryVm::lowestOpenForward() const
+{
+    return m_forwards.empty() ? m_nextForward : m_forwards.begin()->first;
+}
+
+void EntryVm::noteLowestOpen(const std::string &vm, std::uint64_t incarnation, std::uint64_t lowestOpen)
+{
+    auto &memory = m_forwardReplies[vm];
+    if (incarnation < memory.incarnation)
+        return;
+    if (incarnation > memory.incarnation)
+        memory = {incarnation, 0, {}};
+    memory.lowestOpen = std::max(memory.lowestOpen, lowestOpen);
+    memory.replies.erase(memory.replies.begin(), memory.replies.lower_bound(memory.lowestOpen));
+}
+
+void EntryVm::rememberReply(const Waiter &waiter, const Answer &answer)
+{
+    auto &memory = m_forwardReplies[waiter.vm];
+    const bool isRemembered = answer.outcome != Outcome::Refused && answer.outcome != Outcome::Unknown;
+    if (isRemembered || waiter.incarnation != memory.incarnation || waiter.request < memory.lowestOpen)
+        return;
+    memory.replies.insert_or_assign(waiter.request, answer);
+    if (memory.replies.size() <= maximumForwardReplies)
+        return;
+    memory.lowestOpen = memory.replies.begin()->first + 1;
+    memory.replies.erase(memory.replies.begin());
+}
+
+} // namespace Citronpitch
--- a/src/daemon/callerapi.cpp
+++ b/src/daemon/callerapi.cpp
@@ -172,6 +172,7 @@
     case Reason::RetiredClass:
     case Reason::UnknownTeam:
     case Reason::NeverFits:
+    case Reason::KeyMalformed:
     case Reason::DeadlinePassed:
         return 422;
     default:
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -27,6 +27,7 @@
     VmSettings vm;
     vm.identity.name = from.at("name").get<std::string>();
     vm.identity.failureDomain = from.at("failureDomain").get<std::string>();
+    vm.identity.hasDisk = from.value("disk", true);
     vm.peers = parseEndpoint(from.at("peers"));
     return vm;
 }
@@ -78,6 +79,8 @@
     settings.suspicionTime = milliseconds(from, "suspicionMs", 1500);
     settings.upstreamLease = milliseconds(from, "upstreamLeaseMs", 2000);
     settings.answerRetention = milliseconds(from, "answerRetentionMs", 3600000);
+    settings.keyAge = milliseconds(from, "keyAgeMs", 3600000);
+    settings.clockSkew = milliseconds(from, "clockSkewMs", 2000);
     settings.defaultDeadline = milliseconds(from, "defaultDeadlineMs", 30000);
     settings.drainTimeout = milliseconds(from, "drainTimeoutMs", 30000);
     settings.initialConfiguration = parseConfiguration(from.value("initialConfiguration", Json::object()));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -54,6 +54,10 @@
     Duration suspicionTime{};
     Duration upstreamLease{};
     Duration answerRetention{};
+    /// A key with an older date that is not known is never started.
+    Duration keyAge{};
+    /// Most by which two clocks of the deployment differ.
+    Duration clockSkew{};
     Duration defaultDeadline{};
     Duration drainTimeout{};
     /// Classes and teams in force before any change is accepted.
