--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -29,26 +29,36 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
 }
 
-EntryVmOptions optionsOf(const Settings &settings, TimePoint start)
+/// A life's incarnation is its start, or one more than the last one's where the clock was set back.
+std::uint64_t nextIncarnation(TimePoint start, std::uint64_t last)
+{
+    return std::max(static_cast<std::uint64_t>(microsecondsOf(start)), last + 1);
+}
+
+EntryVmOptions optionsOf(const Settings &settings, std::uint64_t incarnation)
 {
     EntryVmOptions options;
     options.self = {settings.name, settings.failureDomain};
-    options.incarnation = static_cast<std::uint64_t>(microsecondsOf(start));
+    options.incarnation = incarnation;
     for (const auto &it : settings.vms)
         options.vms.push_back(it.identity);
     options.heartbeatPeriod = settings.heartbeatPeriod;
     options.suspicionTime = settings.suspicionTime;
-    options.retention = settings.answerRetention;
+    options.claimLimits.retention = settings.answerRetention;
+    options.claimLimits.keyAge = settings.keyAge;
+    options.claimLimits.clockSkew = settings.clockSkew;
     return options;
 }
 
 } // namespace
 
-Daemon::Daemon(const Settings &settings)
+Daemon::Daemon(const Settings &settings, std::unique_ptr<ClaimStore> claims)
     : m_settings(settings)
     , m_steadyStart(std::chrono::steady_clock::now())
     , m_wallStart(wallClock())
-    , m_vm(optionsOf(settings, m_wallStart))
+    , m_claims(std::move(claims))
+    , m_incarnation(nextIncarnation(m_wallStart, m_claims->lastIncarnation()))
+    , m_vm(optionsOf(settings, m_incarnation))
     , m_upstreams(m_io,
                   [this](AttemptId attempt, const AttemptResult &result) {
                       m_vm.attemptEnded(now(), attempt, result);
@@ -69,6 +79,7 @@
     , m_random(std::random_device{}())
 {
     m_vm.setConfiguration(now(), settings.initialConfiguration);
+    recoverClaims();
     waitForSignal();
     scheduleTick();
 }
@@ -195,8 +206,37 @@
     m_isCarryingOut = false;
 }
 
+void Daemon::recoverClaims()
+{
+    const auto recovery = m_claims->takeRecovery();
+    m_vm.recover(now(), recovery);
+    logEvent(Event::ClaimsRecovered,
+             {{"records", std::to_string(recovery.records.size())},
+              {"memory", std::string(nameIn(claimMemoryNames, recovery.memory))}});
+    m_claims->start(
+        m_io.get_executor(), m_incarnation, m_vm.claimSnapshot(),
+        [this](std::uint64_t token) {
+            m_vm.journalSynced(now(), token);
+            carryOut();
+        },
+        [this](const StepError &error) { storageFailed(error); });
+    carryOut();
+}
+
+void Daemon::storageFailed(const StepError &error)
+{
+    logEvent(Event::ClaimStorageFailed, {{"error", error.text()}});
+    m_vm.storageFailed(now());
+    carryOut();
+}
+
 void Daemon::carryOut(const StartTask &action)
 {
+    // The intent of the start may be missing in the journal, or the process was stopped since the decision.
+    if (m_claims->hasFailed() || now() >= action.deadline) {
+        m_vm.attemptEnded(now(), action.attempt, {AttemptEnd::NotSent, 0, {}});
+        return;
+    }
     m_upstreams.start(action);
 }
 
@@ -222,8 +262,7 @@
 
 void Daemon::carryOut(const AppendClaimRecord &action)
 {
-    if (action.syncToken != 0)
-        m_vm.journalSynced(now(), action.syncToken);
+    m_claims->append(*action.record, action.syncToken);
 }
 
 void Daemon::scheduleTick()
@@ -241,6 +280,8 @@
 {
     m_vm.tick(now());
     carryOut();
+    if (m_claims->needsCompaction())
+        m_claims->compact(m_vm.claimSnapshot());
     if (!m_isDraining)
         return;
     if (!m_hasStoppedListening && now() >= m_listenUntil) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -5,12 +5,14 @@
 #include "net/peerlinks.h"
 #include "net/upstreamclient.h"
 #include "settings/settings.h"
+#include "store/claimstore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <memory>
 #include <random>
 
 namespace Citronpitch {
@@ -23,7 +25,7 @@
 class Daemon
 {
 public:
-    explicit Daemon(const Settings &settings);
+    Daemon(const Settings &settings, std::unique_ptr<ClaimStore> claims);
 
     /// Serves until a graceful shutdown has ended. Returns the exit code of the process.
     int run();
@@ -41,6 +43,8 @@
     void carryOut(const AnswerCaller &action);
     void carryOut(const SendPeer &action);
     void carryOut(const AppendClaimRecord &action);
+    void recoverClaims();
+    void storageFailed(const StepError &error);
     void scheduleTick();
     void tick();
     void waitForSignal();
@@ -52,6 +56,8 @@
     std::chrono::steady_clock::time_point m_steadyStart;
     TimePoint m_wallStart;
     boost::asio::io_context m_io;
+    std::unique_ptr<ClaimStore> m_claims;
+    std::uint64_t m_incarnation;
     EntryVm m_vm;
     UpstreamClient m_upstreams;
     PeerLinks m_links;
--- a/src/log/eventlog.cpp
+++ b/src/log/eventlog.cpp
@@ -28,6 +28,9 @@
     EventEntry{Event::UpstreamLeaving, EventLevel::Info, "upstream is leaving"},
     EventEntry{Event::PeerMessageMalformed, EventLevel::Warning,
                "message of a peer is malformed and was dropped"},
+    EventEntry{Event::ClaimsRecovered, EventLevel::Info, "claims of earlier lives taken over"},
+    EventEntry{Event::ClaimStorageFailed, EventLevel::Error,
+               "the journal of claims can't be written; new keys are refused"},
 };
 
 const EventEntry &entryOf(Event event)
--- a/src/log/eventlog.h
+++ b/src/log/eventlog.h
@@ -20,6 +20,8 @@
     UpstreamAnnounced = 200,
     UpstreamLeaving = 201,
     PeerMessageMalformed = 300,
+    ClaimsRecovered = 400,
+    ClaimStorageFailed = 401,
 };
 
 /// One named value of an event.
--- /dev/null
+++ b/src/store/claimstore.cpp
@@ -0,0 +1,306 @@
+#include "store/claimstore.h"
+
+#include "wire/peer.pb.h"
+
+#include <boost/asio/post.hpp>
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sys/file.h>
+#include <unistd.h>
+#include <utility>
+
+namespace Citronpitch {
+
+namespace leaf = boost::leaf;
+namespace wire = citronpitch::wire;
+namespace files = std::filesystem;
+
+namespace {
+
+/// Longest time for which a record that nobody waits for stays unsynced.
+constexpr auto lazySyncPeriod = std::chrono::milliseconds(200);
+
+std::string systemBootId()
+{
+    std::ifstream file("/proc/sys/kernel/random/boot_id");
+    std::string id;
+    file >> id;
+    return id;
+}
+
+std::string lifeRecord(const std::string &bootId, std::uint64_t incarnation)
+{
+    wire::ClaimJournalRecord record;
+    record.mutable_life()->set_boot_id(bootId);
+    record.mutable_life()->set_incarnation(incarnation);
+    return record.SerializeAsString();
+}
+
+/// The value of @p result, or its error.
+std::optional<StepError> errorOf(const std::function<leaf::result<void>()> &step)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<StepError>> {
+            BOOST_LEAF_CHECK(step());
+            return std::optional<StepError>();
+        },
+        [](const StepError &error) { return std::optional<StepError>(error); },
+        [] {
+            return std::optional<StepError>(StepError{"journal", "", "unknown error"});
+        });
+}
+
+} // namespace
+
+leaf::result<void> ClaimStore::initialize(const std::string &folder)
+{
+    ClaimStoreOptions options;
+    options.folder = folder;
+    ClaimStore store(options);
+    BOOST_LEAF_CHECK(store.lockFolder());
+    if (files::exists(store.journalPath()) || files::exists(store.incompletePath()))
+        return leaf::new_error(StepError{"initialize", folder, "the folder already holds claims"});
+    BOOST_LEAF_ASSIGN(auto journal, Journal::open(store.journalPath()));
+    return journal.replace({lifeRecord(systemBootId(), 0)});
+}
+
+leaf::result<std::unique_ptr<ClaimStore>> ClaimStore::open(const ClaimStoreOptions &options)
+{
+    std::unique_ptr<ClaimStore> store(new ClaimStore(options));
+    if (options.folder.empty())
+        return store;
+    BOOST_LEAF_CHECK(store->lockFolder());
+    std::optional<StepError> error = errorOf([&] { return store->openJournal(); });
+    if (!error)
+        return store;
+    if (error->step == checkJournalStep)
+        return leaf::new_error(*error);
+    store->m_hasFailed = true;
+    store->m_journal.reset();
+    return store;
+}
+
+ClaimStore::ClaimStore(const ClaimStoreOptions &options)
+    : m_options(options)
+{
+    if (!m_options.bootId)
+        m_options.bootId = systemBootId;
+}
+
+ClaimStore::~ClaimStore()
+{
+    *m_isAlive = false;
+    if (m_thread.joinable()) {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_isStopping = true;
+        }
+        m_wake.notify_all();
+        m_thread.join();
+    }
+    if (m_lock >= 0)
+        ::close(m_lock);
+}
+
+leaf::result<void> ClaimStore::lockFolder()
+{
+    std::error_code ec;
+    files::create_directories(m_options.folder, ec);
+    const auto path = m_options.folder + "/lock";
+    m_lock = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    if (m_lock >= 0 && ::flock(m_lock, LOCK_EX | LOCK_NB) != 0 && errno == EWOULDBLOCK)
+        return leaf::new_error(StepError{"lock data folder", path, "another process holds it"});
+    return {};
+}
+
+leaf::result<void> ClaimStore::openJournal()
+{
+    std::error_code ec;
+    const bool isIncomplete = files::exists(incompletePath(), ec);
+    // Where both are there, the journal is the newer: it was replaced, and the other not removed yet.
+    const bool isMoved = isIncomplete && !files::exists(journalPath(), ec);
+    if (isMoved)
+        files::rename(incompletePath(), journalPath(), ec);
+    const bool isFound = files::exists(journalPath(), ec);
+    BOOST_LEAF_ASSIGN(auto journal, Journal::open(journalPath(), m_options.hooks));
+    m_journal.emplace(std::move(journal));
+    m_recovery.records = m_journal->takeRecovered();
+    const auto replay = replayClaims(m_recovery.records);
+    m_lastIncarnation = replay.lastIncarnation;
+    const bool isFirstLife = isFound && !m_recovery.records.empty() && m_lastIncarnation == 0;
+    const bool isSameBoot = !replay.lastBootId.empty() && replay.lastBootId == m_options.bootId();
+    if (isFirstLife || (isSameBoot && !isIncomplete))
+        m_recovery.memory = ClaimMemory::Whole;
+    else if (isFound && m_lastIncarnation != 0)
+        m_recovery.memory = ClaimMemory::TailMayBeLost;
+    if (isMoved)
+        files::rename(journalPath(), incompletePath(), ec);
+    return {};
+}
+
+ClaimRecovery ClaimStore::takeRecovery()
+{
+    return std::exchange(m_recovery, {});
+}
+
+std::uint64_t ClaimStore::lastIncarnation() const
+{
+    return m_lastIncarnation;
+}
+
+void ClaimStore::start(const boost::asio::any_io_executor &executor, std::uint64_t incarnation,
+                       const std::vector<std::string> &snapshot, ClaimSynced synced, ClaimStoreFailed failed)
+{
+    m_executor = executor;
+    m_incarnation = incarnation;
+    m_synced = std::move(synced);
+    m_failed = std::move(failed);
+    if (m_options.folder.empty())
+        return;
+    if (m_hasFailed) {
+        m_failed({"open journal", journalPath(), "the data folder can't be used"});
+        return;
+    }
+    compact(snapshot);
+    if (m_hasFailed)
+        return;
+    std::error_code ec;
+    files::remove(incompletePath(), ec);
+    m_thread = std::thread([this] { run(); });
+    m_lazySync.emplace(m_executor);
+    scheduleLazySync();
+}
+
+void ClaimStore::append(const wire::ClaimJournalRecord &record, std::uint64_t token)
+{
+    if (m_options.folder.empty()) {
+        // Nothing lasts here, and after a restart every older key counts as unknown.
+        if (token != 0)
+            m_synced(token);
+        return;
+    }
+    if (m_hasFailed)
+        return;
+    if (const auto error = errorOf([&] { return m_journal->append(record.SerializeAsString()); })) {
+        fail(*error);
+        return;
+    }
+    ++m_appended;
+    if (token == 0)
+        return;
+    m_pending.push_back({m_appended, token});
+    requestSync();
+}
+
+bool ClaimStore::needsCompaction() const
+{
+    return m_journal && !m_hasFailed && m_journal->size() > m_options.compactionBytes
+        && m_journal->size() > 2 * m_compactedSize;
+}
+
+void ClaimStore::compact(const std::vector<std::string> &snapshot)
+{
+    std::vector<std::string> records{lifeRecord(m_options.bootId(), m_incarnation)};
+    records.insert(records.end(), snapshot.begin(), snapshot.end());
+    const std::lock_guard lock(m_fileMutex);
+    if (const auto error = errorOf([&] { return m_journal->replace(records); }))
+        fail(*error);
+    else
+        m_compactedSize = m_journal->size();
+}
+
+bool ClaimStore::hasFailed() const
+{
+    return m_hasFailed;
+}
+
+std::uint64_t ClaimStore::size() const
+{
+    return m_journal ? m_journal->size() : 0;
+}
+
+void ClaimStore::run()
+{
+    std::unique_lock lock(m_mutex);
+    for (;;) {
+        m_wake.wait(lock, [this] { return m_isStopping || m_syncWanted > m_syncDone; });
+        if (m_isStopping)
+            return;
+        const auto target = m_syncWanted;
+        lock.unlock();
+        std::optional<StepError> error;
+        {
+            const std::lock_guard fileLock(m_fileMutex);
+            error = errorOf([this] { return m_journal->sync(); });
+        }
+        boost::asio::post(m_executor, [this, isAlive = m_isAlive, target, error] {
+            if (!*isAlive)
+                return;
+            if (error)
+                fail(*error);
+            else
+                synced(target);
+        });
+        lock.lock();
+        if (error)
+            return;
+        m_syncDone = target;
+    }
+}
+
+void ClaimStore::requestSync()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_syncWanted = m_appended;
+    }
+    m_wake.notify_one();
+}
+
+void ClaimStore::scheduleLazySync()
+{
+    m_lazySync->expires_after(lazySyncPeriod);
+    m_lazySync->async_wait([this, isAlive = m_isAlive](boost::system::error_code ec) {
+        if (ec || !*isAlive || m_hasFailed)
+            return;
+        requestSync();
+        scheduleLazySync();
+    });
+}
+
+void ClaimStore::synced(std::uint64_t sequence)
+{
+    while (!m_hasFailed && !m_pending.empty() && m_pending.front().sequence <= sequence) {
+        const auto token = m_pending.front().token;
+        m_pending.pop_front();
+        m_synced(token);
+    }
+}
+
+void ClaimStore::fail(const StepError &error)
+{
+    if (m_hasFailed)
+        return;
+    m_hasFailed = true;
+    m_pending.clear();
+    // A later life must not take the journal for whole; renaming needs no space.
+    std::error_code ec;
+    files::rename(journalPath(), incompletePath(), ec);
+    m_failed(error);
+}
+
+std::string ClaimStore::journalPath() const
+{
+    return m_options.folder + "/claims";
+}
+
+std::string ClaimStore::incompletePath() const
+{
+    return m_options.folder + "/claims.incomplete";
+}
+
+} // namespace Citronpitch
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -62,19 +62,6 @@
     return bytes;
 }
 
-bool writeAll(int descriptor, std::string_view bytes)
-{
-    while (!bytes.empty()) {
-        const auto n = ::write(descriptor, bytes.data(), bytes.size());
-        if (n < 0 && errno == EINTR)
-            continue;
-        if (n <= 0)
-            return false;
-        bytes.remove_prefix(static_cast<std::size_t>(n));
-    }
-    return true;
-}
-
 leaf::result<std::string> readAll(int descriptor, const std::string &path)
 {
     std::string content;
@@ -109,6 +96,12 @@
     std::uint64_t end = headerBytes;
 };
 
+/// Whether nothing but zeros follows: the file grew, and its content was not written before the power went.
+bool isZeroFrom(const std::string &content, std::uint64_t offset)
+{
+    return content.find_first_not_of('\0', offset) == std::string::npos;
+}
+
 leaf::result<Scan> scanRecords(const std::string &content, const std::string &path)
 {
     Scan scan;
@@ -122,11 +115,12 @@
         const bool isWhole =
             isLengthWhole && header.checksum == XXH3_64bits(content.data() + bodyStart, header.length);
         const bool isLast = isLengthWhole && bodyStart + header.length == content.size();
-        if (!isWhole && isLast)
+        const auto next = isLengthWhole ? bodyStart + header.length : scan.end;
+        if (!isWhole && (isLast || isZeroFrom(content, next)))
             break;
         if (!isWhole)
             return fileError(
-                "read journal", path,
+                std::string(checkJournalStep), path,
                 "the record at offset " + std::to_string(scan.end)
                     + " is damaged; restore the file from a copy, or remove it to start without memory");
         scan.records.emplace_back(content, bodyStart, header.length);
@@ -138,21 +132,26 @@
 leaf::result<void> checkHeader(const std::string &content, const std::string &path)
 {
     if (content.compare(0, magic.size(), magic) != 0)
-        return fileError("read journal", path, "the file is not a journal");
+        return fileError(std::string(checkJournalStep), path, "the file is not a journal");
     std::uint32_t version = 0;
     std::memcpy(&version, content.data() + magic.size(), sizeof version);
     if (version != journalFormatVersion)
-        return fileError("read journal", path,
+        return fileError(std::string(checkJournalStep), path,
                          "format version " + std::to_string(version) + " is not supported");
     return {};
 }
 
 } // namespace
 
-leaf::result<Journal> Journal::open(const std::string &path)
+leaf::result<Journal> Journal::open(const std::string &path, const JournalHooks &hooks)
 {
     Journal journal;
     journal.m_path = path;
+    journal.m_hooks = hooks;
+    if (!journal.m_hooks.write)
+        journal.m_hooks.write = ::write;
+    if (!journal.m_hooks.sync)
+        journal.m_hooks.sync = ::fdatasync;
     journal.m_descriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     if (journal.m_descriptor < 0)
         return systemError("open journal", path);
@@ -180,6 +179,7 @@
 
 Journal::Journal(Journal &&other) noexcept
     : m_path(std::move(other.m_path))
+    , m_hooks(std::move(other.m_hooks))
     , m_descriptor(std::exchange(other.m_descriptor, -1))
     , m_size(other.m_size)
     , m_tornBytes(other.m_tornBytes)
@@ -191,6 +191,7 @@
 Journal &Journal::operator=(Journal &&other) noexcept
 {
     std::swap(m_path, other.m_path);
+    std::swap(m_hooks, other.m_hooks);
     std::swap(m_descriptor, other.m_descriptor);
     std::swap(m_size, other.m_size);
     std::swap(m_tornBytes, other.m_tornBytes);
@@ -226,7 +227,7 @@
 
 leaf::result<void> Journal::sync() const
 {
-    if (::fdatasync(m_descriptor) != 0)
+    if (m_hooks.sync(m_descriptor) != 0)
         return systemError("sync journal", m_path);
     return {};
 }
@@ -240,7 +241,7 @@
     std::string content = fileHeader();
     for (const auto &it : records)
         content += frame(it);
-    if (!writeAll(descriptor, content) || ::fsync(descriptor) != 0
+    if (!writeAll(descriptor, content) || m_hooks.sync(descriptor) != 0
         || ::rename(path.c_str(), m_path.c_str()) != 0) {
         const auto error = systemError("replace journal", path);
         ::close(descriptor);
@@ -253,6 +254,19 @@
     return syncFolder(m_path);
 }
 
+bool Journal::writeAll(int descriptor, std::string_view bytes) const
+{
+    while (!bytes.empty()) {
+        const auto n = m_hooks.write(descriptor, bytes.data(), bytes.size());
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n <= 0)
+            return false;
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+    return true;
+}
+
 std::uint64_t Journal::size() const
 {
     return m_size;
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -5,8 +5,10 @@
 #include <boost/leaf.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <sys/types.h>
 #include <vector>
 
 namespace Citronpitch {
@@ -17,6 +19,16 @@
 /// Largest record, in bytes.
 constexpr std::size_t maximumRecordBytes = std::size_t{64} << 20;
 
+/// Step of an error that says that the content of a journal is damaged, and no failure of the disk.
+inline constexpr std::string_view checkJournalStep = "check journal";
+
+/// Calls of the system that a test replaces to make the disk fail. Each works as the call of its name.
+struct JournalHooks
+{
+    std::function<ssize_t(int descriptor, const void *bytes, std::size_t size)> write;
+    std::function<int(int descriptor)> sync;
+};
+
 /**
  * @brief An append-only file of checksummed records in the data folder.
  *
@@ -29,7 +41,7 @@
 {
 public:
     /// Opens the file at @p path, or makes it. The folder must exist.
-    static boost::leaf::result<Journal> open(const std::string &path);
+    static boost::leaf::result<Journal> open(const std::string &path, const JournalHooks &hooks = {});
 
     ~Journal();
     Journal(Journal &&other) noexcept;
@@ -58,7 +70,10 @@
 private:
     Journal() = default;
 
+    bool writeAll(int descriptor, std::string_view bytes) const;
+
     std::string m_path;
+    JournalHooks m_hooks;
     int m_descriptor = -1;
     std::uint64_t m_size = 0;
     std::uint64_t m_tornBytes = 0;
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -82,6 +82,7 @@
 {
     for (const auto &it : m_plan.vms) {
         writeVmSettings(it);
+        initializeVm(it.name);
         startVm(it.name);
     }
     for (const auto &it : m_plan.upstreams) {
@@ -103,6 +104,14 @@
     return true;
 }
 
+void Deployment::initializeVm(const std::string &name) const
+{
+    const auto base = m_plan.folder + "/" + name;
+    ChildProcess process(m_plan.programs + "/citronpitchd", {"--settings", base + ".json", "--initialize"},
+                         base + ".log");
+    process.wait();
+}
+
 void Deployment::startVm(const std::string &name)
 {
     const auto base = m_plan.folder + "/" + name;
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -75,6 +75,9 @@
     /// Waits until every VM hears every other and knows the upstreams of its domain. False after @p timeout.
     bool waitUntilReady(Duration timeout);
 
+    /// Prepares the data folder of a VM that never lived before.
+    void initializeVm(const std::string &name) const;
+
     /// Starts a VM that was stopped or killed.
     void startVm(const std::string &name);
     void startUpstream(const std::string &name);
