--- /dev/null
+++ b/tests/fuzz/fuzzmain.cpp
@@ -0,0 +1,62 @@
+// Runs every model of the fuzzer on one seed.
+#include "fuzz/claimsmodel.h"
+
+#include <getopt.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <vector>
+
+namespace {
+
+constexpr int exitUsage = 2;
+
+std::vector<Citronpitch::FuzzModel> models()
+{
+    using namespace Citronpitch;
+    return {{"claims", [](std::uint64_t seed, std::uint64_t steps) {
+                 return fuzzClaims({seed, steps, {}, true});
+             }}};
+}
+
+/// Prints one line on success; the seed, the breach and the shrunk trace on failure.
+bool runModel(const Citronpitch::FuzzModel &model, std::uint64_t seed, std::uint64_t steps)
+{
+    const auto report = model.run(seed, steps);
+    if (report.hasPassed)
+        std::cout << model.name << ": seed " << seed << ": " << report.text << "\n";
+    else
+        std::cout << model.name << ": FAILED with --seed " << seed << " --steps " << steps << "\n"
+                  << report.text << "\n";
+    return report.hasPassed;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const option options[] = {{"seed", required_argument, nullptr, 's'},
+                              {"steps", required_argument, nullptr, 'n'},
+                              {"model", required_argument, nullptr, 'm'},
+                              {nullptr, 0, nullptr, 0}};
+    std::uint64_t seed = 1;
+    std::uint64_t steps = 10'000;
+    std::string only;
+    for (int it = getopt_long(argc, argv, "s:n:m:", options, nullptr); it != -1;
+         it = getopt_long(argc, argv, "s:n:m:", options, nullptr)) {
+        if (it == 's')
+            seed = std::strtoull(optarg, nullptr, 10);
+        else if (it == 'n')
+            steps = std::strtoull(optarg, nullptr, 10);
+        else if (it == 'm')
+            only = optarg;
+        else
+            return exitUsage;
+    }
+    bool hasPassed = true;
+    for (const auto &it : models()) {
+        if (only.empty() || only == it.name)
+            hasPassed = runModel(it, seed, steps) && hasPassed;
+    }
+    return hasPassed ? 0 : 1;
+}
--- /dev/null
+++ b/tests/fuzz/simulation.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include "citronpitch/entryvm.h"
+#include "fuzz/oracle.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Citronpitch {
+
+/// How the links between the entry VMs behave.
+struct LinkQuality
+{
+    std::uint32_t dropPercent = 0;
+    std::uint32_t duplicatePercent = 0;
+    Duration longestDelay = std::chrono::milliseconds(2);
+};
+
+/// What a simulated upstream does with start messages.
+enum class UpstreamMode {
+    Normal,
+    Declines,
+    BreaksBeforeStart,
+    BreaksAfterStart,
+    FailsEverything,
+    Slow,
+    Silent,
+    Unreachable,
+    Leaving,
+};
+
+inline constexpr std::array upstreamModeNames{
+    EnumName<UpstreamMode>{UpstreamMode::Normal, "normal"},
+    EnumName<UpstreamMode>{UpstreamMode::Declines, "declines"},
+    EnumName<UpstreamMode>{UpstreamMode::BreaksBeforeStart, "breaks-before-start"},
+    EnumName<UpstreamMode>{UpstreamMode::BreaksAfterStart, "breaks-after-start"},
+    EnumName<UpstreamMode>{UpstreamMode::FailsEverything, "fails-everything"},
+    EnumName<UpstreamMode>{UpstreamMode::Slow, "slow"},
+    EnumName<UpstreamMode>{UpstreamMode::Silent, "silent"},
+    EnumName<UpstreamMode>{UpstreamMode::Unreachable, "unreachable"},
+    EnumName<UpstreamMode>{UpstreamMode::Leaving, "leaving"},
+};
+
+/// How an entry VM ends.
+enum class EndOfLife {
+    /// The process dies; what it wrote stays.
+    Process,
+    /// The machine loses power; what was not synced may go.
+    Power,
+    /// The data folder goes as well.
+    Folder,
+};
+
+inline constexpr std::array endOfLifeNames{
+    EnumName<EndOfLife>{EndOfLife::Process, "process"},
+    EnumName<EndOfLife>{EndOfLife::Power, "power"},
+    EnumName<EndOfLife>{EndOfLife::Folder, "folder"},
+};
+
+/// What one simulation saw.
+struct SimulationCounts
+{
+    std::uint64_t events = 0;
+    std::uint64_t faults = 0;
+    std::uint64_t starts = 0;
+    std::uint64_t answers = 0;
+};
+
+/**
+ * @brief Several EntryVm with simulated time, links, disks, upstreams and callers.
+ *
+ * Numbers of VMs, upstreams and keys are taken modulo how many there are, so that every argument is valid.
+ * Used by the claims model of the fuzzer.
+ */
+class Simulation
+{
+public:
+    explicit Simulation(const TestFaults &faults);
+
+    void submit(std::uint32_t vm, std::uint32_t key, std::uint32_t body, bool wait);
+    void fetch(std::uint32_t vm, std::uint32_t key, bool wait);
+    void cancel(std::uint32_t vm, std::uint32_t key);
+    /// The connection of the caller that waits longest ends.
+    void dropCaller();
+
+    void cut(std::uint32_t from, std::uint32_t to, bool bothWays);
+    void heal();
+    void setLinks(const LinkQuality &quality);
+
+    void kill(std::uint32_t vm, EndOfLife end);
+    /// The life ends once it has carried out @p actions more actions.
+    void killAfter(std::uint32_t vm, std::uint32_t actions, EndOfLife end);
+    void restart(std::uint32_t vm);
+    void freeze(std::uint32_t vm);
+    void wake(std::uint32_t vm, bool ticksFirst);
+    void failDisk(std::uint32_t vm);
+    /// Declares the class of all work at one VM, or takes it away there.
+    void declareClass(std::uint32_t vm, bool isDeclared);
+    void setUpstream(std::uint32_t upstream, UpstreamMode mode);
+
+    void advance(Duration time);
+
+    /// Ends every fault, lets time pass, and has the oracle check that everybody was answered.
+    void settle();
+
+    const std::optional<std::string> &violation() const;
+    SimulationCounts counts() const;
+
+private:
+    using VmEvent = std::function<void(EntryVm &, TimePoint)>;
+
+    struct Disk
+    {
+        bool isThere = true;
+        bool isFailing = false;
+        bool isIncomplete = false;
+        std::vector<std::string> records;
+        std::size_t synced = 0;
+        std::uint64_t lastIncarnation = 0;
+        std::uint64_t lastBoot = 0;
+    };
+
+    struct Vm
+    {
+        VmIdentity identity;
+        std::unique_ptr<EntryVm> decisions;
+        bool isFrozen = false;
+        bool isCarryingOut = false;
+        std::vector<VmEvent> inbox;
+        std::map<std::uint64_t, bool> callers;
+        Disk disk;
+        std::uint64_t incarnation = 0;
+        std::uint64_t boot = 1;
+        Duration clockOffset{};
+        std::uint32_t actionsLeft = 0;
+        bool hasKillArmed = false;
+        EndOfLife armedEnd = EndOfLife::Process;
+    };
+
+    struct Upstream
+    {
+        std::string name;
+        std::string failureDomain;
+        UpstreamMode mode = UpstreamMode::Normal;
+        std::uint64_t incarnation = 1;
+    };
+
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+
+        bool operator>(const Event &other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    /// Attempts of a payload that some living VM waits for.
+    struct RunningAttempt
+    {
+        std::size_t vm = 0;
+        std::string payload;
+    };
+
+    void schedule(Duration after, std::function<void()> run);
+    void startLife(std::size_t vm);
+    ClaimMemory memoryOf(const Vm &vm) const;
+    void endLife(std::size_t vm, EndOfLife end);
+    void tickVm(std::size_t vm, std::uint64_t incarnation);
+    void syncLazily(std::size_t vm, std::uint64_t incarnation);
+    void announceUpstream(std::size_t upstream);
+    void onVm(std::size_t vm, std::uint64_t incarnation, const VmEvent &event);
+    void request(std::uint32_t vm, RequestKind kind, const Work &work, bool wait);
+    void carryOut(std::size_t vm);
+    bool spendAction(std::size_t vm);
+    void carryOut(std::size_t vm, const StartTask &action);
+    void carryOut(std::size_t vm, const StopTask &action);
+    void carryOut(std::size_t vm, const AnswerCaller &action);
+    void carryOut(std::size_t vm, const SendPeer &action);
+    void carryOut(std::size_t vm, const AppendClaimRecord &action);
+    void deliver(std::size_t from, std::size_t to, const std::string &bytes);
+    void startAt(std::size_t upstream, std::size_t vm, const StartTask &action);
+    void endAttempt(std::size_t vm, const StartTask &action, const AttemptResult &result, Duration after);
+    Work workOf(std::uint32_t key, std::uint32_t body);
+    const std::string &keyText(std::uint32_t key);
+    std::size_t vmNamed(const std::string &name) const;
+    TimePoint clockOf(const Vm &vm) const;
+    Duration randomDuration(Duration longest);
+    bool chance(std::uint32_t percent);
+
+    TestFaults m_faults;
+    TimePoint m_now;
+    std::mt19937_64 m_random{1};
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::uint64_t m_nextOrder = 1;
+    std::uint64_t m_nextRequest = 1;
+    std::vector<Vm> m_vms;
+    std::vector<Upstream> m_upstreams;
+    std::map<std::pair<std::size_t, std::size_t>, bool> m_cuts;
+    LinkQuality m_links;
+    std::map<std::uint32_t, std::string> m_keys;
+    /// By the attempt's name on the wire.
+    std::map<std::string, RunningAttempt> m_running;
+    Oracle m_oracle;
+    SimulationCounts m_counts;
+};
+
+} // namespace Citronpitch
