--- a/include/citronpitch/jobrun.h
+++ b/include/citronpitch/jobrun.h
@@ -5,6 +5,7 @@
 #include "citronpitch/testfaults.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -39,8 +40,14 @@
     /// Notes that an earlier life of the VM may have sent a start message of @p task.
     void startedEarlier(std::uint32_t task);
 
-    /// Notes how the attempt of @p task ended.
-    AfterAttempt end(std::uint32_t task, const AttemptResult &result);
+    /**
+     * Notes how the attempt of @p task ended.
+     *
+     * @p takeRetry is asked before an idempotent single request that may have run is tried again; without it
+     * nothing limits retries but their number.
+     */
+    AfterAttempt end(std::uint32_t task, const AttemptResult &result,
+                     const std::function<bool()> &takeRetry = nullptr);
 
     /// Attempts whose end is not known.
     std::vector<AttemptId> openAttempts() const;
@@ -73,7 +80,7 @@
         TaskReport report;
     };
 
-    bool mayRunAgain(const Task &task) const;
+    bool mayRetry(const Task &task, const std::function<bool()> &takeRetry) const;
     AfterAttempt fail(Reason reason, std::string detail);
 
     Submission m_submission;
--- a/src/core/claims/jobrun.cpp
+++ b/src/core/claims/jobrun.cpp
@@ -47,7 +47,8 @@
     ++it.brokenAttempts;
 }
 
-AfterAttempt JobRun::end(std::uint32_t task, const AttemptResult &result)
+AfterAttempt JobRun::end(std::uint32_t task, const AttemptResult &result,
+                         const std::function<bool()> &takeRetry)
 {
     auto &it = m_tasks.at(task);
     it.attempt.reset();
@@ -55,7 +56,7 @@
         return AfterAttempt::PlaceAgain;
     if (result.end == AttemptEnd::Broken) {
         ++it.brokenAttempts;
-        if (mayRunAgain(it))
+        if (mayRetry(it, takeRetry))
             return AfterAttempt::PlaceAgain;
         it.report.state = TaskState::MayHaveRun;
         return fail(Reason::OutcomeOfTaskUnknown,
@@ -126,10 +127,11 @@
     return m_failure == Reason::None ? completeAnswer() : failedAnswer(m_failure, m_failureDetail);
 }
 
-bool JobRun::mayRunAgain(const Task &task) const
+bool JobRun::mayRetry(const Task &task, const std::function<bool()> &takeRetry) const
 {
-    const bool mayRepeat = (m_submission.idempotent && m_tasks.size() == 1) || m_faults.retriesBrokenAttempts;
-    return mayRepeat && task.brokenAttempts < maximumBrokenAttempts;
+    const bool isRepeatable =
+        (m_submission.idempotent && m_tasks.size() == 1) || m_faults.retriesBrokenAttempts;
+    return isRepeatable && task.brokenAttempts < maximumBrokenAttempts && (!takeRetry || takeRetry());
 }
 
 AfterAttempt JobRun::fail(Reason reason, std::string detail)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -47,6 +47,8 @@
     options.claimLimits.retention = settings.answerRetention;
     options.claimLimits.keyAge = settings.keyAge;
     options.claimLimits.clockSkew = settings.clockSkew;
+    options.dispatching.placement = settings.placement;
+    options.dispatching.entryVms = static_cast<std::uint32_t>(settings.vms.size());
     return options;
 }
 
@@ -64,8 +66,13 @@
                       m_vm.attemptEnded(now(), attempt, result);
                       carryOut();
                   })
-    , m_links(m_io, settings.name, settings.peers, settings.vms,
-              [this](std::string_view bytes) { peerReceived(bytes); })
+    , m_links(
+          m_io, settings.name, settings.peers, settings.vms,
+          [this](std::string_view bytes) { peerReceived(bytes); },
+          [this](const std::string &vm, bool isUp) {
+              m_vm.linkChanged(now(), vm, isUp);
+              carryOut();
+          })
     , m_callerServer(m_io, settings.callers, settings.limits,
                      [this](const HttpRequest &request, HttpResponder respond) {
                          return handleCaller(request, std::move(respond));
@@ -314,6 +321,7 @@
     m_isDraining = true;
     m_listenUntil = now() + listenAfterDrain;
     m_drainDeadline = now() + m_settings.drainTimeout;
+    m_callerServer.closeAfterResponses();
     m_vm.drain(now());
     carryOut();
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -36,6 +36,7 @@
 {
     CallerLimits limits;
     limits.maximumBodyBytes = from.value("maximumBodyBytes", std::uint64_t{8} << 20);
+    limits.maximumBodyBytesInAll = from.value("maximumBodyBytesInAll", std::uint64_t{256} << 20);
     limits.maximumHeaderBytes = from.value("maximumHeaderBytes", 16384U);
     limits.maximumConnections = from.value("maximumConnections", 10000U);
     limits.maximumConnectionsPerAddress = from.value("maximumConnectionsPerAddress", 4000U);
@@ -63,6 +64,15 @@
     return configuration;
 }
 
+PlacementPolicy parsePlacement(const Json &from)
+{
+    const auto name = from.value("placement", std::string("target"));
+    const auto policy = valueIn(placementPolicyNames, name);
+    if (!policy)
+        throw Json::other_error::create(501, "placement: there is no policy \"" + name + "\"", &from);
+    return *policy;
+}
+
 Settings parseAll(const Json &from)
 {
     Settings settings;
@@ -83,6 +93,7 @@
     settings.clockSkew = milliseconds(from, "clockSkewMs", 2000);
     settings.defaultDeadline = milliseconds(from, "defaultDeadlineMs", 30000);
     settings.drainTimeout = milliseconds(from, "drainTimeoutMs", 30000);
+    settings.placement = parsePlacement(from);
     settings.initialConfiguration = parseConfiguration(from.value("initialConfiguration", Json::object()));
     return settings;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -2,6 +2,7 @@
 
 #include "citronpitch/configuration.h"
 #include "citronpitch/membership.h"
+#include "citronpitch/placementpolicy.h"
 #include "citronpitch/steperror.h"
 
 #include <boost/leaf.hpp>
@@ -32,6 +33,8 @@
 struct CallerLimits
 {
     std::uint64_t maximumBodyBytes = 0;
+    /// Largest sum of the request bodies that are being read at one time.
+    std::uint64_t maximumBodyBytesInAll = 0;
     std::uint32_t maximumHeaderBytes = 0;
     std::uint32_t maximumConnections = 0;
     std::uint32_t maximumConnectionsPerAddress = 0;
@@ -60,6 +63,8 @@
     Duration clockSkew{};
     Duration defaultDeadline{};
     Duration drainTimeout{};
+    /// How waiting tasks are ordered and upstreams chosen; other than the default only for comparison.
+    PlacementPolicy placement = PlacementPolicy::Target;
     /// Classes and teams in force before any change is accepted.
     Configuration initialConfiguration;
 };
