--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -61,6 +61,10 @@
     Duration suspicionTime{};
     Duration upstreamLease{};
     Duration answerRetention{};
+    /// A key with an older date that is not known is never started.
+    Duration keyAge{};
+    /// Most by which two clocks of the deployment differ.
+    Duration clockSkew{};
     Duration defaultDeadline{};
     Duration drainTimeout{};
     /// How waiting tasks are ordered and upstreams chosen; other than the default only for comparison.
