Learn from tasks that still run on an upstream of which little is known

Cause: the first tasks on a slow upstream say nothing until they end, and more tasks follow them meanwhile.

--- a/src/core/dispatch/attempttable.h
+++ b/src/core/dispatch/attempttable.h
@@ -25,6 +25,8 @@
     Capacity cost;
     Duration declared{};
     TimePoint startedAt;
+    /// When the attempt has taken clearly longer than expected; nothing where that does not matter.
+    std::optional<TimePoint> lateAt;
     /// When the attempt is taken for stuck.
     TimePoint stuckAt;
     /// Nobody waits for the result any more.
@@ -48,19 +50,23 @@
     /// Notes that nobody waits for @p attempt any more; it is not taken for stuck from now on.
     void abandon(AttemptId attempt);
 
+    /// Attempts that became late by @p now; each is returned again when twice the time has passed.
+    std::vector<InFlight> takeLate(TimePoint now);
+
     /// Attempts that became stuck by @p now; each is returned once.
     std::vector<InFlight> takeStuck(TimePoint now);
 
 private:
-    struct StuckKey
+    struct Due
     {
-        TimePoint stuckAt;
+        TimePoint at;
         AttemptId attempt = 0;
-        auto operator<=>(const StuckKey &) const = default;
+        auto operator<=>(const Due &) const = default;
     };
 
     std::unordered_map<AttemptId, InFlight> m_attempts;
-    std::set<StuckKey> m_stuck;
+    std::set<Due> m_stuck;
+    std::set<Due> m_late;
     AttemptId m_next = 1;
 };
 
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -21,6 +21,10 @@
 constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
 constexpr Duration advancePeriod = std::chrono::milliseconds(100);
 
+/// Multiple of the expected time at which an attempt on a little known upstream counts as late.
+constexpr int lateNumerator = 3;
+constexpr int lateDenominator = 2;
+
 /// Upstreams whose lease ended this long ago are forgotten.
 constexpr Duration upstreamMemory = std::chrono::minutes(10);
 constexpr Duration forgetPeriod = std::chrono::minutes(1);
@@ -222,6 +226,10 @@
     }
     if (loans.expire(now))
         refreshAll(now);
+    for (const auto &it : attempts.takeLate(now)) {
+        times.stillRuns(now, it.of, it.upstream, it.declared, now - it.startedAt);
+        classes.at(it.of).isRankingOld = true;
+    }
     for (const auto &it : attempts.takeStuck(now))
         observe(now, it, HealthSign::Stuck);
     if (now - forgottenAt < forgetPeriod)
@@ -322,6 +330,10 @@
     attempt.declared = job.declared[task];
     attempt.startedAt = now;
     attempt.stuckAt = now + times.stuckAfter(now, attempt.of, upstream, attempt.declared);
+    if (times.isLittleKnown(upstream)) {
+        const auto expected = times.expected(attempt.of, attempt.declared);
+        attempt.lateAt = now + expected * lateNumerator / lateDenominator;
+    }
     queue.started(attempt.team);
     retries.started();
     entry.used += attempt.cost;
--- a/src/core/dispatch/servicetimes.cpp
+++ b/src/core/dispatch/servicetimes.cpp
@@ -28,6 +28,9 @@
 /// Samples of a class that outweigh a declared time.
 constexpr std::uint32_t samplesOverDeclared = 3;
 
+/// Samples after which the speed of an upstream counts as known.
+constexpr std::uint32_t samplesOfKnownSpeed = 4;
+
 /// A speed that is not confirmed is forgotten over this time, so that a slow upstream is tried again.
 constexpr Duration speedMemory = std::chrono::seconds(60);
 
@@ -74,6 +77,23 @@
     learn(at(model.pairs, upstream), model.ordinaryPair, error, pairPriorSamples);
 }
 
+void ServiceTimes::stillRuns(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared,
+                             Duration elapsed)
+{
+    const double error =
+        logarithmOf(elapsed) - (classLog(of, declared) + speedLog(now, upstream) + pairLog(of, upstream));
+    if (error <= 0 || !isLittleKnown(upstream))
+        return;
+    auto &speed = at(m_speeds, upstream);
+    learn(speed.residual, m_ordinarySpeed, error, upstreamPriorSamples);
+    speed.learnedAt = now;
+}
+
+bool ServiceTimes::isLittleKnown(UpstreamIndex upstream) const
+{
+    return upstream >= m_speeds.size() || m_speeds[upstream].residual.samples < samplesOfKnownSpeed;
+}
+
 Duration ServiceTimes::expected(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared) const
 {
     return durationOf(classLog(of, declared) + speedLog(now, upstream) + pairLog(of, upstream));
--- a/src/core/dispatch/servicetimes.h
+++ b/src/core/dispatch/servicetimes.h
@@ -27,6 +27,16 @@
     /// Learns from a task of class @p of that succeeded on @p upstream after @p took.
     void succeeded(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared, Duration took);
 
+    /**
+     * Learns from a task that still runs on @p upstream after @p elapsed.
+     *
+     * Only the speed of an upstream of which little is known follows from it.
+     */
+    void stillRuns(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared, Duration elapsed);
+
+    /// Whether stillRuns() would be of use.
+    bool isLittleKnown(UpstreamIndex upstream) const;
+
     /// Expected time of a task of class @p of with the declared time @p declared (zero: none) on @p upstream.
     Duration expected(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared) const;
 
