--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -50,6 +50,11 @@
         it->drain();
 }
 
+void HttpServer::setLimits(const CallerLimits &limits)
+{
+    m_limits = limits;
+}
+
 void HttpServer::takeWaiting()
 {
     boost::system::error_code ec;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -40,6 +40,9 @@
     /// their response.
     void drain();
 
+    /// Takes @p limits for connections and requests from now on.
+    void setLimits(const CallerLimits &limits);
+
     /// Port that is listened on.
     std::uint16_t port() const;
 
