Keep the slot of a task that was given up until its expected end

Cause: an upstream goes on with a task after its connection is closed; the slot was used again at once and the start declined. With the mechanism off aTaskThatIsGivenUpKeepsItsSlotUntilItsExpectedEnd fails. The test of quotas did not fail with quotas off, since the team had too few tasks to fill every slot; it has more now.

--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -112,7 +112,12 @@
     /// Chooses upstreams for as many waiting tasks as there are usable slots.
     std::vector<Placement> place(TimePoint now);
 
-    /// Frees the slot of an attempt and learns from how it ended.
+    /**
+     * Frees the slot of an attempt and learns from how it ended.
+     *
+     * An upstream may go on with a task after its connection was given up; the slot of such an attempt is free
+     * once the task is expected to have ended.
+     */
     void finish(TimePoint now, AttemptId attempt, const AttemptResult &result);
 
     /// Sets the entry VMs of the failure domain of which capacity can be borrowed.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -254,11 +254,15 @@
     const auto job = m_state->jobs.find(ended->job);
     if (job != m_state->jobs.end())
         std::erase(job->second.open, attempt);
-    auto &entry = m_state->upstreams.at(ended->upstream);
-    if (entry.announcement.incarnation != ended->incarnation)
+    const bool mayGoOn = ended->isAbandoned && result.end == AttemptEnd::Broken;
+    const auto goesOnUntil = m_state->expectedEnd(now, *ended);
+    if (mayGoOn && goesOnUntil > now) {
+        m_state->lingering.emplace(goesOnUntil, *ended);
+        return;
+    }
+    m_state->release(now, *ended);
+    if (m_state->upstreams.at(ended->upstream).announcement.incarnation != ended->incarnation)
         return;
-    entry.used -= ended->cost;
-    entry.busy -= entry.busy > 0 ? 1 : 0;
     m_state->learn(now, *ended, result);
     m_state->releaseRecalled(now);
     m_state->refresh(now, ended->upstream);
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -224,6 +224,10 @@
         health.passTime(now, upstream);
         refresh(now, upstream);
     }
+    while (!lingering.empty() && lingering.begin()->first <= now) {
+        release(now, lingering.begin()->second);
+        lingering.erase(lingering.begin());
+    }
     if (loans.expire(now))
         refreshAll(now);
     for (const auto &it : attempts.takeLate(now)) {
@@ -348,6 +352,23 @@
     return {head.job, task, id, announcement.name, announcement.address, announcement.port};
 }
 
+void Dispatcher::State::release(TimePoint now, const InFlight &attempt)
+{
+    auto &entry = upstreams.at(attempt.upstream);
+    if (entry.announcement.incarnation != attempt.incarnation)
+        return;
+    entry.used -= attempt.cost;
+    entry.busy -= entry.busy > 0 ? 1 : 0;
+    refresh(now, attempt.upstream);
+}
+
+TimePoint Dispatcher::State::expectedEnd(TimePoint now, const InFlight &attempt) const
+{
+    return attempt.startedAt
+        + times.expected(now, attempt.of, attempt.upstream, attempt.declared) * lateNumerator
+        / lateDenominator;
+}
+
 void Dispatcher::State::learn(TimePoint now, const InFlight &attempt, const AttemptResult &result)
 {
     auto &entry = upstreams.at(attempt.upstream);
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -74,6 +74,11 @@
     std::optional<UpstreamIndex> chooseForBaseline(const Resources &need) const;
     Placement start(TimePoint now, const LaneHead &head, UpstreamIndex upstream);
 
+    /// Frees what an attempt took of its upstream.
+    void release(TimePoint now, const InFlight &attempt);
+    /// When the upstream is expected to have ended a task whose connection was given up.
+    TimePoint expectedEnd(TimePoint now, const InFlight &attempt) const;
+
     /// Learns from the end of an attempt.
     void learn(TimePoint now, const InFlight &attempt, const AttemptResult &result);
     void learnFromAnswer(TimePoint now, const InFlight &attempt, int status);
@@ -95,6 +100,8 @@
     std::unordered_map<JobId, JobTrace> jobs;
     /// When the state of an upstream has to be looked at again.
     std::multimap<TimePoint, UpstreamIndex> wakeups;
+    /// Attempts that were given up while the upstream may go on with the task, by its expected end.
+    std::multimap<TimePoint, InFlight> lingering;
     std::uint32_t freeUpstreams = 0;
     std::uint32_t parallel = 0;
     /// Counts the changes in which upstreams take work, and how much.
--- a/tests/unit/dispatchertest.cpp
+++ b/tests/unit/dispatchertest.cpp
@@ -160,11 +160,27 @@
     dispatcher.remove(now, job);
     dispatcher.requeue(now, job, submission(2), 0);
     dispatcher.finish(now, placed.at(0).attempt, broken);
+    now += 1s;
     const auto next = place();
     ASSERT_EQ(next.size(), 1U);
     EXPECT_EQ(next[0].job, other);
 }
 
+TEST_F(DispatcherTest, aTaskThatIsGivenUpKeepsItsSlotUntilItsExpectedEnd)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    runOneByOne(4, {{"a", 100ms}});
+    const auto job = add(submission(1));
+    const auto placed = place();
+    add(submission(1));
+    now += 10ms;
+    dispatcher.remove(now, job);
+    dispatcher.finish(now, placed.at(0).attempt, broken);
+    EXPECT_TRUE(place().empty()) << "the upstream may still run the task, and would decline another";
+    now += 190ms;
+    EXPECT_EQ(place().size(), 1U);
+}
+
 TEST_F(DispatcherTest, learnsWhichUpstreamIsFasterFromAFewTasks)
 {
     dispatcher.announce(now, upstream("slow", 1));
@@ -300,7 +316,7 @@
     auto configuration = twoClasses();
     configuration.teams = {{"greedy", 1}, {"modest", 4}};
     dispatcher.setConfiguration(configuration);
-    const auto greedy = add(submission(6, "short", "greedy"));
+    const auto greedy = add(submission(20, "short", "greedy"));
     auto placed = place();
     EXPECT_EQ(placed.size(), 4U) << "nobody else wants the slots";
     const auto modest = add(submission(2, "long", "modest"));
