Find an upstream that fails from the start before others have shown anything

Cause: with no outcome of another upstream an even guess stood for the share of sound failures, and eight failures were needed; a trial that failed like everything else left an upstream in trial for good. A tenth is assumed now, and such a trial counts as sound. The first backoff is 2 s instead of 1 s.

--- a/src/core/dispatch/upstreamhealth.cpp
+++ b/src/core/dispatch/upstreamhealth.cpp
@@ -11,16 +11,17 @@
 constexpr double brokenFailureShare = 0.95;
 /// Failures expected of a sound upstream when no other has failed.
 constexpr double leastFailureShare = 0.02;
-/// Weight of an even guess among the other upstreams' outcomes.
-constexpr double guessWeight = 1;
-constexpr double guess = 0.5;
+/// Share of failures that is assumed before other upstreams have shown any outcome, and its weight among
+/// them.
+constexpr double assumedShare = 0.1;
+constexpr double assumedWeight = 1;
 
 /// Evidence, as the logarithm of a likelihood ratio, at which an upstream is ejected.
 constexpr double evidenceLimit = 5;
-/// Evidence of a single failure below which a trial is not counted.
+/// Evidence below which a failed trial shows no more than the other upstreams do.
 constexpr double tellingEvidence = 0.5;
 
-constexpr Duration firstBackoff = std::chrono::seconds(1);
+constexpr Duration firstBackoff = std::chrono::seconds(2);
 constexpr Duration longestBackoff = std::chrono::seconds(30);
 
 /// At most one in this many upstreams is out of service for failures alone.
@@ -71,9 +72,8 @@
     auto &watched = m_watched[upstream];
     if (watched.state == UpstreamState::Serving)
         return observeServing(now, upstream, weight);
-    if (hasSucceeded)
-        return fire(now, upstream, UpstreamEvent::TrialSucceeded);
-    return weight >= tellingEvidence && fire(now, upstream, UpstreamEvent::TrialFailed);
+    const bool isSound = hasSucceeded || weight < tellingEvidence;
+    return fire(now, upstream, isSound ? UpstreamEvent::TrialSucceeded : UpstreamEvent::TrialFailed);
 }
 
 bool UpstreamHealth::passTime(TimePoint now, UpstreamIndex upstream)
@@ -194,7 +194,7 @@
     const auto own = upstream < outcomes.size() ? outcomes[upstream] : LastOutcome::None;
     const double others = known - (own == LastOutcome::None ? 0 : 1);
     const double failures = failed - (own == LastOutcome::Failed ? 1 : 0);
-    return (failures + guess * guessWeight) / (others + guessWeight);
+    return (failures + assumedShare * assumedWeight) / (others + assumedWeight);
 }
 
 } // namespace Citronpitch
--- a/tests/unit/upstreamhealthtest.cpp
+++ b/tests/unit/upstreamhealthtest.cpp
@@ -54,6 +54,25 @@
     }
 }
 
+TEST_F(UpstreamHealthTest, oneThatFailsFromTheStartIsFoundBeforeOthersHaveShownAnything)
+{
+    const auto n = failuresUntilEjected(HealthSign::TaskFailed);
+    EXPECT_GE(n, 2);
+    EXPECT_LE(n, 5);
+}
+
+TEST_F(UpstreamHealthTest, anEjectedOneComesBackWhenAllOthersFailAsWell)
+{
+    failuresUntilEjected(HealthSign::TaskFailed);
+    for (UpstreamIndex it = 1; it < upstreams; ++it)
+        health.observe(start, it, someClass, HealthSign::TaskFailed);
+    const auto now = health.backoffUntil(0);
+    health.passTime(now, 0);
+    health.observe(now, 0, someClass, HealthSign::TaskFailed);
+    health.observe(now, 0, someClass, HealthSign::TaskFailed);
+    EXPECT_EQ(health.state(0), UpstreamState::Serving);
+}
+
 TEST_F(UpstreamHealthTest, aFailureNowAndThenIsNoReason)
 {
     for (int i = 0; i < 200; ++i) {
