--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -115,8 +115,8 @@
     /**
      * Frees the slot of an attempt and learns from how it ended.
      *
-     * An upstream may go on with a task after its connection was given up; the slot of such an attempt is free
-     * once the task is expected to have ended.
+     * An upstream may go on with a task after its connection was given up; the slot of such an attempt is
+     * free once the task is expected to have ended.
      */
     void finish(TimePoint now, AttemptId attempt, const AttemptResult &result);
 
