--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -33,6 +33,7 @@
     vm.identity.name = from.at("name").get<std::string>();
     vm.identity.failureDomain = from.at("failureDomain").get<std::string>();
     vm.peers = parseEndpoint(from.at("peers"));
+    vm.isVoter = from.at("voter").get<bool>();
     return vm;
 }
 
