Command-line tool by subcommands: jobs, state, explain, settings check, keys

One table of commands and one of options give the parsing, the checks and the help. Exit codes are fixed and tell complete, failed, refused, unknown and pending apart. Several --vm are tried in order; a job gets its key before it is sent, so that a lost answer can be asked for again. A small control resource explains where a job was placed.

--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -4,6 +4,7 @@
 #include "citronpitch/claimbook.h"
 #include "citronpitch/configuration.h"
 #include "citronpitch/dispatcher.h"
+#include "citronpitch/jobexplanation.h"
 #include "citronpitch/jobrun.h"
 #include "citronpitch/membership.h"
 
@@ -93,6 +94,9 @@
     /// Actions decided since the last call.
     std::vector<Action> takeActions();
 
+    /// Where the job of @p key was placed and why it waits, as far as this VM is home to the key.
+    JobExplanation explain(TimePoint now, const std::string &team, const std::string &key) const;
+
     const Dispatcher &dispatcher() const;
     const Membership &membership() const;
     const Configuration &configuration() const;
--- a/include/citronpitch/jobrun.h
+++ b/include/citronpitch/jobrun.h
@@ -2,6 +2,7 @@
 
 #include "citronpitch/action.h"
 #include "citronpitch/job.h"
+#include "citronpitch/jobexplanation.h"
 
 #include <cstdint>
 #include <optional>
@@ -44,6 +45,9 @@
     /// Whether a task of the job has an attempt whose end is not known.
     bool hasOpenAttempts() const;
 
+    /// Where each task was placed so far.
+    std::vector<TaskPlacement> placements() const;
+
     /// Complete answer; every task must have succeeded.
     Answer completeAnswer() const;
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,145 +1,123 @@
-#include "net/httpclient.h"
+#include "cli/command.h"
 
 #include <getopt.h>
 #include <nlohmann/json.hpp>
 
-#include <fstream>
+#include <algorithm>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
 using namespace Citronpitch;
+namespace leaf = boost::leaf;
 
-constexpr int exitFailure = 1;
-constexpr int exitUsage = 2;
-constexpr auto requestTimeout = std::chrono::seconds(60);
-
-/// What the command line asked for.
-struct Arguments
+int numberOf(ExitCode code)
 {
-    Endpoint endpoint{"127.0.0.1", 7000};
-    std::string team;
-    std::string key;
-    std::string command;
-    std::vector<std::string> rest;
-};
+    return static_cast<int>(code);
+}
 
-void printHelp()
+std::vector<option> getoptOptions()
 {
-    std::cout << "usage: citronpitch [--vm ADDRESS:PORT] [--team NAME] [--key KEY] COMMAND\n"
-                 "  submit FILE   submit the job in FILE and wait for its answer\n"
-                 "  answer KEY    fetch the answer of a key\n"
-                 "  cancel KEY    cancel the job of a key\n"
-                 "  status        state of an entry VM (its control port)\n"
-                 "  upstreams     upstreams that an entry VM knows (its control port)\n";
+    std::vector<option> list;
+    for (const auto &it : cliOptionEntries())
+        list.push_back({it.name, it.value.empty() ? no_argument : required_argument, nullptr,
+                        static_cast<int>(it.option) + 1});
+    list.push_back({nullptr, 0, nullptr, 0});
+    return list;
 }
 
-bool parseEndpoint(const std::string &text, Endpoint &endpoint)
+leaf::result<Invocation> parseCommandLine(int argc, char **argv)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return false;
-    const int port = std::atoi(text.c_str() + colon + 1);
-    if (port <= 0 || port > 65535)
-        return false;
-    endpoint = {text.substr(0, colon), static_cast<std::uint16_t>(port)};
-    return true;
+    Invocation invocation;
+    const auto options = getoptOptions();
+    for (int it = getopt_long(argc, argv, "", options.data(), nullptr); it != -1;
+         it = getopt_long(argc, argv, "", options.data(), nullptr)) {
+        if (it == '?')
+            return usageError("", "an option is unknown or lacks its value");
+        const auto option = static_cast<CliOption>(it - 1);
+        if (!setOption(invocation.options, option, optarg != nullptr ? optarg : ""))
+            return usageError("", std::string("--") + entryOf(option).name + ": \"" + optarg + "\" is malformed");
+    }
+    invocation.arguments.assign(argv + optind, argv + argc);
+    return invocation;
 }
 
-int send(const Arguments &arguments, ClientRequest request)
+/// Finds the command that the words name, the longer name first, and takes its name off the words.
+const Command *takeCommand(std::vector<std::string> &words)
 {
-    boost::asio::io_context io;
-    HttpClient client(io);
-    int exitCode = exitFailure;
-    request.timeout = requestTimeout;
-    client.send(arguments.endpoint, request, [&](const ClientResponse &response) {
-        if (response.end != ExchangeEnd::Answered) {
-            std::cerr << "citronpitch: request: " << arguments.endpoint.address << ":"
-                      << arguments.endpoint.port << ": no answer\n";
-        } else {
-            std::cout << response.response.body << "\n";
-            exitCode = response.response.status < 300 ? 0 : exitFailure;
+    for (std::size_t n = std::min<std::size_t>(words.size(), 2); n > 0; --n) {
+        const auto name = n == 2 ? words[0] + " " + words[1] : words[0];
+        for (const auto &it : allCommands()) {
+            if (it.name != name)
+                continue;
+            words.erase(words.begin(), words.begin() + static_cast<std::ptrdiff_t>(n));
+            return &it;
         }
-        io.stop();
-    });
-    io.run();
-    return exitCode;
+    }
+    return nullptr;
 }
 
-int submit(const Arguments &arguments)
+leaf::result<void> check(const Command &command, const Invocation &invocation)
 {
-    std::ifstream file(arguments.rest.empty() ? "/dev/stdin" : arguments.rest.front());
-    if (!file) {
-        std::cerr << "citronpitch: submit: " << arguments.rest.front() << ": the file can't be read\n";
-        return exitFailure;
+    for (const auto it : invocation.options.given) {
+        if (!command.takes(it))
+            return usageError(command.name, std::string("--") + entryOf(it).name + " is not among its options");
     }
-    std::ostringstream body;
-    body << file.rdbuf();
-    ClientRequest request;
-    request.method = "POST";
-    request.target = "/v1/jobs";
-    request.body = body.str();
-    if (!arguments.key.empty())
-        request.headers.push_back({"Idempotency-Key", arguments.key});
-    return send(arguments, request);
+    const auto n = invocation.arguments.size();
+    if (n < command.requiredArguments() || n > command.arguments.size())
+        return usageError(command.name, "it takes other arguments");
+    return {};
 }
 
-int forKey(const Arguments &arguments, const std::string &method)
+leaf::result<ExitCode> run(int argc, char **argv)
 {
-    if (arguments.rest.empty() || arguments.team.empty()) {
-        std::cerr << "citronpitch: " << arguments.command << ": a key and --team are needed\n";
-        return exitUsage;
+    BOOST_LEAF_AUTO(invocation, parseCommandLine(argc, argv));
+    const bool isHelpWanted = invocation.options.isGiven(CliOption::Help);
+    if (invocation.arguments.empty() && isHelpWanted) {
+        std::cout << toolHelp();
+        return ExitCode::Done;
     }
-    ClientRequest request;
-    request.method = method;
-    request.target =
-        "/v1/jobs/" + percentEncode(arguments.rest.front()) + "?team=" + percentEncode(arguments.team);
-    return send(arguments, request);
+    const auto words = invocation.arguments;
+    const auto *command = takeCommand(invocation.arguments);
+    if (command == nullptr)
+        return usageError("", words.empty() ? "a command is missing" : "no command " + words.front());
+    if (isHelpWanted) {
+        std::cout << command->help();
+        return ExitCode::Done;
+    }
+    BOOST_LEAF_CHECK(check(*command, invocation));
+    return command->run(invocation);
 }
 
-int run(const Arguments &arguments)
+void print(const CliError &error, bool isJson)
 {
-    if (arguments.command == "submit")
-        return submit(arguments);
-    if (arguments.command == "answer")
-        return forKey(arguments, "GET");
-    if (arguments.command == "cancel")
-        return forKey(arguments, "DELETE");
-    ClientRequest request;
-    if (arguments.command == "status" || arguments.command == "upstreams") {
-        request.target = "/v1/" + arguments.command;
-        return send(arguments, request);
+    if (isJson) {
+        const nlohmann::json body{{"error",
+                                   {{"step", error.error.step},
+                                    {"peer", error.error.peer},
+                                    {"detail", error.error.detail},
+                                    {"advice", error.advice},
+                                    {"exitCode", numberOf(error.code)}}}};
+        std::cout << body.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
     }
-    printHelp();
-    return exitUsage;
+    std::cerr << "citronpitch: " << (error.error.step.empty() ? error.error.detail : error.error.text()) << "\n";
+    if (!error.advice.empty())
+        std::cerr << "  " << error.advice << "\n";
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    const option options[] = {{"vm", required_argument, nullptr, 'v'},
-                              {"team", required_argument, nullptr, 't'},
-                              {"key", required_argument, nullptr, 'k'},
-                              {"help", no_argument, nullptr, 'h'},
-                              {nullptr, 0, nullptr, 0}};
-    Arguments arguments;
-    for (int it = getopt_long(argc, argv, "v:t:k:h", options, nullptr); it != -1;
-         it = getopt_long(argc, argv, "v:t:k:h", options, nullptr)) {
-        if (it == 'h') {
-            printHelp();
-            return 0;
-        }
-        if (it == 't')
-            arguments.team = optarg;
-        else if (it == 'k')
-            arguments.key = optarg;
-        else if (it != 'v' || !parseEndpoint(optarg, arguments.endpoint))
-            return exitUsage;
-    }
-    if (optind < argc)
-        arguments.command = argv[optind++];
-    arguments.rest.assign(argv + optind, argv + argc);
-    return run(arguments);
+    const bool isJson = std::any_of(argv, argv + argc, [](const char *it) { return std::string(it) == "--json"; });
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            BOOST_LEAF_ASSIGN(const auto code, run(argc, argv));
+            return numberOf(code);
+        },
+        [&](const CliError &error) {
+            print(error, isJson);
+            return numberOf(error.code);
+        },
+        [] { return numberOf(ExitCode::Failed); });
 }
--- /dev/null
+++ b/src/cli/vmclient.cpp
@@ -0,0 +1,114 @@
+#include "cli/vmclient.h"
+
+#include "net/tokenfile.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <thread>
+
+namespace Citronpitch {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::uint16_t callersPort = 7000;
+constexpr std::uint16_t controlPort = 7100;
+constexpr auto firstPause = std::chrono::milliseconds(100);
+constexpr auto longestPause = std::chrono::seconds(2);
+
+/// Rounds over all VMs before a command gives up, when none takes a connection.
+constexpr int rounds = 4;
+
+Endpoint endpointOf(const VmAddress &vm, VmPort port)
+{
+    const auto fallback = port == VmPort::Callers ? callersPort : controlPort;
+    return {vm.address, vm.port.value_or(fallback)};
+}
+
+} // namespace
+
+std::string textOf(const Endpoint &endpoint)
+{
+    return endpoint.address + ":" + std::to_string(endpoint.port);
+}
+
+leaf::result<VmClient> VmClient::create(const CliOptions &options, VmPort port, std::string step)
+{
+    std::string token;
+    if (!options.tokenFile.empty()) {
+        BOOST_LEAF_ASSIGN(token, leaf::try_handle_some(
+            [&] { return readTokenFile(options.tokenFile); },
+            [&](const StepError &error) -> leaf::result<std::string> {
+                return leaf::new_error(CliError{error, "", ExitCode::Usage});
+            }));
+    }
+    return VmClient(options, port, std::move(step), std::move(token));
+}
+
+VmClient::VmClient(const CliOptions &options, VmPort port, std::string step, std::string token)
+    : m_timeout(options.timeout)
+    , m_step(std::move(step))
+    , m_token(std::move(token))
+{
+    for (const auto &it : options.vms)
+        m_vms.push_back(endpointOf(it, port));
+    if (m_vms.empty())
+        m_vms.push_back(endpointOf({"127.0.0.1", {}}, port));
+}
+
+leaf::result<VmReply> VmClient::ask(const ClientRequest &request) const
+{
+    const auto deadline = Clock::now() + m_timeout;
+    std::string asked;
+    for (const auto &it : m_vms)
+        asked += (asked.empty() ? "" : ", ") + textOf(it);
+    auto pause = std::chrono::duration_cast<Clock::duration>(firstPause);
+    for (int round = 0; round < rounds && Clock::now() < deadline; ++round) {
+        for (const auto &it : m_vms) {
+            auto timed = request;
+            timed.timeout = std::max(std::chrono::duration_cast<Duration>(deadline - Clock::now()), Duration(1));
+            auto reply = askOne(it, timed);
+            if (reply)
+                return reply;
+        }
+        std::this_thread::sleep_for(std::min(pause, std::max(deadline - Clock::now(), Clock::duration::zero())));
+        pause = std::min<Clock::duration>(pause * 2, longestPause);
+    }
+    return leaf::new_error(CliError{{m_step, asked, "no answer"},
+                                    "what was asked for may have been done; run the same command again",
+                                    ExitCode::NoAnswer});
+}
+
+leaf::result<VmReply> VmClient::askOne(const Endpoint &vm, const ClientRequest &request) const
+{
+    boost::asio::io_context io;
+    HttpClient client(io);
+    ClientResponse result;
+    auto sent = request;
+    if (!m_token.empty())
+        sent.headers.push_back({"Authorization", "Bearer " + m_token});
+    if (sent.timeout == Duration())
+        sent.timeout = m_timeout;
+    client.send(vm, sent, [&](const ClientResponse &response) {
+        result = response;
+        io.stop();
+    });
+    io.run();
+    if (result.end != ExchangeEnd::Answered)
+        return leaf::new_error(CliError{{m_step, textOf(vm), "no answer"}, "ask again", ExitCode::NoAnswer});
+    if (result.response.status == 401 || result.response.status == 403)
+        return leaf::new_error(CliError{{m_step, textOf(vm), "the token was refused"},
+                                        "give the operators' token with --token-file", ExitCode::Refused});
+    return VmReply{textOf(vm), result.response};
+}
+
+const std::vector<Endpoint> &VmClient::vms() const
+{
+    return m_vms;
+}
+
+} // namespace Citronpitch
--- a/src/core/claims/jobrun.cpp
+++ b/src/core/claims/jobrun.cpp
@@ -76,6 +76,17 @@
     return std::any_of(m_tasks.begin(), m_tasks.end(), [](const auto &it) { return it.attempt.has_value(); });
 }
 
+std::vector<TaskPlacement> JobRun::placements() const
+{
+    std::vector<TaskPlacement> list;
+    for (const auto &it : m_tasks) {
+        const bool hasEnded = it.report.state == TaskState::Ran;
+        const auto idle = hasEnded ? TaskStage::Ended : TaskStage::Waiting;
+        list.push_back({it.attempt ? TaskStage::Running : idle, it.report.upstream, it.attempts});
+    }
+    return list;
+}
+
 Answer JobRun::completeAnswer() const
 {
     Answer answer{m_submission.key, Outcome::Complete, Reason::None, {}, {}, {}};
--- a/src/daemon/controlapi.cpp
+++ b/src/daemon/controlapi.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::string_view upstreamsPath = "/v1/upstreams/";
+constexpr std::string_view explanationsPath = "/v1/explanations/";
 
 constexpr const char *step = "announce";
 constexpr std::uint64_t maximumSlots = 100'000;
@@ -87,6 +88,28 @@
     return announcement;
 }
 
+leaf::result<std::string> explanationText(TimePoint now, const EntryVm &vm, const HttpRequest &request)
+{
+    const auto key = request.path.substr(std::min(explanationsPath.size(), request.path.size()));
+    const auto *team = request.findQuery("team");
+    if (key.empty() || team == nullptr)
+        return leaf::new_error(
+            StepError{"explain", "path", "a key after /v1/explanations/ and parameter \"team\" are expected"});
+    const auto explanation = vm.explain(now, *team, key);
+    Json tasks = Json::array();
+    for (const auto &it : explanation.tasks)
+        tasks.push_back({{"state", nameIn(taskStageNames, it.stage)},
+                         {"upstream", it.upstream},
+                         {"attempts", it.attempts}});
+    const Json body{{"key", key},
+                    {"home", explanation.home},
+                    {"isHome", explanation.isHome},
+                    {"state", explanation.state},
+                    {"why", explanation.why},
+                    {"tasks", tasks}};
+    return body.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 std::string statusText(const EntryVm &vm, const std::string &name)
 {
     Json peers = Json::array();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -137,6 +137,10 @@
         respond({200, statusText(m_vm, m_settings.name), {}});
         return nullptr;
     }
+    if (request.path.starts_with("/v1/explanations/") && request.method == "GET") {
+        explain(request, respond);
+        return nullptr;
+    }
     if (request.path == "/v1/upstreams" && request.method == "GET") {
         respond({200, upstreamsText(m_vm), {}});
         return nullptr;
@@ -149,6 +153,18 @@
     return nullptr;
 }
 
+void Daemon::explain(const HttpRequest &request, const HttpResponder &respond)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(const auto text, explanationText(now(), m_vm, request));
+            respond({200, text, {}});
+            return {};
+        },
+        [&](const StepError &error) { respond(errorResponse(400, error.text())); },
+        [&] { respond(errorResponse(500, "internal error")); });
+}
+
 void Daemon::announce(const HttpRequest &request, const HttpResponder &respond)
 {
     leaf::try_handle_all(
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -33,6 +33,7 @@
     HttpGone handleCaller(const HttpRequest &request, HttpResponder respond);
     HttpGone submit(const HttpRequest &request, HttpResponder respond);
     HttpGone handleControl(const HttpRequest &request, const HttpResponder &respond);
+    void explain(const HttpRequest &request, const HttpResponder &respond);
     void announce(const HttpRequest &request, const HttpResponder &respond);
     void issueKeys(const HttpResponder &respond);
     void peerReceived(std::string_view bytes);
