Events of peers, upstreams, configuration, refused input and shutdown steps; docs/EVENTS.md

A watch in the daemon compares the state every 100 ms and logs what changed, so the decision code needs no log. The test reads the sources: each event is logged somewhere, with just the fields of the catalogue. It found that the field "event" of the count of suppressed repeats hid the number of the event in a JSON line; the field is "repeated" now.

--- a/src/cli/clierror.h
+++ b/src/cli/clierror.h
@@ -20,8 +20,8 @@
 /// Fails with wrong usage of @p command.
 inline boost::leaf::error_id usageError(const std::string &command, const std::string &detail)
 {
-    return boost::leaf::new_error(CliError{
-        {command, "", detail}, "see citronpitch " + command + " --help", ExitCode::Usage});
+    return boost::leaf::new_error(
+        CliError{{command, "", detail}, "see citronpitch " + command + " --help", ExitCode::Usage});
 }
 
 } // namespace Citronpitch
--- a/src/cli/jobcommands.cpp
+++ b/src/cli/jobcommands.cpp
@@ -78,7 +78,8 @@
     BOOST_LEAF_AUTO(answer, anyBody(reply, step));
     if (!answer.contains("outcome")) {
         BOOST_LEAF_CHECK(successBody(reply, step));
-        return leaf::new_error(CliError{{step, reply.peer, "the answer has no outcome"}, "", ExitCode::NoAnswer});
+        return leaf::new_error(
+            CliError{{step, reply.peer, "the answer has no outcome"}, "", ExitCode::NoAnswer});
     }
     const auto code = exitCodeOf(answer);
     if (options.isGiven(CliOption::Json))
--- a/src/cli/localcommands.cpp
+++ b/src/cli/localcommands.cpp
@@ -52,7 +52,9 @@
         [&]() -> leaf::result<ExitCode> {
             BOOST_LEAF_AUTO(publicKey, makeCurveKeyFile(folder + "/" + name + ".key"));
             if (invocation.options.isGiven(CliOption::Json))
-                printJson({{"name", name}, {"publicKey", publicKey}, {"secretKeyFile", folder + "/" + name + ".key"}});
+                printJson({{"name", name},
+                           {"publicKey", publicKey},
+                           {"secretKeyFile", folder + "/" + name + ".key"}});
             else
                 std::cout << "secret key: " << folder << "/" << name << ".key\npublic key: " << publicKey
                           << "\nput the public key into the entry of " << name
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -36,7 +36,8 @@
             return usageError("", "an option is unknown or lacks its value");
         const auto option = static_cast<CliOption>(it - 1);
         if (!setOption(invocation.options, option, optarg != nullptr ? optarg : ""))
-            return usageError("", std::string("--") + entryOf(option).name + ": \"" + optarg + "\" is malformed");
+            return usageError("",
+                              std::string("--") + entryOf(option).name + ": \"" + optarg + "\" is malformed");
     }
     invocation.arguments.assign(argv + optind, argv + argc);
     return invocation;
@@ -61,7 +62,8 @@
 {
     for (const auto it : invocation.options.given) {
         if (!command.takes(it))
-            return usageError(command.name, std::string("--") + entryOf(it).name + " is not among its options");
+            return usageError(command.name,
+                              std::string("--") + entryOf(it).name + " is not among its options");
     }
     const auto n = invocation.arguments.size();
     if (n < command.requiredArguments() || n > command.arguments.size())
@@ -100,7 +102,8 @@
                                     {"exitCode", numberOf(error.code)}}}};
         std::cout << body.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
     }
-    std::cerr << "citronpitch: " << (error.error.step.empty() ? error.error.detail : error.error.text()) << "\n";
+    std::cerr << "citronpitch: " << (error.error.step.empty() ? error.error.detail : error.error.text())
+              << "\n";
     if (!error.advice.empty())
         std::cerr << "  " << error.advice << "\n";
 }
@@ -109,7 +112,8 @@
 
 int main(int argc, char **argv)
 {
-    const bool isJson = std::any_of(argv, argv + argc, [](const char *it) { return std::string(it) == "--json"; });
+    const bool isJson =
+        std::any_of(argv, argv + argc, [](const char *it) { return std::string(it) == "--json"; });
     return leaf::try_handle_all(
         [&]() -> leaf::result<int> {
             BOOST_LEAF_ASSIGN(const auto code, run(argc, argv));
--- a/src/cli/statecommands.cpp
+++ b/src/cli/statecommands.cpp
@@ -101,8 +101,10 @@
     if (explanation.is_null())
         return leaf::new_error(CliError{{"explain", asked, "no answer"}, "ask again", ExitCode::NoAnswer});
     if (!explanation.value("isHome", false))
-        return leaf::new_error(CliError{{"explain", asked, "VM " + cell(explanation, "home") + " is home to the key"},
-                                        "give its control address with --vm", ExitCode::NoAnswer});
+        return leaf::new_error(
+            CliError{{"explain", asked, "VM " + cell(explanation, "home") + " is home to the key"},
+                     "give its control address with --vm",
+                     ExitCode::NoAnswer});
     if (options.isGiven(CliOption::Json))
         printJson(explanation);
     else
--- a/src/cli/vmclient.cpp
+++ b/src/cli/vmclient.cpp
@@ -40,11 +40,12 @@
 {
     std::string token;
     if (!options.tokenFile.empty()) {
-        BOOST_LEAF_ASSIGN(token, leaf::try_handle_some(
-            [&] { return readTokenFile(options.tokenFile); },
-            [&](const StepError &error) -> leaf::result<std::string> {
-                return leaf::new_error(CliError{error, "", ExitCode::Usage});
-            }));
+        BOOST_LEAF_ASSIGN(
+            token,
+            leaf::try_handle_some([&] { return readTokenFile(options.tokenFile); },
+                                  [&](const StepError &error) -> leaf::result<std::string> {
+                                      return leaf::new_error(CliError{error, "", ExitCode::Usage});
+                                  }));
     }
     return VmClient(options, port, std::move(step), std::move(token));
 }
@@ -70,12 +71,14 @@
     for (int round = 0; round < rounds && Clock::now() < deadline; ++round) {
         for (const auto &it : m_vms) {
             auto timed = request;
-            timed.timeout = std::max(std::chrono::duration_cast<Duration>(deadline - Clock::now()), Duration(1));
+            timed.timeout =
+                std::max(std::chrono::duration_cast<Duration>(deadline - Clock::now()), Duration(1));
             auto reply = askOne(it, timed);
             if (reply)
                 return reply;
         }
-        std::this_thread::sleep_for(std::min(pause, std::max(deadline - Clock::now(), Clock::duration::zero())));
+        std::this_thread::sleep_for(
+            std::min(pause, std::max(deadline - Clock::now(), Clock::duration::zero())));
         pause = std::min<Clock::duration>(pause * 2, longestPause);
     }
     return leaf::new_error(CliError{{m_step, asked, "no answer"},
@@ -102,7 +105,8 @@
         return leaf::new_error(CliError{{m_step, textOf(vm), "no answer"}, "ask again", ExitCode::NoAnswer});
     if (result.response.status == 401 || result.response.status == 403)
         return leaf::new_error(CliError{{m_step, textOf(vm), "the token was refused"},
-                                        "give the operators' token with --token-file", ExitCode::Refused});
+                                        "give the operators' token with --token-file",
+                                        ExitCode::Refused});
     return VmReply{textOf(vm), result.response};
 }
 
--- a/src/core/explanation.cpp
+++ b/src/core/explanation.cpp
@@ -38,10 +38,10 @@
     if (upstreams.empty())
         return "No upstream has announced itself to this entry VM.";
     const auto counts = countUpstreams(now, upstreams);
-    return std::to_string(dispatcher.queuedTasks()) + " tasks wait here. Of " + std::to_string(upstreams.size())
-        + " upstreams " + std::to_string(counts.usable) + " have a free slot, " + std::to_string(counts.full)
-        + " are full, " + std::to_string(counts.leaving) + " are leaving and " + std::to_string(counts.expired)
-        + " have not renewed their lease.";
+    return std::to_string(dispatcher.queuedTasks()) + " tasks wait here. Of "
+        + std::to_string(upstreams.size()) + " upstreams " + std::to_string(counts.usable)
+        + " have a free slot, " + std::to_string(counts.full) + " are full, " + std::to_string(counts.leaving)
+        + " are leaving and " + std::to_string(counts.expired) + " have not renewed their lease.";
 }
 
 TaskPlacement placementOf(const TaskReport &report)
--- a/src/daemon/controlapi.cpp
+++ b/src/daemon/controlapi.cpp
@@ -93,8 +93,8 @@
     const auto key = request.path.substr(std::min(explanationsPath.size(), request.path.size()));
     const auto *team = request.findQuery("team");
     if (key.empty() || team == nullptr)
-        return leaf::new_error(
-            StepError{"explain", "path", "a key after /v1/explanations/ and parameter \"team\" are expected"});
+        return leaf::new_error(StepError{
+            "explain", "path", "a key after /v1/explanations/ and parameter \"team\" are expected"});
     const auto explanation = vm.explain(now, *team, key);
     Json tasks = Json::array();
     for (const auto &it : explanation.tasks)
--- a/src/daemon/controlapi.h
+++ b/src/daemon/controlapi.h
@@ -13,7 +13,8 @@
 boost::leaf::result<UpstreamAnnouncement> parseAnnouncement(const HttpRequest &request, TimePoint lease);
 
 /// Reads a request for an explanation and gives the JSON text of @p vm's.
-boost::leaf::result<std::string> explanationText(TimePoint now, const EntryVm &vm, const HttpRequest &request);
+boost::leaf::result<std::string> explanationText(TimePoint now, const EntryVm &vm,
+                                                 const HttpRequest &request);
 
 /// State of this entry VM and what it knows of the others, as JSON.
 std::string statusText(const EntryVm &vm, const std::string &name);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr auto tickPeriod = std::chrono::milliseconds(5);
+/// Time between two looks at what changed and must be logged.
+constexpr Duration watchPeriod = std::chrono::milliseconds(100);
+
 constexpr int keysPerRequest = 100;
 
 /// How long connections are still taken after readiness has fallen, so that the balancer can notice.
@@ -79,6 +82,7 @@
     logEvent(Event::Started, {{"vm", m_settings.name}, {"failureDomain", m_settings.failureDomain}});
     m_io.run();
     logEvent(Event::Stopped, {{"vm", m_settings.name}});
+    logAllSuppressedEvents();
     return 0;
 }
 
@@ -122,6 +126,7 @@
             });
         },
         [&](const StepError &error) -> HttpGone {
+            logEvent(Event::CallerInputRefused, {{"peer", request.remoteAddress}, {"error", error.text()}});
             respond(errorResponse(400, error.text()));
             return nullptr;
         },
@@ -177,7 +182,10 @@
             carryOut();
             return {};
         },
-        [&](const StepError &error) { respond(errorResponse(400, error.text())); },
+        [&](const StepError &error) {
+            logEvent(Event::AnnouncementRefused, {{"peer", request.remoteAddress}, {"error", error.text()}});
+            respond(errorResponse(400, error.text()));
+        },
         [&] { respond(errorResponse(500, "internal error")); });
 }
 
@@ -258,10 +266,14 @@
 {
     m_vm.tick(now());
     carryOut();
+    if (now() >= m_nextWatch)
+        watch();
     if (!m_isDraining)
         return;
     if (!m_hasStoppedListening && now() >= m_listenUntil) {
         m_hasStoppedListening = true;
+        logEvent(Event::ListeningStopped,
+                 {{"vm", m_settings.name}, {"inFlight", std::to_string(m_callerServer.connections())}});
         m_callerServer.drain();
     }
     const bool isDone = m_hasStoppedListening && m_vm.isIdle() && m_callerServer.connections() == 0;
@@ -272,6 +284,13 @@
     m_io.stop();
 }
 
+void Daemon::watch()
+{
+    m_nextWatch = now() + watchPeriod;
+    m_watch.observe(now(), m_vm);
+    logSuppressedEvents();
+}
+
 void Daemon::waitForSignal()
 {
     m_signals.async_wait([this](boost::system::error_code ec, int number) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronpitch/entryvm.h"
+#include "daemon/statewatch.h"
 #include "net/httpserver.h"
 #include "net/peerlinks.h"
 #include "net/upstreamclient.h"
@@ -45,6 +46,7 @@
     void carryOut(const AppendClaimRecord &action);
     void scheduleTick();
     void tick();
+    void watch();
     void waitForSignal();
     void drain();
     void reload();
@@ -64,6 +66,8 @@
     boost::asio::steady_timer m_tickTimer;
     boost::asio::signal_set m_signals;
     std::map<CallerId, HttpResponder> m_callers;
+    StateWatch m_watch;
+    TimePoint m_nextWatch;
     std::mt19937_64 m_random;
     CallerId m_nextCaller = 1;
     TimePoint m_drainDeadline;
--- /dev/null
+++ b/src/daemon/statewatch.cpp
@@ -0,0 +1,71 @@
+#include "daemon/statewatch.h"
+
+#include "log/eventlog.h"
+
+namespace Citronpitch {
+
+void StateWatch::observe(TimePoint now, const EntryVm &vm)
+{
+    observePeers(vm.membership());
+    observeUpstreams(now, vm.dispatcher());
+    observeConfiguration(vm.configuration());
+}
+
+void StateWatch::observePeers(const Membership &membership)
+{
+    for (const auto &it : membership.others()) {
+        const auto state = membership.findReport(it.name)->state;
+        auto &seen = m_peers.try_emplace(it.name, VmState::Unheard).first->second;
+        if (seen == state)
+            continue;
+        seen = state;
+        if (state == VmState::Alive)
+            logEvent(Event::PeerAlive, {{"peer", it.name}, {"failureDomain", it.failureDomain}});
+        else if (state == VmState::Suspected)
+            logEvent(Event::PeerSuspected, {{"peer", it.name}, {"failureDomain", it.failureDomain}});
+        else if (state == VmState::Leaving)
+            logEvent(Event::PeerLeaving, {{"peer", it.name}, {"failureDomain", it.failureDomain}});
+    }
+}
+
+void StateWatch::observeUpstreams(TimePoint now, const Dispatcher &dispatcher)
+{
+    SeenUpstreams current;
+    for (const auto &it : dispatcher.upstreams()) {
+        const auto &announcement = it.announcement;
+        SeenUpstream upstream{UpstreamState::Announced, announcement.incarnation};
+        if (announcement.leaving)
+            upstream.state = UpstreamState::Leaving;
+        else if (announcement.leaseDeadline <= now)
+            upstream.state = UpstreamState::Expired;
+        current[announcement.name] = upstream;
+        const auto seen = m_upstreams.find(announcement.name);
+        if (seen != m_upstreams.end() && seen->second == upstream)
+            continue;
+        if (upstream.state == UpstreamState::Announced)
+            logEvent(Event::UpstreamAnnounced,
+                     {{"upstream", announcement.name},
+                      {"address", announcement.address + ":" + std::to_string(announcement.port)},
+                      {"slots", std::to_string(announcement.slots)}});
+        else if (upstream.state == UpstreamState::Leaving)
+            logEvent(Event::UpstreamLeaving, {{"upstream", announcement.name}});
+        else
+            logEvent(Event::UpstreamExpired, {{"upstream", announcement.name}});
+    }
+    for (const auto &[name, seen] : m_upstreams) {
+        if (seen.state == UpstreamState::Announced && !current.contains(name))
+            logEvent(Event::UpstreamExpired, {{"upstream", name}});
+    }
+    m_upstreams = std::move(current);
+}
+
+void StateWatch::observeConfiguration(const Configuration &configuration)
+{
+    if (m_hasConfiguration && m_version == configuration.version)
+        return;
+    m_hasConfiguration = true;
+    m_version = configuration.version;
+    logEvent(Event::ConfigurationInForce, {{"version", std::to_string(m_version)}});
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/daemon/statewatch.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "citronpitch/entryvm.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Citronpitch {
+
+/**
+ * @brief Logs what changed in the state of an entry VM: other VMs, upstreams and the configuration.
+ *
+ * Compares with what it saw the last time, so that the decision code needs no log. Used by Daemon.
+ */
+class StateWatch
+{
+public:
+    /// Logs the changes since the last call.
+    void observe(TimePoint now, const EntryVm &vm);
+
+private:
+    enum class UpstreamState { Announced, Leaving, Expired };
+
+    struct SeenUpstream
+    {
+        UpstreamState state = UpstreamState::Announced;
+        std::uint64_t incarnation = 0;
+        bool operator==(const SeenUpstream &) const = default;
+    };
+
+    using SeenUpstreams = std::map<std::string, SeenUpstream>;
+
+    void observePeers(const Membership &membership);
+    void observeUpstreams(TimePoint now, const Dispatcher &dispatcher);
+    void observeConfiguration(const Configuration &configuration);
+
+    std::map<std::string, VmState> m_peers;
+    SeenUpstreams m_upstreams;
+    std::uint64_t m_version = 0;
+    bool m_hasConfiguration = false;
+};
+
+} // namespace Citronpitch
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -26,7 +26,7 @@
     EventEntry{Event::SettingsRefused, EventLevel::Error, "settings file refused", "error",
                "The file that SIGHUP made the daemon read has errors; nothing changed. Run "
                "`citronpitch settings check FILE`."},
-    EventEntry{Event::RepeatsSuppressed, EventLevel::Warning, "repeats were not logged", "event count",
+    EventEntry{Event::RepeatsSuppressed, EventLevel::Warning, "repeats were not logged", "repeated count",
                "The named event came more than `log.repeatLimit` times in a window; so many were left out."},
     EventEntry{Event::ListeningStopped, EventLevel::Info, "no more connections are taken", "vm inFlight",
                "Second step of a graceful shutdown; the number of connections in flight is said."},
--- a/src/log/eventlog.cpp
+++ b/src/log/eventlog.cpp
@@ -87,7 +87,7 @@
 {
     for (const auto &it : list)
         writeEvent(entryOf(Event::RepeatsSuppressed),
-                   {{"event", numberText(it.event)}, {"count", std::to_string(it.count)}});
+                   {{"repeated", numberText(it.event)}, {"count", std::to_string(it.count)}});
 }
 
 } // namespace
--- a/src/net/curvekeys.cpp
+++ b/src/net/curvekeys.cpp
@@ -36,8 +36,8 @@
     if (file < 0)
         return keyError(path, "a new file can't be made there");
     const auto text = std::string(secretKey.data()) + "\n";
-    const bool isWritten = ::write(file, text.data(), text.size()) == static_cast<ssize_t>(text.size())
-        && ::fsync(file) == 0;
+    const bool isWritten =
+        ::write(file, text.data(), text.size()) == static_cast<ssize_t>(text.size()) && ::fsync(file) == 0;
     ::close(file);
     if (!isWritten)
         return keyError(path, "the key can't be written");
--- /dev/null
+++ b/tests/integration/eventlogtest.cpp
@@ -0,0 +1,201 @@
+#include "log/eventlog.h"
+#include "log/repeatlimiter.h"
+#include "support/deployment.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+#include <thread>
+
+using namespace Citronpitch;
+using Json = nlohmann::json;
+
+namespace {
+
+const std::string programs = CITRONPITCH_PROGRAMS;
+const std::string sourceFolder = CITRONPITCH_SOURCES;
+
+std::string fileText(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+std::set<std::string> wordsOf(std::string_view text)
+{
+    std::istringstream words{std::string(text)};
+    return {std::istream_iterator<std::string>(words), {}};
+}
+
+/// Every match's first group.
+std::vector<std::string> matchesOf(const std::string &text, const std::regex &pattern)
+{
+    std::vector<std::string> list;
+    for (auto it = std::sregex_iterator(text.begin(), text.end(), pattern); it != std::sregex_iterator();
+         ++it)
+        list.push_back((*it)[1]);
+    return list;
+}
+
+/// The sources of the program but for the catalogue.
+std::string sourcesText()
+{
+    std::string text;
+    for (const auto &it : std::filesystem::recursive_directory_iterator(sourceFolder + "/src")) {
+        if (it.path().extension() == ".cpp" && it.path().filename() != "event.cpp")
+            text += fileText(it.path());
+    }
+    return text;
+}
+
+const EventEntry *entryNumbered(int number)
+{
+    for (const auto &it : eventCatalogue()) {
+        if (static_cast<int>(it.event) == number)
+            return &it;
+    }
+    return nullptr;
+}
+
+TimePoint second(int n)
+{
+    return TimePoint(std::chrono::seconds(n));
+}
+
+bool logGets(const std::string &logFile, const std::string &text)
+{
+    for (int i = 0; i < 500; ++i) {
+        if (fileText(logFile).find(text) != std::string::npos)
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+}
+
+} // namespace
+
+TEST(EventLogTest, cataloguePageIsThatOfTheProgram)
+{
+    EXPECT_EQ(fileText(sourceFolder + "/docs/EVENTS.md"), eventReference())
+        << "write it again: citronpitchd --print-events > docs/EVENTS.md";
+}
+
+TEST(EventLogTest, everyEventIsLoggedSomewhereWithTheFieldsOfTheCatalogue)
+{
+    const auto header = fileText(sourceFolder + "/src/log/event.h");
+    const auto sources = sourcesText();
+    const std::regex enumerator(R"((\w+) = (\d+),)");
+    std::size_t events = 0;
+    for (auto it = std::sregex_iterator(header.begin(), header.end(), enumerator);
+         it != std::sregex_iterator(); ++it) {
+        const std::string name = (*it)[1];
+        const auto *entry = entryNumbered(std::stoi((*it)[2]));
+        ASSERT_NE(entry, nullptr) << name << " is not in the catalogue";
+        ++events;
+        EXPECT_NE(sources.find("Event::" + name), std::string::npos) << name << " is never logged";
+        std::set<std::string> fields;
+        const std::regex call("Event::" + name + R"(\)?,\s*(\{[^;]*?\}\s*)\);)");
+        for (const auto &arguments : matchesOf(sources, call)) {
+            for (const auto &field : matchesOf(arguments, std::regex(R"re(\{"(\w+)",)re")))
+                fields.insert(field);
+        }
+        EXPECT_EQ(fields, wordsOf(entry->fields)) << name;
+        for (const auto *it : {"time", "level", "event", "text"})
+            EXPECT_FALSE(fields.contains(it)) << name << " hides a member of every JSON line";
+    }
+    EXPECT_EQ(events, eventCatalogue().size());
+}
+
+TEST(EventLogTest, textAndJsonLinesCarryTheFields)
+{
+    const auto &entry = entryOf(Event::PeerSuspected);
+    const std::vector<EventField> fields{{"peer", "b1"}, {"failureDomain", "south side"}};
+    EXPECT_EQ(eventText(entry, fields),
+              R"(E302 entry VM is out of reach peer=b1 failureDomain="south side")");
+    const auto line = Json::parse(eventJson(second(1), entry, fields));
+    EXPECT_EQ(line.at("time"), "1970-01-01T00:00:01.000Z");
+    EXPECT_EQ(line.at("event"), 302);
+    EXPECT_EQ(line.at("level"), "warning");
+    EXPECT_EQ(line.at("failureDomain"), "south side");
+}
+
+TEST(EventLogTest, hostileFieldsCannotForgeALine)
+{
+    const auto text = eventText(entryOf(Event::CallerInputRefused), {{"error", "x\nE100 started \xff"}});
+    EXPECT_EQ(text.find('\n'), std::string::npos);
+    const auto json = eventJson(second(1), entryOf(Event::CallerInputRefused), {{"error", "x\n\xff"}});
+    EXPECT_EQ(json.find('\n'), std::string::npos);
+    EXPECT_TRUE(Json::accept(json));
+}
+
+TEST(RepeatLimiterTest, repeatsAreCountedAndTheCountIsSaidOnce)
+{
+    RepeatLimiter limiter(2, std::chrono::seconds(10));
+    EXPECT_TRUE(limiter.admit(second(0), Event::PeerSuspected));
+    EXPECT_TRUE(limiter.admit(second(1), Event::PeerSuspected));
+    EXPECT_FALSE(limiter.admit(second(2), Event::PeerSuspected));
+    EXPECT_FALSE(limiter.admit(second(9), Event::PeerSuspected));
+    EXPECT_TRUE(limiter.admit(second(9), Event::PeerAlive)) << "events are limited apart";
+    EXPECT_TRUE(limiter.takeSuppressed(second(9)).empty());
+    const auto suppressed = limiter.takeSuppressed(second(10));
+    ASSERT_EQ(suppressed.size(), 1U);
+    EXPECT_EQ(suppressed[0].event, Event::PeerSuspected);
+    EXPECT_EQ(suppressed[0].count, 2U);
+    EXPECT_TRUE(limiter.takeAllSuppressed().empty());
+    EXPECT_TRUE(limiter.admit(second(10), Event::PeerSuspected));
+}
+
+TEST(EventLogTest, daemonLogsPeersUpstreamsAndRefusedInput)
+{
+    DeploymentPlan plan;
+    plan.programs = programs;
+    plan.folder = programs + "/integration/eventlog";
+    plan.vms = {{"a1", "a"}, {"a2", "a"}};
+    plan.upstreams = {{"ua", "a"}, {"ub", "a"}};
+    plan.vmSettings = R"({"log": {"format": "json-lines", "repeatLimit": 2, "repeatWindowMs": 400},
+                          "initialConfiguration": {"classes": [{"name": "casework"}]}})";
+    const auto log = plan.folder + "/a1.log";
+    Deployment deployment(plan);
+    deployment.start();
+    ASSERT_TRUE(deployment.waitUntilReady(std::chrono::seconds(20)));
+    EXPECT_TRUE(logGets(log, R"("event":301,"text":"entry VM is alive","peer":"a2","failureDomain":"a")"));
+    EXPECT_TRUE(logGets(log, R"("event":400,"text":"configuration is in force","version":"0")"));
+    EXPECT_TRUE(logGets(log, R"("upstream":"ua")"));
+
+    deployment.upstream("ua").signal(SIGUSR1);
+    EXPECT_TRUE(logGets(log, R"("event":201,"text":"upstream is leaving","upstream":"ua")"));
+    deployment.upstream("ub").signal(SIGKILL);
+    EXPECT_TRUE(logGets(log, R"("event":202,"text":"upstream's lease expired","upstream":"ub")"));
+    deployment.vm("a2").signal(SIGKILL);
+    EXPECT_TRUE(logGets(log, R"("event":302,"text":"entry VM is out of reach","peer":"a2")"));
+
+    ClientRequest malformed;
+    malformed.method = "POST";
+    malformed.target = "/v1/jobs";
+    malformed.body = "{";
+    malformed.timeout = std::chrono::seconds(5);
+    for (int i = 0; i < 5; ++i)
+        call(deployment.callers("a1"), malformed);
+    malformed.method = "PUT";
+    malformed.target = "/v1/upstreams/u";
+    call(deployment.control("a1"), malformed);
+    EXPECT_TRUE(logGets(log, R"("event":203)"));
+    EXPECT_TRUE(logGets(log, R"("event":108,"text":"repeats were not logged","repeated":"E500")"))
+        << fileText(log);
+
+    deployment.vm("a1").signal(SIGTERM);
+    EXPECT_EQ(deployment.vm("a1").wait(), 0);
+    for (const auto *it : {R"("event":102)", R"("event":109)", R"("event":101)"})
+        EXPECT_NE(fileText(log).find(it), std::string::npos) << it;
+    std::istringstream lines(fileText(log));
+    for (std::string line; std::getline(lines, line);)
+        EXPECT_TRUE(Json::accept(line)) << line;
+}
