--- a/src/cli/clioptions.cpp
+++ b/src/cli/clioptions.cpp
@@ -32,7 +32,9 @@
                    "id of the change; give the same again to ask again after a lost answer"},
     CliOptionEntry{CliOption::BasedOn, "based-on", "VERSION",
                    "version that the change is based on; the one in force where none is given"},
-    CliOptionEntry{CliOption::Wait, "wait", "", "wait until the change is in force on every VM in reach"},
+    CliOptionEntry{CliOption::Author, "author", "NAME", "who makes the change ($USER)"},
+    CliOptionEntry{CliOption::Wait, "wait", "",
+                   "wait for the answer, or until a change is in force in reach"},
     CliOptionEntry{CliOption::DryRun, "dry-run", "", "show the change and make none"},
     CliOptionEntry{CliOption::Html, "html", "FILE", "write the report as one HTML page as well"},
     CliOptionEntry{CliOption::Output, "output", "FOLDER", "folder for the files that are made"},
@@ -136,6 +138,8 @@
     case CliOption::BasedOn:
         options.basedOn = parseNumber(value, 0, std::numeric_limits<std::uint64_t>::max());
         return options.basedOn.has_value();
+    case CliOption::Author:
+        return setText(options.author, value);
     case CliOption::Html:
         return setText(options.htmlFile, value);
     case CliOption::Output:
--- a/src/cli/clioptions.h
+++ b/src/cli/clioptions.h
@@ -27,6 +27,7 @@
     Quota,
     ChangeId,
     BasedOn,
+    Author,
     Wait,
     DryRun,
     Html,
@@ -71,6 +72,7 @@
     std::optional<std::uint32_t> quotaTasks;
     std::string changeId;
     std::optional<std::uint64_t> basedOn;
+    std::string author;
     std::string htmlFile;
     std::string outputFolder = ".";
 
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -51,5 +51,8 @@
 std::vector<Command> jobCommands();
 std::vector<Command> stateCommands();
 std::vector<Command> localCommands();
+std::vector<Command> classCommands();
+std::vector<Command> teamCommands();
+std::vector<Command> declarationCommands();
 
 } // namespace Citronpitch
--- a/src/cli/jobcommands.cpp
+++ b/src/cli/jobcommands.cpp
@@ -1,12 +1,10 @@
 #include "cli/command.h"
+#include "cli/newid.h"
 #include "cli/replyjson.h"
 #include "cli/texttable.h"
 
-#include "citronpitch/jobkey.h"
-
 #include <fstream>
 #include <iostream>
-#include <random>
 #include <sstream>
 
 namespace Citronpitch {
@@ -16,16 +14,6 @@
 
 namespace {
 
-/// A key that carries its date, so that nothing has to be synced before its job starts.
-std::string newKey()
-{
-    std::random_device random;
-    const auto high = (std::uint64_t{random()} << 32) | random();
-    const auto low = (std::uint64_t{random()} << 32) | random();
-    const auto now = std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
-    return issueJobKey("", now, high, low).substr(1);
-}
-
 ExitCode exitCodeOf(const Json &answer)
 {
     const auto outcome = cell(answer, "outcome");
@@ -106,7 +94,7 @@
     const auto &options = invocation.options;
     BOOST_LEAF_AUTO(body, readJob(invocation));
     BOOST_LEAF_AUTO(client, VmClient::create(options, VmPort::Callers, "submit"));
-    const auto key = options.key.empty() ? newKey() : options.key;
+    const auto key = options.key.empty() ? newId() : options.key;
     ClientRequest request;
     request.method = "POST";
     request.target = "/v1/jobs";
@@ -114,7 +102,8 @@
     request.headers.push_back({"Idempotency-Key", key});
     if (options.isGiven(CliOption::NoWait))
         request.headers.push_back({"Prefer", "respond-async"});
-    // Said before it is sent, so that it is there when the answer is lost.
+    // The new key carries its date, so that nothing has to be synced before its job starts.
+    // It is said before it is sent, so that it is there when the answer is lost.
     std::cerr << "key " << key << "\n";
     BOOST_LEAF_AUTO(reply, client.ask(request));
     return showAnswer(reply, "submit", options);
--- a/src/cli/vmclient.cpp
+++ b/src/cli/vmclient.cpp
@@ -29,6 +29,14 @@
     return {vm.address, vm.port.value_or(fallback)};
 }
 
+std::string addresses(const std::vector<Endpoint> &vms)
+{
+    std::string text;
+    for (const auto &it : vms)
+        text += (text.empty() ? "" : ", ") + textOf(it);
+    return text;
+}
+
 } // namespace
 
 std::string textOf(const Endpoint &endpoint)
@@ -62,31 +70,48 @@
 }
 
 leaf::result<VmReply> VmClient::ask(const ClientRequest &request) const
+{
+    return askUntil(request, [](const VmReply &) { return true; });
+}
+
+leaf::result<VmReply> VmClient::askUntil(const ClientRequest &request,
+                                         const std::function<bool(const VmReply &)> &isFinal) const
 {
     const auto deadline = Clock::now() + m_timeout;
-    std::string asked;
-    for (const auto &it : m_vms)
-        asked += (asked.empty() ? "" : ", ") + textOf(it);
+    std::optional<VmReply> last;
     auto pause = std::chrono::duration_cast<Clock::duration>(firstPause);
-    for (int round = 0; round < rounds && Clock::now() < deadline; ++round) {
+    for (int round = 0; (round < rounds || last) && Clock::now() < deadline; ++round) {
         for (const auto &it : m_vms) {
             auto timed = request;
             timed.timeout =
                 std::max(std::chrono::duration_cast<Duration>(deadline - Clock::now()), Duration(1));
-            auto reply = askOne(it, timed);
-            if (reply)
-                return reply;
+            BOOST_LEAF_AUTO(reply, tryOne(it, timed));
+            if (!reply)
+                continue;
+            last = reply;
+            if (isFinal(*last))
+                return *last;
         }
         std::this_thread::sleep_for(
             std::min(pause, std::max(deadline - Clock::now(), Clock::duration::zero())));
         pause = std::min<Clock::duration>(pause * 2, longestPause);
     }
-    return leaf::new_error(CliError{{m_step, asked, "no answer"},
+    if (last)
+        return *last;
+    return leaf::new_error(CliError{{m_step, addresses(m_vms), "no answer"},
                                     "what was asked for may have been done; run the same command again",
                                     ExitCode::NoAnswer});
 }
 
 leaf::result<VmReply> VmClient::askOne(const Endpoint &vm, const ClientRequest &request) const
+{
+    BOOST_LEAF_AUTO(reply, tryOne(vm, request));
+    if (!reply)
+        return leaf::new_error(CliError{{m_step, textOf(vm), "no answer"}, "ask again", ExitCode::NoAnswer});
+    return *reply;
+}
+
+leaf::result<std::optional<VmReply>> VmClient::tryOne(const Endpoint &vm, const ClientRequest &request) const
 {
     boost::asio::io_context io;
     HttpClient client(io);
@@ -102,12 +127,12 @@
     });
     io.run();
     if (result.end != ExchangeEnd::Answered)
-        return leaf::new_error(CliError{{m_step, textOf(vm), "no answer"}, "ask again", ExitCode::NoAnswer});
+        return std::optional<VmReply>();
     if (result.response.status == 401 || result.response.status == 403)
         return leaf::new_error(CliError{{m_step, textOf(vm), "the token was refused"},
                                         "give the operators' token with --token-file",
                                         ExitCode::Refused});
-    return VmReply{textOf(vm), result.response};
+    return std::optional<VmReply>({textOf(vm), result.response});
 }
 
 const std::vector<Endpoint> &VmClient::vms() const
--- a/src/cli/vmclient.h
+++ b/src/cli/vmclient.h
@@ -6,6 +6,8 @@
 
 #include <boost/leaf.hpp>
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,10 @@
     /// Sends @p request to the VMs in order, and over again until one answers or the time is over.
     boost::leaf::result<VmReply> ask(const ClientRequest &request) const;
 
+    /// The same, until @p isFinal holds for an answer; when the time is over, the last answer that came.
+    boost::leaf::result<VmReply> askUntil(const ClientRequest &request,
+                                          const std::function<bool(const VmReply &)> &isFinal) const;
+
     /// Sends @p request once to VM @p vm.
     boost::leaf::result<VmReply> askOne(const Endpoint &vm, const ClientRequest &request) const;
 
@@ -44,6 +50,9 @@
     const std::vector<Endpoint> &vms() const;
 
 private:
+    /// Nothing where no answer came; fails where the token was refused.
+    boost::leaf::result<std::optional<VmReply>> tryOne(const Endpoint &vm,
+                                                       const ClientRequest &request) const;
     VmClient(const CliOptions &options, VmPort port, std::string step, std::string token);
 
     std::vector<Endpoint> m_vms;
--- a/src/settings/settingscheck.cpp
+++ b/src/settings/settingscheck.cpp
@@ -89,7 +89,7 @@
 
 } // namespace
 
-SettingsCheck::SettingsCheck(std::string_view text)
+SettingsCheck::SettingsCheck(std::string_view text, SettingsPart part)
     : m_lines(text)
 {
     try {
@@ -105,14 +105,13 @@
     }
     for (const auto &it : m_lines.repeatedKeys())
         m_errors.push_back({it.line, it.path, "the key a second time", "each key once"});
-    checkObject(m_document, "", "");
-    if (m_errors.empty()) {
-        checkVms();
-        checkListeners();
-        checkNames("vms");
-        checkNames("initialConfiguration.classes");
-        checkNames("initialConfiguration.teams");
-        checkTimes();
+    const bool isWhole = part == SettingsPart::Whole;
+    checkObject(m_document, isWhole ? "" : "initialConfiguration", "");
+    if (m_errors.empty() && isWhole)
+        checkWhole();
+    if (m_errors.empty() && !isWhole) {
+        checkNames("classes");
+        checkNames("teams");
     }
     std::stable_sort(m_errors.begin(), m_errors.end(),
                      [](const auto &a, const auto &b) { return a.line < b.line; });
@@ -188,6 +187,16 @@
         checkObject(list[i], entrySpec, path + "[" + std::to_string(i) + "]");
 }
 
+void SettingsCheck::checkWhole()
+{
+    checkVms();
+    checkListeners();
+    checkNames("vms");
+    checkNames("initialConfiguration.classes");
+    checkNames("initialConfiguration.teams");
+    checkTimes();
+}
+
 void SettingsCheck::checkVms()
 {
     const auto name = textAt("/name");
--- a/src/settings/settingscheck.h
+++ b/src/settings/settingscheck.h
@@ -12,15 +12,23 @@
 
 namespace Citronpitch {
 
+/// Which part of the settings a text holds.
+enum class SettingsPart {
+    Whole,
+    /// The content of `initialConfiguration` alone: the declarations of operators.
+    Declarations,
+};
+
 /**
  * @brief Checks the text of a settings file against the table of keys and fills in the defaults.
  *
- * Finds every error at once. Used by parseSettings() and by `citronpitch settings check`.
+ * Finds every error at once. Used by parseSettings(), by `citronpitch settings check` and by `citronpitch
+ * apply`.
  */
 class SettingsCheck
 {
 public:
-    explicit SettingsCheck(std::string_view text);
+    explicit SettingsCheck(std::string_view text, SettingsPart part = SettingsPart::Whole);
 
     /// What is wrong, in the order of the lines; empty for good settings.
     const std::vector<SettingsError> &errors() const;
@@ -33,6 +41,7 @@
     void checkUnknownKeys(const nlohmann::json &object, std::string_view specPath, const std::string &path);
     void checkValue(nlohmann::json &value, const SettingSpec &spec, const std::string &path);
     void checkList(nlohmann::json &list, const SettingSpec &spec, const std::string &path);
+    void checkWhole();
     void checkVms();
     void checkListeners();
     void checkNames(std::string_view listPath);
