--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -79,6 +79,12 @@
     return configuration;
 }
 
+PlacementPolicy parsePlacement(const Json &from)
+{
+    const auto name = from.at("placement").get<std::string>();
+    return valueIn(placementPolicyNames, name).value_or(PlacementPolicy::Target);
+}
+
 Settings parseAll(const Json &from)
 {
     Settings settings;
@@ -97,6 +103,7 @@
     settings.answerRetention = milliseconds(from, "answerRetentionMs");
     settings.defaultDeadline = milliseconds(from, "defaultDeadlineMs");
     settings.drainTimeout = milliseconds(from, "drainTimeoutMs");
+    settings.placement = parsePlacement(from);
     settings.log = parseLog(from.at("log"));
     settings.initialConfiguration = parseConfiguration(from.at("initialConfiguration"));
     settings.text = from.dump(2, ' ', false, Json::error_handler_t::replace);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -2,6 +2,7 @@
 
 #include "citronpitch/configuration.h"
 #include "citronpitch/membership.h"
+#include "citronpitch/placementpolicy.h"
 #include "citronpitch/steperror.h"
 #include "log/logsettings.h"
 #include "settings/settingserror.h"
@@ -61,6 +62,8 @@
     Duration defaultDeadline{};
     Duration drainTimeout{};
     LogSettings log;
+    /// How waiting tasks are ordered and upstreams chosen; other than the default only for comparison.
+    PlacementPolicy placement = PlacementPolicy::Target;
     /// Classes and teams in force before any change is accepted.
     Configuration initialConfiguration;
     /// The settings as JSON with every default filled in.
--- a/src/settings/settingspec.cpp
+++ b/src/settings/settingspec.cpp
@@ -72,6 +72,10 @@
                 "Deadline of a job that names none, counted from its arrival."},
     SettingSpec{"drainTimeoutMs", Kind::Number, "30000", 0, dayMs, "ms", Reload::Signal,
                 "Longest time that a graceful shutdown takes."},
+    SettingSpec{
+        "placement", Kind::Choice, R"("target")", 0, 0, "", Reload::Restart,
+        "How waiting tasks are ordered and upstreams chosen; other than the default only for comparison.",
+        "target|round-robin|random|least-outstanding"},
     SettingSpec{"log", Kind::Object, "{}", 0, 0, "", Reload::Signal, "What is logged, and how."},
     SettingSpec{"log.format", Kind::Choice, R"("text")", 0, 0, "", Reload::Signal,
                 "One line of text, or one JSON object, for each event.", "text|json-lines"},
--- a/tests/integration/clitest.cpp
+++ b/tests/integration/clitest.cpp
@@ -90,7 +90,7 @@
 TEST_F(CliTest, vmsAreTriedInOrder)
 {
     start("cliorder");
-    const auto nobody = "127.0.0.1:" + std::to_string(freePort());
+    const auto nobody = textOf(freeEndpoint());
     const auto run =
         cli({"submit", jobFile("order", 1, 10), "--vm", nobody, "--vm", callers("a1"), "--json"});
     EXPECT_EQ(run.exitCode, 0) << run.output;
