Service-level burn per class, merged over entry VMs: table, JSON and one HTML page; docs for newcomers

The command merges them by the number of the bucket. Every command line of README and OPERATING is run by a test against the first example.

--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronpitch/action.h"
+#include "citronpitch/burnledger.h"
 #include "citronpitch/claimbook.h"
 #include "citronpitch/configuration.h"
 #include "citronpitch/dispatcher.h"
@@ -105,6 +106,7 @@
     const Dispatcher &dispatcher() const;
     const Membership &membership() const;
     const Configuration &configuration() const;
+    const BurnLedger &burn() const;
 
 private:
     struct OpenAttempt
@@ -159,6 +161,7 @@
     Membership m_membership;
     ClaimBook m_claims;
     Dispatcher m_dispatcher;
+    BurnLedger m_burn;
     Configuration m_configuration;
     std::map<JobId, JobRun> m_jobs;
     std::set<JobDeadline> m_deadlines;
--- a/include/citronpitch/jobrun.h
+++ b/include/citronpitch/jobrun.h
@@ -52,6 +52,9 @@
     /// Whether a task of the job has an attempt whose end is not known.
     bool hasOpenAttempts() const;
 
+    /// Upstream of the last attempt of @p task; empty where there was none.
+    const std::string &upstreamOf(std::uint32_t task) const;
+
     /// Where each task was placed so far.
     std::vector<TaskPlacement> placements() const;
 
--- a/src/cli/command.cpp
+++ b/src/cli/command.cpp
@@ -67,7 +67,7 @@
     static const std::vector<Command> commands = [] {
         std::vector<Command> list;
         for (auto &group : {jobCommands(), classCommands(), teamCommands(), declarationCommands(),
-                            stateCommands(), localCommands()})
+                            stateCommands(), reportCommands(), localCommands()})
             list.insert(list.end(), group.begin(), group.end());
         return list;
     }();
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -54,5 +54,6 @@
 std::vector<Command> classCommands();
 std::vector<Command> teamCommands();
 std::vector<Command> declarationCommands();
+std::vector<Command> reportCommands();
 
 } // namespace Citronpitch
--- /dev/null
+++ b/src/cli/reportcommands.cpp
@@ -0,0 +1,114 @@
+#include "cli/command.h"
+#include "cli/declarations.h"
+#include "cli/replyjson.h"
+
+#include "reports/burnreport.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace Citronpitch {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+std::vector<BurnBucket> bucketsOf(const Json &from)
+{
+    std::vector<BurnBucket> list;
+    for (const auto &it : from)
+        list.push_back(
+            {it.at(0).get<std::int64_t>(), it.at(1).get<std::uint64_t>(), it.at(2).get<std::uint64_t>()});
+    return list;
+}
+
+ClassBurn classBurnOf(const Json &from)
+{
+    ClassBurn burn{from.at("name").get<std::string>(), bucketsOf(from.at("minutes")),
+                   bucketsOf(from.at("quarters")), {}};
+    for (const auto &it : from.at("upstreams"))
+        burn.upstreams.push_back({it.at("name").get<std::string>(), it.at("missed").get<std::uint64_t>()});
+    return burn;
+}
+
+/// Reads the body of GET /v1/burn; throws where a field is missing.
+VmBurn vmBurnOf(const Json &from)
+{
+    VmBurn burn;
+    burn.vm = from.at("vm").get<std::string>();
+    burn.failureDomain = from.at("failureDomain").get<std::string>();
+    burn.now = timePointOf(from.at("now").get<std::int64_t>() * 1000);
+    burn.declarations = configurationOf({{"classes", from.at("declarations")}}).classes;
+    for (const auto &it : from.at("classes"))
+        burn.classes.push_back(classBurnOf(it));
+    return burn;
+}
+
+/// What VM @p vm serves; nothing where it does not answer or the answer can't be read.
+std::optional<VmBurn> fetch(const VmClient &client, const Endpoint &vm)
+{
+    ClientRequest request;
+    request.target = "/v1/burn";
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<VmBurn>> {
+            BOOST_LEAF_AUTO(reply, client.askOne(vm, request));
+            BOOST_LEAF_AUTO(body, successBody(reply, "report burn"));
+            return std::optional<VmBurn>(vmBurnOf(body));
+        },
+        [](const CliError &error) -> std::optional<VmBurn> {
+            std::cerr << "citronpitch: " << error.error.text() << "\n";
+            return std::nullopt;
+        },
+        []() -> std::optional<VmBurn> { return std::nullopt; });
+}
+
+leaf::result<void> writeHtml(const std::string &path, const BurnReport &report)
+{
+    std::ofstream file(path);
+    file << burnReportHtml(report);
+    file.flush();
+    if (file)
+        return {};
+    return leaf::new_error(CliError{{"report burn", path, "the page can't be written"}, "", ExitCode::Failed});
+}
+
+leaf::result<ExitCode> reportBurn(const Invocation &invocation)
+{
+    const auto &options = invocation.options;
+    BOOST_LEAF_AUTO(client, VmClient::create(options, VmPort::Control, "report burn"));
+    std::vector<VmBurn> vms;
+    std::vector<std::string> silent;
+    for (const auto &it : client.vms()) {
+        auto burn = fetch(client, it);
+        if (burn)
+            vms.push_back(std::move(*burn));
+        else
+            silent.push_back(textOf(it));
+    }
+    if (vms.empty())
+        return leaf::new_error(CliError{{"report burn", "", "no entry VM answered"},
+                                        "give the control addresses of all entry VMs with --vm",
+                                        ExitCode::NoAnswer});
+    const auto report = makeBurnReport(vms, silent);
+    if (!options.htmlFile.empty())
+        BOOST_LEAF_CHECK(writeHtml(options.htmlFile, report));
+    std::cout << (options.isGiven(CliOption::Json) ? burnReportJson(report) + "\n" : burnReportText(report));
+    return ExitCode::Done;
+}
+
+} // namespace
+
+std::vector<Command> reportCommands()
+{
+    return {
+        {"report burn",
+         {},
+         "Service-level burn of each class, merged over the entry VMs given with --vm.\n"
+         "Each entry VM knows the jobs whose keys are at home with it, so give all of them.",
+         {CliOption::Html, CliOption::Vm, CliOption::Timeout, CliOption::TokenFile},
+         reportBurn},
+    };
+}
+
+} // namespace Citronpitch
--- a/src/core/claims/jobrun.cpp
+++ b/src/core/claims/jobrun.cpp
@@ -77,6 +77,11 @@
     return std::any_of(m_tasks.begin(), m_tasks.end(), [](const auto &it) { return it.attempt.has_value(); });
 }
 
+const std::string &JobRun::upstreamOf(std::uint32_t task) const
+{
+    return m_tasks.at(task).report.upstream;
+}
+
 std::vector<TaskPlacement> JobRun::placements() const
 {
     std::vector<TaskPlacement> list;
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -101,6 +101,7 @@
         const auto [job, task] = it->second;
         m_attempts.erase(it);
         auto &run = m_jobs.at(job);
+        m_burn.attemptEnded(now, job, run.upstreamOf(task));
         const auto next = run.end(task, result, [this] { return m_dispatcher.takeRetry(); });
         if (next == AfterAttempt::PlaceAgain)
             m_dispatcher.requeue(now, job, run.submission(), task);
@@ -218,6 +219,11 @@
     return m_configuration;
 }
 
+const BurnLedger &EntryVm::burn() const
+{
+    return m_burn;
+}
+
 void EntryVm::handleAtHome(TimePoint now, const Waiter &waiter, CallerRequest request)
 {
     switch (request.kind) {
@@ -295,10 +301,13 @@
         return;
     }
     if (const auto refusal = m_dispatcher.refusal(now, submission)) {
+        m_burn.refused(now, submission.className, refusal->reason);
         reply(waiter, refusedAnswer(submission.key, *refusal));
         return;
     }
     const JobId job = m_nextJob++;
+    if (const auto *declaration = m_configuration.findClass(submission.className))
+        m_burn.accepted(now, job, *declaration);
     const bool needsSync = !parseJobKey(submission.key)->date.has_value();
     m_claims.claim(now, submission.team, submission.key, submission.bodyHash, job);
     if (request.wait)
@@ -442,6 +451,7 @@
 
 void EntryVm::finishJob(TimePoint now, JobId job, const Answer &answer)
 {
+    m_burn.answered(now, job, answer);
     const auto it = m_jobs.find(job);
     const auto submission = it->second.submission();
     for (const auto attempt : it->second.openAttempts()) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "citronpitch/jobkey.h"
+#include "daemon/burnapi.h"
 #include "daemon/callerapi.h"
 #include "daemon/controlapi.h"
 #include "log/eventlog.h"
@@ -149,6 +150,10 @@
         respond({200, statusText(m_vm, m_settings.name), {}});
         return nullptr;
     }
+    if (request.path == "/v1/burn" && request.method == "GET") {
+        respond({200, burnText(now(), m_vm, {m_settings.name, m_settings.failureDomain}), {}});
+        return nullptr;
+    }
     if (request.path.starts_with("/v1/explanations/") && request.method == "GET") {
         explain(request, respond);
         return nullptr;
--- /dev/null
+++ b/src/reports/burnreporttext.cpp
@@ -0,0 +1,102 @@
+#include "reports/burnreport.h"
+
+#include <nlohmann/json.hpp>
+
+#include <ctime>
+#include <iomanip>
+#include <sstream>
+
+namespace Citronpitch {
+
+using Json = nlohmann::json;
+
+namespace {
+
+std::string timeText(TimePoint moment)
+{
+    const std::time_t time = microsecondsOf(moment) / 1'000'000;
+    std::tm parts{};
+    gmtime_r(&time, &parts);
+    std::ostringstream text;
+    text << std::put_time(&parts, "%Y-%m-%d %H:%M UTC");
+    return text.str();
+}
+
+Json toJson(const std::vector<BurnCost> &costs)
+{
+    Json list = Json::array();
+    for (const auto &it : costs)
+        list.push_back({{"name", it.name}, {"missed", it.missed}});
+    return list;
+}
+
+Json toJson(const ClassReport &report)
+{
+    Json windows = Json::array();
+    for (const auto &it : report.windows)
+        windows.push_back({{"window", it.name},
+                           {"lengthMs", it.length.count() / 1000},
+                           {"answered", it.answered},
+                           {"missed", it.missed},
+                           {"burn", it.burn}});
+    return {{"class", report.declaration.name},
+            {"targetSharePpm", report.declaration.targetShare},
+            {"targetTimeMs", report.declaration.targetTime.count() / 1000},
+            {"windows", windows},
+            {"budgetLeft", report.budgetLeft},
+            {"runsOutAt", report.runsOutAt ? Json(microsecondsOf(*report.runsOutAt) / 1000) : Json()},
+            {"upstreams", toJson(report.upstreams)},
+            {"failureDomains", toJson(report.failureDomains)}};
+}
+
+void printCosts(std::ostream &out, const char *title, const std::vector<BurnCost> &costs)
+{
+    constexpr std::size_t shown = 5;
+    if (costs.empty())
+        return;
+    out << "  " << title;
+    for (std::size_t i = 0; i < std::min(costs.size(), shown); ++i)
+        out << (i == 0 ? " " : ", ") << costs[i].name << " (" << costs[i].missed << " missed)";
+    out << "\n";
+}
+
+} // namespace
+
+std::string burnReportText(const BurnReport &report)
+{
+    std::ostringstream out;
+    out << std::fixed << "service-level burn at " << timeText(report.now) << ", over " << report.vms.size()
+        << " entry VMs\n";
+    for (const auto &it : report.silentVms)
+        out << "no answer from " << it << ": what it knows is missing\n";
+    for (const auto &it : report.classes) {
+        out << "class " << it.declaration.name << ": "
+            << std::setprecision(2) << static_cast<double>(it.declaration.targetShare) / 10'000 << "% within "
+            << it.declaration.targetTime.count() / 1000 << " ms\n";
+        for (const auto &window : it.windows)
+            out << "  " << std::left << std::setw(6) << window.name << std::right << std::setw(10)
+                << window.answered << " answered" << std::setw(9) << window.missed << " missed, burn "
+                << window.burn << "\n";
+        out << "  budget left " << std::setprecision(1) << it.budgetLeft * 100 << "%, "
+            << (it.runsOutAt ? "runs out " + timeText(*it.runsOutAt) + " at the rate of the last hour"
+                             : "does not run out at the rate of the last hour")
+            << "\n";
+        printCosts(out, "upstreams that cost most:", it.upstreams);
+        printCosts(out, "failure domains that cost most:", it.failureDomains);
+    }
+    return out.str();
+}
+
+std::string burnReportJson(const BurnReport &report)
+{
+    Json classes = Json::array();
+    for (const auto &it : report.classes)
+        classes.push_back(toJson(it));
+    const Json document{{"now", microsecondsOf(report.now) / 1000},
+                        {"vms", report.vms},
+                        {"silentVms", report.silentVms},
+                        {"classes", classes}};
+    return document.dump(2, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/tests/integration/docstest.cpp
@@ -0,0 +1,172 @@
+#include "support/clirun.h"
+#include "support/deployment.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+using namespace Citronpitch;
+using Json = nlohmann::json;
+
+namespace {
+
+const std::string programs = CITRONPITCH_PROGRAMS;
+const std::string sourceFolder = CITRONPITCH_SOURCES;
+
+/// A command of a page and the exit code that the page says it has.
+struct DocumentedCommand
+{
+    std::vector<std::string> words;
+    int exitCode = 0;
+};
+
+/// The lines of code of the page @p name that start with @p program.
+std::vector<DocumentedCommand> commandsOf(const std::string &name, const std::string &program)
+{
+    std::vector<DocumentedCommand> list;
+    std::ifstream page(sourceFolder + "/" + name);
+    for (std::string line; std::getline(page, line);) {
+        if (!line.starts_with("    " + program + " "))
+            continue;
+        DocumentedCommand command;
+        const auto comment = line.find('#');
+        std::smatch match;
+        if (std::regex_search(line, match, std::regex("exits with ([0-9])")))
+            command.exitCode = std::stoi(match[1]);
+        std::istringstream words(line.substr(0, comment));
+        for (std::string it; words >> it;)
+            command.words.push_back(it.starts_with("examples/") ? sourceFolder + "/" + it : it);
+        command.words.erase(command.words.begin());
+        list.push_back(command);
+    }
+    return list;
+}
+
+Json exampleOf(const std::string &name)
+{
+    std::ifstream file(sourceFolder + "/examples/first/" + name);
+    return Json::parse(file, nullptr, true, true);
+}
+
+} // namespace
+
+/// The first example of the README on ports of its own, and the commands of the pages against it.
+class DocsTest : public ::testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        folder = programs + "/integration/docs-"
+            + ::testing::UnitTest::GetInstance()->current_test_info()->name();
+        std::filesystem::remove_all(folder);
+        std::filesystem::create_directories(folder);
+        callers = freeEndpoint();
+        control = freeEndpoint();
+        const auto peers = freeEndpoint();
+        const auto upstream = freeEndpoint();
+        auto vm = exampleOf("vm.json");
+        vm["dataFolder"] = folder + "/data";
+        vm["callers"]["port"] = callers.port;
+        vm["control"]["port"] = control.port;
+        vm["peers"]["port"] = peers.port;
+        vm["vms"][0]["peers"]["port"] = peers.port;
+        std::ofstream(folder + "/vm.json") << vm.dump();
+        auto stand = exampleOf("upstream.json");
+        stand["listen"]["port"] = upstream.port;
+        stand["entryVms"][0]["port"] = control.port;
+        std::ofstream(folder + "/upstream.json") << stand.dump();
+        processes.emplace_back(programs + "/citronpitchd",
+                               std::vector<std::string>{"--settings", folder + "/vm.json"}, folder + "/vm.log");
+        processes.emplace_back(programs + "/citronpitch-fakeupstream",
+                               std::vector<std::string>{folder + "/upstream.json"}, folder + "/upstream.log");
+        ASSERT_TRUE(isReady());
+    }
+
+    /// Runs a command of a page; the address is that of the example's own ports.
+    CliRun run(const DocumentedCommand &command) const
+    {
+        auto words = command.words;
+        static const std::set<std::string> local{"settings", "keys"};
+        static const std::set<std::string> ofCallers{"submit", "answer", "cancel"};
+        const auto &endpoint = ofCallers.contains(words.front()) ? callers : control;
+        if (!local.contains(words.front())) {
+            words.emplace_back("--vm");
+            words.push_back(endpoint.address + ":" + std::to_string(endpoint.port));
+        }
+        return runCli(programs, words);
+    }
+
+    void runAll(const std::vector<DocumentedCommand> &commands) const
+    {
+        EXPECT_FALSE(commands.empty());
+        for (const auto &it : commands) {
+            const auto result = run(it);
+            std::string text;
+            for (const auto &word : it.words)
+                text += word + " ";
+            EXPECT_EQ(result.exitCode, it.exitCode) << text << "\n" << result.output;
+        }
+    }
+
+    bool isReady() const
+    {
+        for (int i = 0; i < 200; ++i) {
+            const auto result = run({{"upstreams", "--json", "--timeout-ms", "500"}});
+            if (result.exitCode == 0 && !result.json().at("upstreams").empty())
+                return true;
+        }
+        return false;
+    }
+
+    std::string folder;
+    Endpoint callers;
+    Endpoint control;
+    std::vector<ChildProcess> processes;
+};
+
+TEST_F(DocsTest, readmeCommandsDoWhatItSays)
+{
+    runAll(commandsOf("README.md", "build/citronpitch"));
+}
+
+TEST_F(DocsTest, operatingCommandsRun)
+{
+    runAll({{{"submit", sourceFolder + "/examples/first/job.json", "--key", "order-1"}},
+            {{"class", "create", "approval", "--target-ms", "600"}}});
+    runAll(commandsOf("docs/OPERATING.md", "build/citronpitch"));
+}
+
+TEST(DocsPagesTest, daemonCommandsOfThePagesAreRunHereOrByTheExample)
+{
+    int printed = 0;
+    for (const auto &it : commandsOf("README.md", "build/citronpitchd")) {
+        EXPECT_EQ(it.words.at(0), "--settings");
+        if (it.words.size() == 2)
+            continue;
+        ChildProcess process(programs + "/citronpitchd", it.words, programs + "/integration/print.log");
+        EXPECT_EQ(process.wait(), 0);
+        ++printed;
+    }
+    EXPECT_GT(printed, 0);
+}
+
+TEST(DocsPagesTest, linkedPagesExist)
+{
+    for (const std::string page :
+         {"README.md", "docs/OPERATING.md", "docs/CONTRIBUTING.md", "docs/GLOSSARY.md", "docs/SETTINGS.md"}) {
+        std::ostringstream text;
+        text << std::ifstream(sourceFolder + "/" + page).rdbuf();
+        const auto content = text.str();
+        const std::regex link(R"(\]\(([A-Za-z./]+)\))");
+        for (auto it = std::sregex_iterator(content.begin(), content.end(), link); it != std::sregex_iterator();
+             ++it) {
+            const auto folder = std::filesystem::path(sourceFolder + "/" + page).parent_path();
+            EXPECT_TRUE(std::filesystem::exists(folder / it->str(1))) << page << ": " << it->str(1);
+        }
+    }
+}
