--- a/src/cli/reportcommands.cpp
+++ b/src/cli/reportcommands.cpp
@@ -25,8 +25,10 @@
 
 ClassBurn classBurnOf(const Json &from)
 {
-    ClassBurn burn{from.at("name").get<std::string>(), bucketsOf(from.at("minutes")),
-                   bucketsOf(from.at("quarters")), {}};
+    ClassBurn burn{from.at("name").get<std::string>(),
+                   bucketsOf(from.at("minutes")),
+                   bucketsOf(from.at("quarters")),
+                   {}};
     for (const auto &it : from.at("upstreams"))
         burn.upstreams.push_back({it.at("name").get<std::string>(), it.at("missed").get<std::uint64_t>()});
     return burn;
@@ -70,7 +72,8 @@
     file.flush();
     if (file)
         return {};
-    return leaf::new_error(CliError{{"report burn", path, "the page can't be written"}, "", ExitCode::Failed});
+    return leaf::new_error(
+        CliError{{"report burn", path, "the page can't be written"}, "", ExitCode::Failed});
 }
 
 leaf::result<ExitCode> reportBurn(const Invocation &invocation)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -43,6 +43,7 @@
     options.heartbeatPeriod = settings.heartbeatPeriod;
     options.suspicionTime = settings.suspicionTime;
     options.retention = settings.answerRetention;
+    options.upstreamLease = settings.upstreamLease;
     options.dispatching.placement = settings.placement;
     options.dispatching.entryVms = static_cast<std::uint32_t>(settings.vms.size());
     return options;
@@ -68,6 +69,14 @@
               m_vm.linkChanged(now(), vm, isUp);
               carryOut();
           })
+    , m_configuration(
+          m_io, settings,
+          {[this] { return now(); },
+           [this](const std::string &vm, const std::string &bytes) { sendConfiguration(vm, bytes); },
+           [this](const Configuration &configuration) {
+               m_vm.setConfiguration(now(), configuration);
+               carryOut();
+           }})
     , m_callerServer(m_io, settings.callers, settings.limits,
                      [this](const HttpRequest &request, HttpResponder respond) {
                          return handleCaller(request, std::move(respond));
@@ -80,7 +89,7 @@
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_random(std::random_device{}())
 {
-    m_vm.setConfiguration(now(), settings.initialConfiguration);
+    m_configuration.start();
     waitForSignal();
     scheduleTick();
 }
@@ -158,6 +167,8 @@
         explain(request, respond);
         return nullptr;
     }
+    if (ConfigurationService::serves(request.path))
+        return m_configuration.handle(request, respond);
     if (request.path == "/v1/upstreams" && request.method == "GET") {
         respond({200, upstreamsText(m_vm), {}});
         return nullptr;
@@ -218,6 +229,8 @@
     }
     m_vm.peerMessage(now(), message);
     carryOut();
+    if (message.body_case() == wire::PeerMessage::kConfiguration)
+        m_configuration.receive(message.sender(), message.configuration());
 }
 
 void Daemon::carryOut()
@@ -280,6 +293,7 @@
     carryOut();
     if (now() >= m_nextWatch)
         watch();
+    m_configuration.tick();
     if (!m_isDraining)
         return;
     if (!m_hasStoppedListening && now() >= m_listenUntil) {
@@ -351,6 +365,15 @@
     carryOut();
 }
 
+void Daemon::sendConfiguration(const std::string &vm, const std::string &bytes)
+{
+    wire::PeerMessage message;
+    message.set_sender(m_settings.name);
+    message.set_incarnation(static_cast<std::uint64_t>(microsecondsOf(m_wallStart)));
+    message.set_configuration(bytes);
+    m_links.send(vm, message.SerializeAsString());
+}
+
 std::string Daemon::newKey()
 {
     const auto high = m_random();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -62,6 +62,10 @@
             std::cerr << "citronpitchd: " << error.text() << "\n";
             return exitUsage;
         },
+        [](const std::exception &error) {
+            std::cerr << "citronpitchd: " << error.what() << "\n";
+            return exitFailure;
+        },
         [] { return exitFailure; });
 }
 
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -29,6 +29,8 @@
     PeerSuspected = 302,
     PeerLeaving = 303,
     ConfigurationInForce = 400,
+    ConfigurationLeader = 401,
+    ConfigurationStorageFailed = 402,
     CallerInputRefused = 500,
 };
 
--- a/src/reports/burnreport.cpp
+++ b/src/reports/burnreport.cpp
@@ -104,7 +104,8 @@
         if (missed > 0)
             list.push_back({name, missed});
     }
-    std::stable_sort(list.begin(), list.end(), [](const auto &a, const auto &b) { return a.missed > b.missed; });
+    std::stable_sort(list.begin(), list.end(),
+                     [](const auto &a, const auto &b) { return a.missed > b.missed; });
     return list;
 }
 
--- a/src/reports/burnreporthtml.cpp
+++ b/src/reports/burnreporthtml.cpp
@@ -118,8 +118,8 @@
 {
     const auto scale = scaleOf(plot);
     std::ostringstream out;
-    out << "<svg role='img' width='" << plotWidth << "' height='" << plotHeight << "' viewBox='0 0 " << plotWidth
-        << " " << plotHeight << "'>";
+    out << "<svg role='img' width='" << plotWidth << "' height='" << plotHeight << "' viewBox='0 0 "
+        << plotWidth << " " << plotHeight << "'>";
     drawAxes(out, plot, scale);
     for (const auto &it : plot.points) {
         if (it.start < plot.start || it.start >= plot.end)
@@ -128,8 +128,8 @@
         const auto width = std::max(xOf(plot, it.start + plot.bucket) - x - 1, 1.0);
         // A bucket without a miss is seen as a thin line: jobs were answered.
         const auto top = std::min(yOf(it.burn, scale), yOf(0, scale) - 1);
-        out << "<rect x='" << x << "' y='" << top << "' width='" << width << "' height='" << yOf(0, scale) - top
-            << "' fill='" << (it.burn > 1 ? "#b00020" : "#3b7a57") << "'><title>"
+        out << "<rect x='" << x << "' y='" << top << "' width='" << width << "' height='"
+            << yOf(0, scale) - top << "' fill='" << (it.burn > 1 ? "#b00020" : "#3b7a57") << "'><title>"
             << timeText(it.start, "%d %b %H:%M") << ": burn " << number(it.burn, 2) << ", " << it.answered
             << " answered</title></rect>";
     }
@@ -143,8 +143,9 @@
 {
     out << "<table><tr><th>window</th><th>answered</th><th>missed</th><th>burn</th></tr>";
     for (const auto &it : report.windows)
-        out << "<tr><td>" << it.name << "</td><td>" << it.answered << "</td><td>" << it.missed << "</td><td class='"
-            << (it.burn > 1 ? "bad" : "good") << "'>" << number(it.burn, 2) << "</td></tr>";
+        out << "<tr><td>" << it.name << "</td><td>" << it.answered << "</td><td>" << it.missed
+            << "</td><td class='" << (it.burn > 1 ? "bad" : "good") << "'>" << number(it.burn, 2)
+            << "</td></tr>";
     out << "</table>";
 }
 
@@ -165,17 +166,19 @@
     const auto hourEnd = std::chrono::floor<std::chrono::minutes>(now) + std::chrono::minutes(1);
     const auto hourStart = hourEnd - std::chrono::hours(1);
     const auto daysStart = hourEnd - std::chrono::hours(72);
-    out << "<h2>" << escaped(declaration.name) << "</h2><p>Target: "
-        << number(static_cast<double>(declaration.targetShare) / 10'000, 2) << "% of the jobs answered within "
-        << declaration.targetTime.count() / 1000 << " ms. Budget left: <span class='"
-        << (report.budgetLeft > 0 ? "good" : "bad") << "'>" << number(report.budgetLeft * 100, 1) << "%</span>; ";
+    out << "<h2>" << escaped(declaration.name)
+        << "</h2><p>Target: " << number(static_cast<double>(declaration.targetShare) / 10'000, 2)
+        << "% of the jobs answered within " << declaration.targetTime.count() / 1000
+        << " ms. Budget left: <span class='" << (report.budgetLeft > 0 ? "good" : "bad") << "'>"
+        << number(report.budgetLeft * 100, 1) << "%</span>; ";
     if (report.runsOutAt)
         out << "<span class='bad'>it runs out " << timeText(*report.runsOutAt, "%d %b %H:%M UTC")
             << "</span> at the rate of the last hour.</p>";
     else
         out << "it does not run out at the rate of the last hour.</p>";
     drawWindows(out, report);
-    out << "<figure><figcaption>Burn of each minute, last hour. Dashed: burn 1, at which the budget is used up just "
+    out << "<figure><figcaption>Burn of each minute, last hour. Dashed: burn 1, at which the budget is used "
+           "up just "
            "in time.</figcaption>"
         << svgOf({report.lastHour, hourStart, hourEnd, burnMinute, "%H:%M"})
         << "</figure><figure><figcaption>Burn of each quarter of an hour, last three days.</figcaption>"
@@ -191,7 +194,8 @@
 std::string burnReportHtml(const BurnReport &report)
 {
     std::ostringstream out;
-    out << "<!DOCTYPE html><html lang='en'><head><meta charset='utf-8'><title>Service-level burn</title><style>"
+    out << "<!DOCTYPE html><html lang='en'><head><meta charset='utf-8'><title>Service-level "
+           "burn</title><style>"
         << style << "</style></head><body><h1>Service-level burn</h1><p>"
         << timeText(report.now, "%d %B %Y, %H:%M UTC") << ", merged over " << report.vms.size()
         << " entry VMs. Burn is the share of jobs that missed the target over the share that may miss.</p>";
--- a/src/reports/burnreporttext.cpp
+++ b/src/reports/burnreporttext.cpp
@@ -70,8 +70,8 @@
     for (const auto &it : report.silentVms)
         out << "no answer from " << it << ": what it knows is missing\n";
     for (const auto &it : report.classes) {
-        out << "class " << it.declaration.name << ": "
-            << std::setprecision(2) << static_cast<double>(it.declaration.targetShare) / 10'000 << "% within "
+        out << "class " << it.declaration.name << ": " << std::setprecision(2)
+            << static_cast<double>(it.declaration.targetShare) / 10'000 << "% within "
             << it.declaration.targetTime.count() / 1000 << " ms\n";
         for (const auto &window : it.windows)
             out << "  " << std::left << std::setw(6) << window.name << std::right << std::setw(10)
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -33,6 +33,7 @@
     vm.identity.name = from.at("name").get<std::string>();
     vm.identity.failureDomain = from.at("failureDomain").get<std::string>();
     vm.peers = parseEndpoint(from.at("peers"));
+    vm.isVoter = from.at("voter").get<bool>();
     return vm;
 }
 
@@ -81,8 +82,8 @@
 
 PlacementPolicy parsePlacement(const Json &from)
 {
-    const auto name = from.at("placement").get<std::string>();
-    return valueIn(placementPolicyNames, name).value_or(PlacementPolicy::Target);
+    const auto policy = valueIn(placementPolicyNames, from.at("placement").get<std::string>());
+    return policy.value_or(PlacementPolicy::Target);
 }
 
 Settings parseAll(const Json &from)
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -29,6 +29,8 @@
     VmIdentity identity;
     /// Where its link for other entry VMs can be reached.
     Endpoint peers;
+    /// Whether it votes on the replicated configuration; such a VM needs a data folder.
+    bool isVoter = true;
 };
 
 /// Limits on the connections of callers.
@@ -61,9 +63,9 @@
     Duration answerRetention{};
     Duration defaultDeadline{};
     Duration drainTimeout{};
-    LogSettings log;
     /// How waiting tasks are ordered and upstreams chosen; other than the default only for comparison.
     PlacementPolicy placement = PlacementPolicy::Target;
+    LogSettings log;
     /// Classes and teams in force before any change is accepted.
     Configuration initialConfiguration;
     /// The settings as JSON with every default filled in.
--- a/tests/integration/burnreporttest.cpp
+++ b/tests/integration/burnreporttest.cpp
@@ -92,7 +92,8 @@
     plan.folder = programs + "/integration/burnreport";
     plan.vms = {{"a1", "a"}, {"b1", "b"}};
     plan.upstreams = {{"ua", "a"}, {"ub", "b"}};
-    plan.vmSettings = R"({"initialConfiguration": {"classes": [{"name": "casework", "targetTimeMs": 5000}]}})";
+    plan.vmSettings =
+        R"({"initialConfiguration": {"classes": [{"name": "casework", "targetTimeMs": 5000}]}})";
     Deployment deployment(plan);
     deployment.start();
     ASSERT_TRUE(deployment.waitUntilReady(std::chrono::seconds(20)));
@@ -110,8 +111,9 @@
     }
     const auto nobody = textOf(freeEndpoint());
     const auto page = plan.folder + "/burn.html";
-    const auto run = runCli(programs, {"report", "burn", "--vm", textOf(deployment.control("a1")), "--vm",
-                                       textOf(deployment.control("b1")), "--vm", nobody, "--json", "--html", page});
+    const auto run = runCli(programs,
+                            {"report", "burn", "--vm", textOf(deployment.control("a1")), "--vm",
+                             textOf(deployment.control("b1")), "--vm", nobody, "--json", "--html", page});
     ASSERT_EQ(run.exitCode, 0) << run.output;
     const auto report = run.json();
     EXPECT_EQ(report.at("silentVms"), Json::array({nobody}));
--- a/tests/integration/docstest.cpp
+++ b/tests/integration/docstest.cpp
@@ -61,8 +61,8 @@
 protected:
     void SetUp() override
     {
-        folder = programs + "/integration/docs-"
-            + ::testing::UnitTest::GetInstance()->current_test_info()->name();
+        folder =
+            programs + "/integration/docs-" + ::testing::UnitTest::GetInstance()->current_test_info()->name();
         std::filesystem::remove_all(folder);
         std::filesystem::create_directories(folder);
         callers = freeEndpoint();
@@ -81,7 +81,8 @@
         stand["entryVms"][0]["port"] = control.port;
         std::ofstream(folder + "/upstream.json") << stand.dump();
         processes.emplace_back(programs + "/citronpitchd",
-                               std::vector<std::string>{"--settings", folder + "/vm.json"}, folder + "/vm.log");
+                               std::vector<std::string>{"--settings", folder + "/vm.json"},
+                               folder + "/vm.log");
         processes.emplace_back(programs + "/citronpitch-fakeupstream",
                                std::vector<std::string>{folder + "/upstream.json"}, folder + "/upstream.log");
         ASSERT_TRUE(isReady());
@@ -163,8 +164,8 @@
         text << std::ifstream(sourceFolder + "/" + page).rdbuf();
         const auto content = text.str();
         const std::regex link(R"(\]\(([A-Za-z./]+)\))");
-        for (auto it = std::sregex_iterator(content.begin(), content.end(), link); it != std::sregex_iterator();
-             ++it) {
+        for (auto it = std::sregex_iterator(content.begin(), content.end(), link);
+             it != std::sregex_iterator(); ++it) {
             const auto folder = std::filesystem::path(sourceFolder + "/" + page).parent_path();
             EXPECT_TRUE(std::filesystem::exists(folder / it->str(1))) << page << ": " << it->str(1);
         }
