--- a/src/core/claims/jobrun.cpp
+++ b/src/core/claims/jobrun.cpp
@@ -36,6 +36,7 @@
 {
     auto &it = m_tasks.at(task);
     it.attempt = attempt;
+    ++it.attempts;
     it.hasStarted = true;
     it.report.upstream = upstream;
 }
@@ -98,6 +99,22 @@
                        [](const auto &it) { return it.attempt || it.report.state == TaskState::Ran; });
 }
 
+const std::string &JobRun::upstreamOf(std::uint32_t task) const
+{
+    return m_tasks.at(task).report.upstream;
+}
+
+std::vector<TaskPlacement> JobRun::placements() const
+{
+    std::vector<TaskPlacement> list;
+    for (const auto &it : m_tasks) {
+        const bool hasEnded = it.report.state == TaskState::Ran;
+        const auto idle = hasEnded ? TaskStage::Ended : TaskStage::Waiting;
+        list.push_back({it.attempt ? TaskStage::Running : idle, it.report.upstream, it.attempts});
+    }
+    return list;
+}
+
 Answer JobRun::completeAnswer() const
 {
     Answer answer{m_submission.key, Outcome::Complete, Reason::None, {}, {}, {}};
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -109,6 +109,7 @@
         const auto [job, task] = it->second;
         m_attempts.erase(it);
         auto &run = m_jobs.at(job);
+        m_burn.attemptEnded(now, job, run.upstreamOf(task));
         const auto next = run.end(task, result, [this] { return m_dispatcher.takeRetry(); });
         if (next == AfterAttempt::PlaceAgain && m_hasStorageFailed)
             finishJob(now, job, run.failedAnswer(Reason::StorageFailed, storageDetail()));
@@ -247,6 +248,11 @@
     return m_configuration;
 }
 
+const BurnLedger &EntryVm::burn() const
+{
+    return m_burn;
+}
+
 void EntryVm::handleAtHome(TimePoint now, const Waiter &waiter, CallerRequest request)
 {
     switch (request.kind) {
@@ -332,10 +338,13 @@
         return;
     }
     if (const auto refusal = m_dispatcher.refusal(now, submission)) {
+        m_burn.refused(now, submission.className, refusal->reason);
         reply(waiter, refusedAnswer(submission.key, *refusal));
         return;
     }
     const JobId job = m_nextJob++;
+    if (const auto *declaration = m_configuration.findClass(submission.className))
+        m_burn.accepted(now, job, *declaration);
     const ClaimKey key{submission.team, submission.key};
     const bool needsSync = !parseJobKey(key.key)->date && !faults().startsBeforeSync;
     m_claims.claim(key, submission.bodyHash, job);
@@ -529,6 +538,7 @@
         answer.outcome = Outcome::Refused;
         answer.tasks.clear();
     }
+    m_burn.answered(now, job, answer);
     const auto it = m_jobs.find(job);
     const auto submission = it->second.submission();
     for (const auto attempt : it->second.openAttempts()) {
