--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -139,6 +139,11 @@
     return m_vmPorts.at(vm).control;
 }
 
+Endpoint Deployment::upstreamEndpoint(const std::string &upstream) const
+{
+    return m_upstreamPorts.at(upstream);
+}
+
 std::string Deployment::dataFolder(const std::string &vm) const
 {
     return m_plan.folder + "/" + vm + ".data";
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -84,6 +84,7 @@
 
     Endpoint callers(const std::string &vm) const;
     Endpoint control(const std::string &vm) const;
+    Endpoint upstreamEndpoint(const std::string &upstream) const;
     std::string dataFolder(const std::string &vm) const;
 
     /// Stops every VM gracefully and the upstreams after them. Returns whether every VM exited with 0.
