--- a/bench/pathbench.cpp
+++ b/bench/pathbench.cpp
@@ -106,6 +106,7 @@
 {
     constexpr std::uint32_t upstreams = 600;
     auto plan = pathPlan(programs);
+    plan.folder = ".bench/announced";
     plan.upstreams.clear();
     Deployment deployment(plan);
     deployment.start();
