--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -218,6 +218,10 @@
                         {"entryVms", entryVms},
                         {"slots", upstream.slots},
                         {"rack", upstream.rack},
+                        {"capacity",
+                         {{"millicores", upstream.capacity.millicores},
+                          {"memoryBytes", upstream.capacity.memoryBytes},
+                          {"accelerators", upstream.capacity.accelerators}}},
                         {"slowness", upstream.slowness},
                         {"failsEverything", upstream.failsEverything},
                         {"recordFile", m_plan.folder + "/" + upstream.name + ".records"}};
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronpitch/resources.h"
 #include "net/httpclient.h"
 #include "support/childprocess.h"
 
@@ -40,6 +41,7 @@
     double slowness = 1.0;
     bool failsEverything = false;
     std::string rack;
+    Resources capacity = {};
 };
 
 /// What to start.
