--- a/bench/callerpool.cpp
+++ b/bench/callerpool.cpp
@@ -153,6 +153,7 @@
     const auto outcome = body.is_object() ? body.value("outcome", std::string()) : std::string();
     if (outcome.empty() || outcome == "unknown" || outcome == "pending") {
         m_clients[number].isUnknown = outcome == "unknown";
+        end.reason = body.is_object() ? body.value("reason", std::string()) : std::string();
         fetchLater(number);
         return;
     }
--- a/bench/loadbench.cpp
+++ b/bench/loadbench.cpp
@@ -67,11 +67,13 @@
     CallerPool pool(poolPlan(plan, deployment));
     pool.run();
     const auto resent = deployment.statusSum("resentForwards");
+    const auto silentLinks = deployment.silentLinks();
     const bool isClean = deployment.deployment().stop();
     auto figures = loadFiguresOf(pool, deployment, deployment.deployment().records(), plan.scenario,
                                  delaysOf(plan.site));
     figures.policy = nameIn(policyNames, policy);
     figures.resentForwards = resent;
+    figures.silentLinks = silentLinks;
     figures.isShutdownClean = isClean || plan.scenario.killsEntryVm;
     addWaste(figures);
     return figures;
--- a/bench/loaddeployment.cpp
+++ b/bench/loaddeployment.cpp
@@ -181,15 +181,30 @@
 std::uint64_t LoadDeployment::statusSum(const char *field) const
 {
     std::uint64_t sum = 0;
+    for (const auto &it : m_plan.vms)
+        sum += statusOf(it.name).value(field, std::uint64_t{0});
+    return sum;
+}
+
+std::vector<std::string> LoadDeployment::silentLinks() const
+{
+    std::vector<std::string> list;
     for (const auto &it : m_plan.vms) {
-        ClientRequest request;
-        request.target = "/v1/status";
-        request.timeout = std::chrono::seconds(1);
-        const auto response = call(m_deployment->control(it.name), request);
-        if (response.end == ExchangeEnd::Answered)
-            sum += Json::parse(response.response.body).value(field, std::uint64_t{0});
+        for (const auto &peer : statusOf(it.name).value("vms", Json::array())) {
+            if (peer.value("state", std::string()) != "alive")
+                list.push_back(it.name + " does not hear " + peer.value("name", std::string()));
+        }
     }
-    return sum;
+    return list;
+}
+
+Json LoadDeployment::statusOf(const std::string &vm) const
+{
+    ClientRequest request;
+    request.target = "/v1/status";
+    request.timeout = std::chrono::seconds(1);
+    const auto response = call(m_deployment->control(vm), request);
+    return response.end == ExchangeEnd::Answered ? Json::parse(response.response.body) : Json::object();
 }
 
 Deployment &LoadDeployment::deployment()
--- a/bench/loaddeployment.h
+++ b/bench/loaddeployment.h
@@ -4,6 +4,8 @@
 #include "support/deployment.h"
 #include "support/faultproxy.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <memory>
 #include <string>
 #include <utility>
@@ -68,10 +70,14 @@
     /// Sum of a counter over the status of the VMs that answer.
     std::uint64_t statusSum(const char *field) const;
 
+    /// Pairs of VMs of which the first does not hear the second, as "A does not hear B".
+    std::vector<std::string> silentLinks() const;
+
     Deployment &deployment();
 
 private:
     Endpoint route(const std::string &from, const std::string &to, const Endpoint &direct);
+    nlohmann::json statusOf(const std::string &vm) const;
     std::string domainOf(const std::string &vm) const;
 
     struct CrossLink
--- a/bench/loadfigures.cpp
+++ b/bench/loadfigures.cpp
@@ -40,6 +40,18 @@
     return n;
 }
 
+void countReason(LoadFigures &figures, const SubmissionEnd &end)
+{
+    if (end.end == EndKind::Complete)
+        return;
+    const auto it = std::find_if(figures.reasons.begin(), figures.reasons.end(),
+                                 [&](const auto &other) { return other.reason == end.reason; });
+    if (it == figures.reasons.end())
+        figures.reasons.push_back({end.reason, 1});
+    else
+        ++it->jobs;
+}
+
 void countEnd(LoadFigures &figures, const SubmissionEnd &end)
 {
     ++figures.jobs;
@@ -141,6 +153,7 @@
     double used = 0;
     for (const auto &it : pool.ends()) {
         countEnd(figures, it);
+        countReason(figures, it);
         countStarts(figures, it, records);
         used += usedMilliseconds(it, deployment);
         if (it.end != EndKind::Complete || it.arrival.at < warmUp || it.arrival.kind != ArrivalKind::Ordinary)
@@ -167,7 +180,11 @@
                            {"targetMs", it.targetMilliseconds},
                            {"attainment", it.attainment},
                            {"jobs", it.jobs}});
+    auto reasons = Json::object();
+    for (const auto &it : figures.reasons)
+        reasons[it.reason] = it.jobs;
     return {{"policy", figures.policy},
+            {"reasons", reasons},
             {"responseOverIdeal",
              {{"p50", figures.ratio.percentile(0.5)},
               {"p99", figures.ratio.percentile(0.99)},
@@ -193,6 +210,7 @@
             {"resentForwards", figures.resentForwards},
             {"wastedPerTask", figures.wastedPerTask},
             {"utilisation", figures.utilisation},
+            {"silentLinks", figures.silentLinks},
             {"latenessP99Ms", figures.latenessP99},
             {"shutdownClean", figures.isShutdownClean},
             {"sound", figures.isSound()}};
--- a/bench/loadfigures.h
+++ b/bench/loadfigures.h
@@ -20,6 +20,13 @@
     std::uint64_t jobs = 0;
 };
 
+/// How many answers gave a reason.
+struct ReasonCount
+{
+    std::string reason;
+    std::uint64_t jobs = 0;
+};
+
 /// Figures of one run of a scenario under one policy.
 struct LoadFigures
 {
@@ -27,6 +34,8 @@
     /// Response over ideal of the jobs answered complete.
     Distribution ratio;
     std::vector<ClassFigures> classes;
+    /// Reasons of answers that are not complete.
+    std::vector<ReasonCount> reasons;
     std::uint64_t jobs = 0;
     std::uint64_t complete = 0;
     std::uint64_t failed = 0;
@@ -54,6 +63,8 @@
     /// Share of the slots' time in which they ran tasks whose results were used.
     double utilisation = 0;
     double latenessP99 = 0;
+    /// Links between VMs that carried nothing at the end of the run.
+    std::vector<std::string> silentLinks;
     bool isShutdownClean = false;
 
     /// No start was doubled, no answer lost, partial or contradicted, no refusal untrue.
