--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -18,6 +18,9 @@
 constexpr Duration unreachableRetry = std::chrono::seconds(1);
 constexpr Duration drainRetry = std::chrono::seconds(2);
 
+/// How long a link that has ended may take to stand again before forwards over it are given up.
+constexpr Duration reconnectGrace = std::chrono::milliseconds(500);
+
 /// How long after the deadline of a job the home's answer is still waited for.
 constexpr Duration answerGrace = std::chrono::milliseconds(500);
 
@@ -46,10 +49,11 @@
     : m_options(options)
     , m_membership(options.self.name, options.vms, options.suspicionTime)
     , m_claims(options.retention)
+    , m_dispatcher(options.dispatching)
 {
     for (const auto &it : options.vms)
         m_vmNames.push_back(it.name);
-    updateShare();
+    updateShare({});
 }
 
 void EntryVm::request(TimePoint now, CallerId caller, CallerRequest request)
@@ -97,9 +101,9 @@
         const auto [job, task] = it->second;
         m_attempts.erase(it);
         auto &run = m_jobs.at(job);
-        const auto next = run.end(task, result);
+        const auto next = run.end(task, result, [this] { return m_dispatcher.takeRetry(); });
         if (next == AfterAttempt::PlaceAgain)
-            m_dispatcher.requeue(now, job, task);
+            m_dispatcher.requeue(now, job, run.submission(), task);
         else if (next == AfterAttempt::AnswerJob)
             finishJob(now, job, run.finalAnswer());
     }
@@ -117,7 +121,7 @@
         const auto &heartbeat = message.heartbeat();
         m_membership.report(message.sender(), heartbeat.configuration_version(), heartbeat.free_slots(),
                             heartbeat.queued_tasks(), heartbeat.leaving());
-        updateShare();
+        updateShare(now);
         break;
     }
     case wire::PeerMessage::kForwardedRequest:
@@ -137,6 +141,19 @@
     }
 }
 
+void EntryVm::linkChanged(TimePoint now, const std::string &vm, bool isUp)
+{
+    if (!isUp) {
+        m_endedLinks.emplace(vm, now + reconnectGrace);
+        return;
+    }
+    m_endedLinks.erase(vm);
+    for (const auto &[number, forward] : m_forwards) {
+        if (forward.home == vm)
+            sendForward(number, forward);
+    }
+}
+
 void EntryVm::journalSynced(TimePoint now, std::uint64_t token)
 {
     const auto it = m_awaitingSync.find(token);
@@ -159,8 +176,9 @@
 {
     for (const auto &it : m_membership.suspect(now)) {
         failForwards(now, it);
-        updateShare();
+        updateShare(now);
     }
+    failForwardsOfEndedLinks(now);
     failLateJobs(now);
     resendForwards(now);
     m_claims.expire(now);
@@ -308,7 +326,9 @@
 
 void EntryVm::forward(TimePoint now, const std::string &home, CallerId caller, CallerRequest request)
 {
-    if (!m_membership.isReachable(home)) {
+    const auto ended = m_endedLinks.find(home);
+    const bool isLinkEnded = ended != m_endedLinks.end() && ended->second <= now;
+    if (!m_membership.isReachable(home) || isLinkEnded) {
         const auto &key = request.submission.key;
         reply({{}, 0, caller},
               unknownAnswer(key, Reason::HomeUnreachable, "forward: VM " + home + " is out of reach",
@@ -375,6 +395,14 @@
     }
 }
 
+void EntryVm::failForwardsOfEndedLinks(TimePoint now)
+{
+    for (const auto &[vm, deadline] : m_endedLinks) {
+        if (deadline <= now)
+            failForwards(now, vm);
+    }
+}
+
 void EntryVm::place(TimePoint now)
 {
     const auto placements = m_dispatcher.place(now);
@@ -420,7 +448,7 @@
         m_attempts.erase(attempt);
         m_actions.emplace_back(StopTask{attempt});
     }
-    m_dispatcher.remove(job);
+    m_dispatcher.remove(now, job);
     m_deadlines.erase({submission.deadline, job});
     m_jobs.erase(it);
     auto record = std::make_shared<wire::ClaimJournalRecord>();
@@ -478,7 +506,7 @@
     }
 }
 
-void EntryVm::updateShare()
+void EntryVm::updateShare(TimePoint now)
 {
     std::uint32_t part = 0;
     std::uint32_t parts = 0;
@@ -491,7 +519,7 @@
             continue;
         ++parts;
     }
-    m_dispatcher.setShare(part, parts);
+    m_dispatcher.setShare(now, part, parts);
 }
 
 void EntryVm::reply(const Waiter &waiter, const Answer &answer)
