Links: end a connection whose handshake does not finish within 2 s

A connection cut during its handshake stayed up and mute for ZeroMQ's 30 s, since heartbeats start after the handshake; the load tool saw it as VMs that never heard one peer. Ruled out: routing identities, the descriptor's edge. PeerLinksTest fails without the limit (10.5 s, nothing received) and passes with it (2.1 s).

--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -12,6 +12,7 @@
 constexpr int queueLimitMessages = 20000;
 constexpr int heartbeatMilliseconds = 500;
 constexpr int heartbeatTimeoutMilliseconds = 2000;
+constexpr int handshakeMilliseconds = 2000;
 constexpr int reconnectMilliseconds = 20;
 constexpr int reconnectLimitMilliseconds = 100;
 
@@ -29,6 +30,7 @@
     socket.set(zmq::sockopt::rcvhwm, queueLimitMessages);
     socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMilliseconds);
     socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMilliseconds);
+    socket.set(zmq::sockopt::handshake_ivl, handshakeMilliseconds);
 }
 
 /// The ZeroMQ sockets; apart, so that no other file sees their headers.
--- /dev/null
+++ b/tests/integration/peerlinkstest.cpp
@@ -0,0 +1,61 @@
+#include "net/peerlinks.h"
+
+#include "support/deployment.h"
+#include "support/faultproxy.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+using namespace Citronpitch;
+
+namespace {
+
+constexpr auto cutTime = std::chrono::milliseconds(500);
+
+/// An accepted configuration must be in force within 13 s, so a link must be back before that.
+constexpr auto recoveryTime = std::chrono::seconds(10);
+
+/// Calls @p action every 20 ms until it returns false.
+void repeat(boost::asio::steady_timer &timer, const std::function<bool()> &action)
+{
+    timer.expires_after(std::chrono::milliseconds(20));
+    timer.async_wait([&timer, action](boost::system::error_code ec) {
+        if (!ec && action())
+            repeat(timer, action);
+    });
+}
+
+} // namespace
+
+TEST(PeerLinksTest, RecoversFromAConnectionThatWasCutDuringItsHandshake)
+{
+    const auto a = freeEndpoint();
+    const auto b = freeEndpoint();
+    const auto between = freeEndpoint();
+    FaultProxy proxy(between, b);
+    proxy.faults().swallowToServer = true;
+    proxy.faults().swallowToClient = true;
+    boost::asio::io_context io;
+    int received = 0;
+    PeerLinks receiver(
+        io, "b", b, {}, [&](std::string_view) { ++received; }, nullptr);
+    PeerLinks sender(
+        io, "a", a, {{{"b", "north"}, between}}, [](std::string_view) {}, nullptr);
+    const auto start = std::chrono::steady_clock::now();
+    boost::asio::steady_timer timer(io);
+    repeat(timer, [&] {
+        const auto elapsed = std::chrono::steady_clock::now() - start;
+        if (elapsed > cutTime) {
+            proxy.faults().swallowToServer = false;
+            proxy.faults().swallowToClient = false;
+        }
+        sender.send("b", "hello");
+        const bool isOver = received > 0 || elapsed > cutTime + recoveryTime;
+        if (isOver)
+            io.stop();
+        return !isOver;
+    });
+    io.run();
+    EXPECT_GT(received, 0);
+}
