--- a/bench/loadbench.cpp
+++ b/bench/loadbench.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr std::array policies{PolicyName::Target};
+constexpr std::array policies{PolicyName::Target, PolicyName::RoundRobin, PolicyName::Random,
+                              PolicyName::LeastOutstanding};
 
 /// A job may take this long beyond three times its ideal time.
 constexpr Duration deadlineMargin = std::chrono::milliseconds(2000);
--- a/bench/loaddeployment.cpp
+++ b/bench/loaddeployment.cpp
@@ -218,7 +218,7 @@
     const auto toDomain = domainOf(to);
     if (fromDomain.empty() || toDomain.empty() || fromDomain == toDomain)
         return direct;
-    const Endpoint listen{"127.0.0.1", freePort()};
+    const auto listen = freeEndpoint();
     auto proxy = std::make_unique<FaultProxy>(listen, direct);
     proxy->faults().delayMicroseconds = m_delays.betweenDomains.count();
     m_links.push_back({from, to, std::move(proxy)});
