--- a/bench/benchmain.cpp
+++ b/bench/benchmain.cpp
@@ -1,5 +1,6 @@
 #include "loadbench.h"
 #include "pathbench.h"
+#include "slopesbench.h"
 
 #include <getopt.h>
 
@@ -70,6 +71,8 @@
 {
     if (arguments.name == "path")
         return Citronpitch::runPathBench(arguments.programs);
+    if (arguments.name == "slopes")
+        return Citronpitch::runSlopesBench(arguments.programs);
     if (arguments.name == "load")
         return runLoad(arguments);
     printUsage();
