--- a/bench/controlslopes.cpp
+++ b/bench/controlslopes.cpp
@@ -1,12 +1,11 @@
 #include "controlslopes.h"
 
 #include "announcer.h"
+#include "countedlinks.h"
 #include "slopedeployment.h"
-#include "support/faultproxy.h"
 
 #include <array>
 #include <functional>
-#include <memory>
 #include <thread>
 
 namespace Citronpitch {
@@ -27,36 +26,11 @@
     double processorShare = 0;
 };
 
-/// Puts a counting proxy into each link of the first VM.
-class CountedLinks
-{
-public:
-    Endpoint route(const std::string &from, const std::string &to, const Endpoint &direct)
-    {
-        const bool isLink = from.starts_with("vm") && to.starts_with("vm") && from != "vm" && to != "vm";
-        if (!isLink || from == to || (from != "vm1" && to != "vm1"))
-            return direct;
-        const auto listen = freeEndpoint();
-        m_proxies.push_back(std::make_unique<FaultProxy>(listen, direct));
-        return listen;
-    }
-
-    double bytes() const
-    {
-        double sum = 0;
-        for (const auto &it : m_proxies)
-            sum += static_cast<double>(it->passedBytes());
-        return sum;
-    }
-
-private:
-    std::vector<std::unique_ptr<FaultProxy>> m_proxies;
-};
-
 ControlCost measureOnce(const std::string &programs, const SlopeDeploymentSize &size,
                         const std::function<void(Deployment &)> &load)
 {
-    CountedLinks links;
+    CountedLinks links(
+        [](const std::string &from, const std::string &to) { return from == "vm1" || to == "vm1"; });
     auto plan = slopePlan(programs, size);
     plan.route = [&links](const std::string &from, const std::string &to, const Endpoint &direct) {
         return links.route(from, to, direct);
--- a/bench/loadbench.cpp
+++ b/bench/loadbench.cpp
@@ -30,6 +30,8 @@
     std::vector<CallerPoolPlan::Event> events;
     if (scenario.killsEntryVm)
         events.push_back({scenario.eventAt, [&deployment] { deployment.killFirstVm(); }});
+    if (scenario.retiresClass)
+        events.push_back({scenario.eventAt, [&deployment] { deployment.retireBatchClass(); }});
     if (scenario.cutsDomain) {
         events.push_back({scenario.eventAt, [&deployment] { deployment.setCut(true); }});
         events.push_back({scenario.eventEnd, [&deployment] { deployment.setCut(false); }});
--- a/bench/loaddeployment.cpp
+++ b/bench/loaddeployment.cpp
@@ -178,6 +178,38 @@
     process.wait();
 }
 
+void LoadDeployment::retireBatchClass()
+{
+    m_operator = std::jthread([this](const std::stop_token &stop) {
+        while (!stop.stop_requested()) {
+            for (const auto &it : m_plan.vms) {
+                if (retireAt(it.name))
+                    return;
+            }
+        }
+    });
+}
+
+bool LoadDeployment::retireAt(const std::string &vm) const
+{
+    ClientRequest request;
+    request.target = "/v1/configuration";
+    request.timeout = std::chrono::seconds(2);
+    const auto current = call(m_deployment->control(vm), request);
+    if (current.end != ExchangeEnd::Answered || current.response.status != 200)
+        return false;
+    const auto version = Json::parse(current.response.body).value("version", std::uint64_t{0});
+    request.method = "POST";
+    request.target = "/v1/configuration/changes";
+    request.body = Json{{"id", "retire-batch"},
+                        {"author", "load"},
+                        {"basedOn", version},
+                        {"change", {{"type", "retireClass"}, {"class", {{"name", batchClass}}}}}}
+                       .dump();
+    const auto response = call(m_deployment->control(vm), request);
+    return response.end == ExchangeEnd::Answered && response.response.status == 200;
+}
+
 std::uint64_t LoadDeployment::statusSum(const char *field) const
 {
     std::uint64_t sum = 0;
--- a/bench/loaddeployment.h
+++ b/bench/loaddeployment.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -67,6 +68,10 @@
     /// Kills the first VM.
     void killFirstVm();
 
+    /// Retires the class of larger jobs, as an operator does; returns at once and goes on until it is
+    /// accepted.
+    void retireBatchClass();
+
     /// Sum of a counter over the status of the VMs that answer.
     std::uint64_t statusSum(const char *field) const;
 
@@ -77,6 +82,7 @@
 
 private:
     Endpoint route(const std::string &from, const std::string &to, const Endpoint &direct);
+    bool retireAt(const std::string &vm) const;
     nlohmann::json statusOf(const std::string &vm) const;
     std::string domainOf(const std::string &vm) const;
 
@@ -91,6 +97,7 @@
     SiteDelays m_delays;
     std::vector<CrossLink> m_links;
     std::unique_ptr<Deployment> m_deployment;
+    std::jthread m_operator;
 };
 
 } // namespace Citronpitch
--- a/bench/slopesbench.cpp
+++ b/bench/slopesbench.cpp
@@ -1,5 +1,6 @@
 #include "slopesbench.h"
 
+#include "configurationslopes.h"
 #include "controlslopes.h"
 #include "memoryslopes.h"
 #include "processorslopes.h"
@@ -28,6 +29,7 @@
     add(report, measureMemorySlopes(programs));
     add(report, measureProcessorSlopes(programs));
     add(report, measureControlSlopes(programs));
+    add(report, measureConfigurationSlopes(programs));
     writeReport("slopes", report);
     return 0;
 }
