--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,6 +39,7 @@
     options.heartbeatPeriod = settings.heartbeatPeriod;
     options.suspicionTime = settings.suspicionTime;
     options.retention = settings.answerRetention;
+    options.upstreamLease = settings.upstreamLease;
     options.dispatching.placement = settings.placement;
     options.dispatching.entryVms = static_cast<std::uint32_t>(settings.vms.size());
     return options;
@@ -46,8 +47,9 @@
 
 } // namespace
 
-Daemon::Daemon(const Settings &settings)
+Daemon::Daemon(const Settings &settings, std::string settingsFile)
     : m_settings(settings)
+    , m_settingsFile(std::move(settingsFile))
     , m_steadyStart(std::chrono::steady_clock::now())
     , m_wallStart(wallClock())
     , m_vm(optionsOf(settings, m_wallStart))
@@ -63,6 +65,14 @@
               m_vm.linkChanged(now(), vm, isUp);
               carryOut();
           })
+    , m_configuration(
+          m_io, settings,
+          {[this] { return now(); },
+           [this](const std::string &vm, const std::string &bytes) { sendConfiguration(vm, bytes); },
+           [this](const Configuration &configuration) {
+               m_vm.setConfiguration(now(), configuration);
+               carryOut();
+           }})
     , m_callerServer(m_io, settings.callers, settings.limits,
                      [this](const HttpRequest &request, HttpResponder respond) {
                          return handleCaller(request, std::move(respond));
@@ -72,10 +82,10 @@
                           return handleControl(request, respond);
                       })
     , m_tickTimer(m_io)
-    , m_signals(m_io, SIGTERM, SIGINT)
+    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_random(std::random_device{}())
 {
-    m_vm.setConfiguration(now(), settings.initialConfiguration);
+    m_configuration.start();
     waitForSignal();
     scheduleTick();
 }
@@ -143,6 +153,8 @@
         respond({200, statusText(m_vm, m_settings.name), {}});
         return nullptr;
     }
+    if (ConfigurationService::serves(request.path))
+        return m_configuration.handle(request, respond);
     if (request.path == "/v1/upstreams" && request.method == "GET") {
         respond({200, upstreamsText(m_vm), {}});
         return nullptr;
@@ -188,6 +200,8 @@
     }
     m_vm.peerMessage(now(), message);
     carryOut();
+    if (message.body_case() == wire::PeerMessage::kConfiguration)
+        m_configuration.receive(message.sender(), message.configuration());
 }
 
 void Daemon::carryOut()
@@ -248,6 +262,7 @@
 {
     m_vm.tick(now());
     carryOut();
+    m_configuration.tick();
     if (!m_isDraining)
         return;
     if (!m_hasStoppedListening && now() >= m_listenUntil) {
@@ -264,14 +279,39 @@
 
 void Daemon::waitForSignal()
 {
-    m_signals.async_wait([this](boost::system::error_code ec, int) {
+    m_signals.async_wait([this](boost::system::error_code ec, int number) {
         if (ec)
             return;
-        drain();
+        if (number == SIGHUP)
+            reload();
+        else
+            drain();
         waitForSignal();
     });
 }
 
+void Daemon::reload()
+{
+    leaf::try_handle_all(
+        [this]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(const auto loaded, loadSettings(m_settingsFile));
+            const auto reloading = reloadSettings(m_settings, loaded);
+            m_settings = reloading.settings;
+            m_callerServer.setLimits(m_settings.limits);
+            m_controlServer.setLimits(m_settings.limits);
+            setUpEventLog(m_settings.log);
+            for (const auto &it : reloading.applied)
+                logEvent(Event::SettingsReloaded, {{"key", it}});
+            for (const auto &it : reloading.waiting)
+                logEvent(Event::SettingsWaitForRestart, {{"key", it}});
+            return {};
+        },
+        [](const StepError &error) {
+            logEvent(Event::SettingsRefused, {{"error", error.text()}});
+        },
+        [] {});
+}
+
 void Daemon::drain()
 {
     if (m_isDraining)
@@ -285,6 +325,15 @@
     carryOut();
 }
 
+void Daemon::sendConfiguration(const std::string &vm, const std::string &bytes)
+{
+    wire::PeerMessage message;
+    message.set_sender(m_settings.name);
+    message.set_incarnation(static_cast<std::uint64_t>(microsecondsOf(m_wallStart)));
+    message.set_configuration(bytes);
+    m_links.send(vm, message.SerializeAsString());
+}
+
 std::string Daemon::newKey()
 {
     const auto high = m_random();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronpitch/entryvm.h"
+#include "daemon/configurationservice.h"
 #include "net/httpserver.h"
 #include "net/peerlinks.h"
 #include "net/upstreamclient.h"
@@ -23,7 +24,8 @@
 class Daemon
 {
 public:
-    explicit Daemon(const Settings &settings);
+    /// @p settingsFile is read again on SIGHUP.
+    Daemon(const Settings &settings, std::string settingsFile);
 
     /// Serves until a graceful shutdown has ended. Returns the exit code of the process.
     int run();
@@ -45,16 +47,20 @@
     void tick();
     void waitForSignal();
     void drain();
+    void reload();
+    void sendConfiguration(const std::string &vm, const std::string &bytes);
     std::string newKey();
     TimePoint now() const;
 
     Settings m_settings;
+    std::string m_settingsFile;
     std::chrono::steady_clock::time_point m_steadyStart;
     TimePoint m_wallStart;
     boost::asio::io_context m_io;
     EntryVm m_vm;
     UpstreamClient m_upstreams;
     PeerLinks m_links;
+    ConfigurationService m_configuration;
     HttpServer m_callerServer;
     HttpServer m_controlServer;
     boost::asio::steady_timer m_tickTimer;
