--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -32,6 +32,7 @@
     VmSettings vm;
     vm.identity.name = from.at("name").get<std::string>();
     vm.identity.failureDomain = from.at("failureDomain").get<std::string>();
+    vm.identity.hasDisk = from.at("disk").get<bool>();
     vm.peers = parseEndpoint(from.at("peers"));
     vm.isVoter = from.at("voter").get<bool>();
     return vm;
@@ -102,6 +103,8 @@
     settings.suspicionTime = milliseconds(from, "suspicionMs");
     settings.upstreamLease = milliseconds(from, "upstreamLeaseMs");
     settings.answerRetention = milliseconds(from, "answerRetentionMs");
+    settings.keyAge = milliseconds(from, "keyAgeMs");
+    settings.clockSkew = milliseconds(from, "clockSkewMs");
     settings.defaultDeadline = milliseconds(from, "defaultDeadlineMs");
     settings.drainTimeout = milliseconds(from, "drainTimeoutMs");
     settings.placement = parsePlacement(from);
