--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -151,6 +151,11 @@
     return m_vmPorts.at(vm).control;
 }
 
+Endpoint Deployment::upstreamEndpoint(const std::string &upstream) const
+{
+    return m_upstreamPorts.at(upstream);
+}
+
 std::string Deployment::dataFolder(const std::string &vm) const
 {
     return m_plan.folder + "/" + vm + ".data";
@@ -225,6 +230,10 @@
                         {"entryVms", entryVms},
                         {"slots", upstream.slots},
                         {"rack", upstream.rack},
+                        {"capacity",
+                         {{"millicores", upstream.capacity.millicores},
+                          {"memoryBytes", upstream.capacity.memoryBytes},
+                          {"accelerators", upstream.capacity.accelerators}}},
                         {"slowness", upstream.slowness},
                         {"failsEverything", upstream.failsEverything},
                         {"recordFile", m_plan.folder + "/" + upstream.name + ".records"}};
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronpitch/resources.h"
 #include "net/httpclient.h"
 #include "support/childprocess.h"
 
@@ -40,6 +41,7 @@
     double slowness = 1.0;
     bool failsEverything = false;
     std::string rack;
+    Resources capacity = {};
 };
 
 /// What to start.
@@ -87,6 +89,7 @@
 
     Endpoint callers(const std::string &vm) const;
     Endpoint control(const std::string &vm) const;
+    Endpoint upstreamEndpoint(const std::string &upstream) const;
     std::string dataFolder(const std::string &vm) const;
 
     /// Stops every VM gracefully and the upstreams after them. Returns whether every VM exited with 0.
