Try an upstream on trial with single tasks first

Cause: a trial that fails costs a job of many tasks the work of all of them. For 5 s after the backoff an upstream on trial takes single tasks alone.

--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -25,6 +25,9 @@
 constexpr int lateNumerator = 3;
 constexpr int lateDenominator = 2;
 
+/// How long an upstream on trial takes single tasks alone before it takes any.
+constexpr Duration singlesPeriod = std::chrono::seconds(5);
+
 /// Upstreams whose lease ended this long ago are forgotten.
 constexpr Duration upstreamMemory = std::chrono::minutes(10);
 constexpr Duration forgetPeriod = std::chrono::minutes(1);
@@ -221,7 +224,10 @@
     while (!wakeups.empty() && wakeups.begin()->first <= now) {
         const auto upstream = wakeups.begin()->second;
         wakeups.erase(wakeups.begin());
-        health.passTime(now, upstream);
+        if (health.passTime(now, upstream))
+            wakeups.emplace(now + singlesPeriod, upstream);
+        if (health.state(upstream) != UpstreamState::Serving)
+            ++upstreamSet;
         refresh(now, upstream);
     }
     while (!lingering.empty() && lingering.begin()->first <= now) {
@@ -271,10 +277,10 @@
         const auto &it = upstreams.at(upstream);
         if (it.parallel == 0)
             continue;
-        const auto time = health.state(upstream) == UpstreamState::Serving
-            ? times.expected(now, of, upstream, {})
-            : Duration();
-        ranked.push_back({upstream, time, it.rack, it.parallel, it.isFree});
+        const bool isOnTrial = health.state(upstream) != UpstreamState::Serving;
+        const auto time = isOnTrial ? Duration() : times.expected(now, of, upstream, {});
+        const bool isForSingles = isOnTrial && now < health.backoffUntil(upstream) + singlesPeriod;
+        ranked.push_back({upstream, time, it.rack, it.parallel, it.isFree, isForSingles});
     }
     entry.ranking.rebuild(std::move(ranked));
     entry.rankedAt = now;
--- a/src/core/dispatch/placer.cpp
+++ b/src/core/dispatch/placer.cpp
@@ -42,7 +42,7 @@
     std::optional<std::size_t> avoided;
     for (auto rank = ranking.nextFree(0); rank; rank = ranking.nextFree(*rank + 1)) {
         const auto upstream = ranking.at(*rank).upstream;
-        if (!fits(upstream, need))
+        if (!fits(upstream, need) || (ranking.at(*rank).isForSingles && job.tasks > 1))
             continue;
         if (isAvoided(upstream, job)) {
             avoided = avoided.value_or(*rank);
@@ -79,7 +79,8 @@
             break;
         const auto use = startedIn(job, ranking.at(*rank).rack);
         const auto upstream = ranking.at(*rank).upstream;
-        if (use >= bestUse || !fits(upstream, need) || isAvoided(upstream, job))
+        const bool isOpen = !ranking.at(*rank).isForSingles || job.tasks == 1;
+        if (use >= bestUse || !isOpen || !fits(upstream, need) || isAvoided(upstream, job))
             continue;
         best = *rank;
         bestUse = use;
--- a/src/core/dispatch/upstreamranking.h
+++ b/src/core/dispatch/upstreamranking.h
@@ -18,6 +18,8 @@
     /// Tasks side by side.
     std::uint32_t parallel = 0;
     bool isFree = false;
+    /// Takes single tasks alone: a failure would cost a job of many tasks the work of all of them.
+    bool isForSingles = false;
 };
 
 /**
--- a/tests/unit/dispatchertest.cpp
+++ b/tests/unit/dispatchertest.cpp
@@ -379,6 +379,36 @@
     EXPECT_GE(starts, 4);
 }
 
+TEST_F(DispatcherTest, anEjectedUpstreamIsTriedWithSingleTasksFirst)
+{
+    for (const auto *name : {"a", "b", "c"})
+        dispatcher.announce(now, upstream(name, 4));
+    for (int i = 0; i < 20; ++i) {
+        const auto job = add(submission(12));
+        for (const auto &it : place())
+            dispatcher.finish(now, it.attempt, it.upstream == "a" ? failure : success);
+        dispatcher.remove(now, job);
+        now += 10ms;
+    }
+    const auto startsOnA = [this](std::uint32_t tasks) {
+        const auto job = add(submission(tasks));
+        int n = 0;
+        for (const auto &it : place()) {
+            n += it.upstream == "a" ? 1 : 0;
+            dispatcher.finish(now, it.attempt, success);
+        }
+        dispatcher.remove(now, job);
+        return n;
+    };
+    EXPECT_EQ(startsOnA(12), 0) << "ejected";
+    now += 3s;
+    EXPECT_EQ(startsOnA(12), 0);
+    EXPECT_EQ(startsOnA(1), 1);
+    now += 5s;
+    EXPECT_EQ(startsOnA(12), 1) << "without single tasks, others are used in the end";
+    EXPECT_GT(startsOnA(12), 1) << "two successes bring it back";
+}
+
 TEST_F(DispatcherTest, retriesStayWithinABudget)
 {
     int retries = 0;
