--- a/bench/decisions/decisionbench.cpp
+++ b/bench/decisions/decisionbench.cpp
@@ -30,6 +30,11 @@
     list.back().blackHoles = 1;
     list.push_back({"overload"});
     list.back().load = 1.3;
+    list.push_back({"burst"});
+    list.back().load = 0.4;
+    list.back().burstFactor = 10;
+    list.back().patience = 2s;
+    list.back().length = 8s;
     list.push_back({"wide-jobs"});
     list.back().wideShare = 0.3;
     list.back().wideTasks = 320;
@@ -43,9 +48,10 @@
             const auto it = runVirtually(scenario, policy, seed);
             std::printf("%-13s %-18s mean %6.2f p50 %6.2f p99 %7.2f of ideal, target met %.4f, %.3f of the "
                         "slots used, %u jobs, %u failed, "
-                        "%u refused\n",
+                        "%u refused, %u useless starts\n",
                         scenario.name.c_str(), std::string(name).c_str(), it.meanRatio, it.medianRatio,
-                        it.p99Ratio, it.targetShare, it.utilisation, it.jobs, it.failedJobs, it.refusedJobs);
+                        it.p99Ratio, it.targetShare, it.utilisation, it.jobs, it.failedJobs, it.refusedJobs,
+                        it.uselessStarts);
         }
     }
 }
--- a/bench/decisions/virtualrun.cpp
+++ b/bench/decisions/virtualrun.cpp
@@ -67,8 +67,10 @@
     const double rate = scenario.load * capacityOf(scenario) / (meanTasks * meanTime);
     std::exponential_distribution<double> gap(rate);
     std::vector<ArrivingJob> jobs;
+    const auto isBurst = [](double at) { return at >= 2e6 && at < 4e6; };
     double at = gap(random);
-    for (; at < static_cast<double>(scenario.length.count()); at += gap(random)) {
+    for (; at < static_cast<double>(scenario.length.count());
+         at += gap(random) / (isBurst(at) ? scenario.burstFactor : 1)) {
         ArrivingJob job;
         job.arrival = start + Duration(static_cast<std::int64_t>(at));
         const bool isLong = uniform(random) < longShare;
@@ -76,7 +78,6 @@
         job.submission.team = "team";
         job.submission.key = "key" + std::to_string(jobs.size());
         job.submission.className = isLong ? "long" : "short";
-        job.submission.deadline = job.arrival + 30s;
         job.submission.tasks.resize(isWide ? scenario.wideTasks : 1);
         for (auto &it : job.submission.tasks) {
             const double time = (isLong ? longMean : shortMean) * shape(random);
@@ -85,6 +86,7 @@
             job.times.emplace_back(static_cast<std::int64_t>(time));
         }
         job.ideal = idealOf(scenario, job.times);
+        job.submission.deadline = job.arrival + scenario.patience + 2 * job.ideal;
         jobs.push_back(std::move(job));
     }
     return jobs;
@@ -148,6 +150,7 @@
         std::size_t index = 0;
         std::size_t left = 0;
         std::uint32_t vm = 0;
+        std::uint32_t starts = 0;
     };
 
     std::vector<std::string> neighboursOf(std::uint32_t vm) const
@@ -191,6 +194,7 @@
         }
         m_running[index] = {index, submission.tasks.size(), vm};
         m_dispatchers[vm].add(now, index, submission);
+        m_events.emplace(submission.deadline, [this, index](TimePoint at) { miss(at, index); });
     }
 
     void place(TimePoint now, std::uint32_t vm)
@@ -216,6 +220,22 @@
                          });
     }
 
+    /// The deadline of a job has come.
+    void miss(TimePoint now, JobId job)
+    {
+        const auto it = m_running.find(job);
+        if (it == m_running.end())
+            return;
+        fail(now, job);
+    }
+
+    void fail(TimePoint now, JobId job)
+    {
+        ++m_figures.failedJobs;
+        m_figures.uselessStarts += m_running.at(job).starts;
+        leave(now, job);
+    }
+
     void begin(TimePoint now, std::uint32_t vm, const Placement &placement)
     {
         ++m_figures.starts;
@@ -227,6 +247,7 @@
             return;
         }
         ++m_busy[number];
+        ++m_running.at(placement.job).starts;
         const bool isBlackHole = number < m_scenario.blackHoles;
         const double factor = isSlow(m_scenario, number) ? m_scenario.slowness : 1;
         const auto time =
@@ -244,7 +265,8 @@
     {
         auto &dispatcher = m_dispatchers[vm];
         dispatcher.finish(now, placement.attempt, {AttemptEnd::Declined, 503, {}});
-        dispatcher.requeue(now, placement.job, m_arrivals[placement.job].submission, placement.task);
+        if (m_running.contains(placement.job))
+            dispatcher.requeue(now, placement.job, m_arrivals[placement.job].submission, placement.task);
     }
 
     void end(TimePoint now, std::uint32_t vm, const Placement &placement, bool isFailure)
@@ -254,8 +276,7 @@
         if (it == m_running.end())
             return;
         if (isFailure) {
-            ++m_figures.failedJobs;
-            leave(now, placement.job);
+            fail(now, placement.job);
         } else if (--it->second.left == 0) {
             const auto &job = m_arrivals[it->second.index];
             const auto response = now - job.arrival;
--- a/bench/decisions/virtualrun.h
+++ b/bench/decisions/virtualrun.h
@@ -40,6 +40,10 @@
     /// Share of the jobs that arrive at the first entry VM; the others share the rest evenly.
     double firstVmShare = 1;
     SlotSharing sharing = SlotSharing::Loans;
+    /// Arrivals are this many times as frequent from the second second to the fourth.
+    double burstFactor = 1;
+    /// Time from the arrival of a job to its deadline, besides twice its ideal time.
+    Duration patience = std::chrono::seconds(30);
     Duration length = std::chrono::seconds(30);
 };
 
@@ -57,6 +61,8 @@
     /// Share of the slots' time that was used while jobs arrived.
     double utilisation = 0;
     std::uint32_t starts = 0;
+    /// Starts for jobs that were not answered with success.
+    std::uint32_t uselessStarts = 0;
     /// Starts that an upstream declined; each wastes two messages.
     std::uint32_t declined = 0;
     /// Messages between entry VMs.
