--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -177,7 +177,7 @@
         const auto head = m_state->queue.next(now);
         if (!head)
             break;
-        if (head->deadline <= now) {
+        if (m_state->isHopeless(now, *head)) {
             m_state->queue.dropTasks(head->job);
             continue;
         }
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -289,6 +289,15 @@
     return entry.ranking;
 }
 
+bool Dispatcher::State::isHopeless(TimePoint now, const LaneHead &head) const
+{
+    if (head.deadline <= now)
+        return true;
+    if (isBaseline() || !times.isLearned(head.lane.of) || !jobs.at(head.job).perRack.empty())
+        return false;
+    return now + queue.findJob(head.job)->alone > head.deadline;
+}
+
 std::optional<Placement> Dispatcher::State::startFrom(TimePoint now, const LaneHead &head)
 {
     if (isBaseline()) {
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -69,6 +69,9 @@
     /// Ranking of a class, built anew when it is out of date.
     const UpstreamRanking &rankingOf(TimePoint now, ClassIndex of);
 
+    /// Whether a job of which nothing has started can't meet its deadline any more.
+    bool isHopeless(TimePoint now, const LaneHead &head) const;
+
     /// Starts the task that @p head names, or another one of its lane; nothing when the lane has to wait.
     std::optional<Placement> startFrom(TimePoint now, const LaneHead &head);
     std::optional<UpstreamIndex> chooseForBaseline(const Resources &need) const;
--- a/src/core/dispatch/servicetimes.cpp
+++ b/src/core/dispatch/servicetimes.cpp
@@ -112,6 +112,11 @@
     return durationOf(std::log(unknownTime) + residual);
 }
 
+bool ServiceTimes::isLearned(ClassIndex of) const
+{
+    return of < m_classes.size() && m_classes[of].plain.samples >= samplesForSpread;
+}
+
 Duration ServiceTimes::stuckAfter(TimePoint now, ClassIndex of, UpstreamIndex upstream,
                                   Duration declared) const
 {
--- a/src/core/dispatch/servicetimes.h
+++ b/src/core/dispatch/servicetimes.h
@@ -46,6 +46,9 @@
     /// Expected time on @p upstream of a task of no special class, for comparing upstreams.
     Duration speed(UpstreamIndex upstream) const;
 
+    /// Whether the times of class @p of are learned rather than declared or assumed.
+    bool isLearned(ClassIndex of) const;
+
     /// Time after which a task that has not ended is taken for stuck.
     Duration stuckAfter(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared) const;
 
