--- a/src/daemon/callerapi.cpp
+++ b/src/daemon/callerapi.cpp
@@ -132,6 +132,7 @@
     case Reason::RetiredClass:
     case Reason::UnknownTeam:
     case Reason::NeverFits:
+    case Reason::KeyMalformed:
     case Reason::DeadlinePassed:
         return 422;
     default:
