--- a/bench/decisions/decisionbench.cpp
+++ b/bench/decisions/decisionbench.cpp
@@ -30,6 +30,11 @@
     list.back().blackHoles = 1;
     list.push_back({"overload"});
     list.back().load = 1.3;
+    list.push_back({"burst"});
+    list.back().load = 0.4;
+    list.back().burstFactor = 10;
+    list.back().patience = 2s;
+    list.back().length = 8s;
     list.push_back({"wide-jobs"});
     list.back().wideShare = 0.3;
     list.back().wideTasks = 320;
@@ -43,9 +48,10 @@
             const auto it = runVirtually(scenario, policy, seed);
             std::printf("%-13s %-18s mean %6.2f p50 %6.2f p99 %7.2f of ideal, target met %.4f, %.3f of the "
                         "slots used, %u jobs, %u failed, "
-                        "%u refused\n",
+                        "%u refused, %u useless starts\n",
                         scenario.name.c_str(), std::string(name).c_str(), it.meanRatio, it.medianRatio,
-                        it.p99Ratio, it.targetShare, it.utilisation, it.jobs, it.failedJobs, it.refusedJobs);
+                        it.p99Ratio, it.targetShare, it.utilisation, it.jobs, it.failedJobs, it.refusedJobs,
+                        it.uselessStarts);
         }
     }
 }
@@ -125,6 +131,29 @@
                 starts / took.count(), took.count() * 1e6 / starts);
 }
 
+/// Time of cancelling one job of @p tasks waiting tasks among @p jobs such jobs.
+void measureCancellation(std::uint32_t jobs, std::uint32_t tasks)
+{
+    const auto now = timePointOf(1'700'000'000'000'000);
+    Dispatcher dispatcher;
+    Configuration configuration;
+    configuration.classes.push_back({"c", 990000, 300ms});
+    dispatcher.setConfiguration(configuration);
+    dispatcher.announce(now, {"u", "127.0.0.1", 1, 8, {}, "rack", 1, now + 1h, false});
+    Submission submission;
+    submission.team = "team";
+    submission.className = "c";
+    submission.deadline = now + 30min;
+    submission.tasks.resize(tasks);
+    for (std::uint32_t i = 0; i < jobs; ++i)
+        dispatcher.add(now, i, submission);
+    const auto begin = std::chrono::steady_clock::now();
+    for (std::uint32_t i = 0; i < jobs; ++i)
+        dispatcher.remove(now, (i * 7919U) % jobs);
+    const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - begin;
+    std::printf("cancelling %u jobs of %u waiting tasks: %.2f us a job\n", jobs, tasks, took.count() / jobs);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -135,6 +164,8 @@
         for (const auto upstreams : {50U, 200U, 600U, 2400U})
             measureCost(upstreams, 10, 200'000);
         measureCost(600, 50, 200'000);
+        measureCancellation(5'000, 20);
+        measureCancellation(20'000, 5);
     }
     if (part == "all" || part == "sharing")
         compareSharing(seed);
