--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -44,6 +44,7 @@
         options.vms.push_back(it.identity);
     options.heartbeatPeriod = settings.heartbeatPeriod;
     options.suspicionTime = settings.suspicionTime;
+    options.upstreamLease = settings.upstreamLease;
     options.claimLimits.retention = settings.answerRetention;
     options.claimLimits.keyAge = settings.keyAge;
     options.claimLimits.clockSkew = settings.clockSkew;
@@ -54,8 +55,9 @@
 
 } // namespace
 
-Daemon::Daemon(const Settings &settings, std::unique_ptr<ClaimStore> claims)
+Daemon::Daemon(const Settings &settings, std::string settingsFile, std::unique_ptr<ClaimStore> claims)
     : m_settings(settings)
+    , m_settingsFile(std::move(settingsFile))
     , m_steadyStart(std::chrono::steady_clock::now())
     , m_wallStart(wallClock())
     , m_claims(std::move(claims))
@@ -73,6 +75,14 @@
               m_vm.linkChanged(now(), vm, isUp);
               carryOut();
           })
+    , m_configuration(
+          m_io, settings,
+          {[this] { return now(); },
+           [this](const std::string &vm, const std::string &bytes) { sendConfiguration(vm, bytes); },
+           [this](const Configuration &configuration) {
+               m_vm.setConfiguration(now(), configuration);
+               carryOut();
+           }})
     , m_callerServer(m_io, settings.callers, settings.limits,
                      [this](const HttpRequest &request, HttpResponder respond) {
                          return handleCaller(request, std::move(respond));
@@ -82,10 +92,10 @@
                           return handleControl(request, respond);
                       })
     , m_tickTimer(m_io)
-    , m_signals(m_io, SIGTERM, SIGINT)
+    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_random(std::random_device{}())
 {
-    m_vm.setConfiguration(now(), settings.initialConfiguration);
+    m_configuration.start();
     recoverClaims();
     waitForSignal();
     scheduleTick();
@@ -154,6 +164,8 @@
         respond({200, statusText(m_vm, m_settings.name), {}});
         return nullptr;
     }
+    if (ConfigurationService::serves(request.path))
+        return m_configuration.handle(request, respond);
     if (request.path == "/v1/upstreams" && request.method == "GET") {
         respond({200, upstreamsText(m_vm), {}});
         return nullptr;
@@ -199,6 +211,8 @@
     }
     m_vm.peerMessage(now(), message);
     carryOut();
+    if (message.body_case() == wire::PeerMessage::kConfiguration)
+        m_configuration.receive(message.sender(), message.configuration());
 }
 
 void Daemon::carryOut()
@@ -287,6 +301,7 @@
 {
     m_vm.tick(now());
     carryOut();
+    m_configuration.tick();
     if (m_claims->needsCompaction())
         m_claims->compact(m_vm.claimSnapshot());
     if (!m_isDraining)
@@ -305,14 +320,39 @@
 
 void Daemon::waitForSignal()
 {
-    m_signals.async_wait([this](boost::system::error_code ec, int) {
+    m_signals.async_wait([this](boost::system::error_code ec, int number) {
         if (ec)
             return;
-        drain();
+        if (number == SIGHUP)
+            reload();
+        else
+            drain();
         waitForSignal();
     });
 }
 
+void Daemon::reload()
+{
+    leaf::try_handle_all(
+        [this]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(const auto loaded, loadSettings(m_settingsFile));
+            const auto reloading = reloadSettings(m_settings, loaded);
+            m_settings = reloading.settings;
+            m_callerServer.setLimits(m_settings.limits);
+            m_controlServer.setLimits(m_settings.limits);
+            setUpEventLog(m_settings.log);
+            for (const auto &it : reloading.applied)
+                logEvent(Event::SettingsReloaded, {{"key", it}});
+            for (const auto &it : reloading.waiting)
+                logEvent(Event::SettingsWaitForRestart, {{"key", it}});
+            return {};
+        },
+        [](const StepError &error) {
+            logEvent(Event::SettingsRefused, {{"error", error.text()}});
+        },
+        [] {});
+}
+
 void Daemon::drain()
 {
     if (m_isDraining)
@@ -326,6 +366,15 @@
     carryOut();
 }
 
+void Daemon::sendConfiguration(const std::string &vm, const std::string &bytes)
+{
+    wire::PeerMessage message;
+    message.set_sender(m_settings.name);
+    message.set_incarnation(static_cast<std::uint64_t>(microsecondsOf(m_wallStart)));
+    message.set_configuration(bytes);
+    m_links.send(vm, message.SerializeAsString());
+}
+
 std::string Daemon::newKey()
 {
     const auto high = m_random();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronpitch/entryvm.h"
+#include "daemon/configurationservice.h"
 #include "net/httpserver.h"
 #include "net/peerlinks.h"
 #include "net/upstreamclient.h"
@@ -25,7 +26,8 @@
 class Daemon
 {
 public:
-    Daemon(const Settings &settings, std::unique_ptr<ClaimStore> claims);
+    /// @p settingsFile is read again on SIGHUP.
+    Daemon(const Settings &settings, std::string settingsFile, std::unique_ptr<ClaimStore> claims);
 
     /// Serves until a graceful shutdown has ended. Returns the exit code of the process.
     int run();
@@ -49,10 +51,13 @@
     void tick();
     void waitForSignal();
     void drain();
+    void reload();
+    void sendConfiguration(const std::string &vm, const std::string &bytes);
     std::string newKey();
     TimePoint now() const;
 
     Settings m_settings;
+    std::string m_settingsFile;
     std::chrono::steady_clock::time_point m_steadyStart;
     TimePoint m_wallStart;
     boost::asio::io_context m_io;
@@ -61,6 +66,7 @@
     EntryVm m_vm;
     UpstreamClient m_upstreams;
     PeerLinks m_links;
+    ConfigurationService m_configuration;
     HttpServer m_callerServer;
     HttpServer m_controlServer;
     boost::asio::steady_timer m_tickTimer;
--- /dev/null
+++ b/tests/integration/claimstoretest.cpp
@@ -0,0 +1,149 @@
+#include "store/claimstore.h"
+
+#include "wire/peer.pb.h"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include <cerrno>
+#include <filesystem>
+#include <fstream>
+
+using namespace Citronpitch;
+namespace leaf = boost::leaf;
+namespace wire = citronpitch::wire;
+
+namespace {
+
+class ClaimStoreTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        const auto *test = testing::UnitTest::GetInstance()->current_test_info();
+        m_options.folder = testing::TempDir() + "claimstoretest-" + test->name();
+        m_options.bootId = [this] { return m_bootId; };
+        std::filesystem::remove_all(m_options.folder);
+    }
+
+    /// The store, or null with m_error set.
+    std::unique_ptr<ClaimStore> open()
+    {
+        return leaf::try_handle_all([&] { return ClaimStore::open(m_options); },
+                                    [&](const StepError &error) {
+                                        m_error = error.text();
+                                        return std::unique_ptr<ClaimStore>();
+                                    },
+                                    [] { return std::unique_ptr<ClaimStore>(); });
+    }
+
+    /// Lives once: appends @p records and waits for the sync of each, or for the failure.
+    void live(ClaimStore &store, int records)
+    {
+        store.start(
+            m_io.get_executor(), store.lastIncarnation() + 1, {}, [this](std::uint64_t) { ++m_synced; },
+            [this](const StepError &) { ++m_failures; });
+        for (int i = 1; i <= records; ++i) {
+            wire::ClaimJournalRecord record;
+            record.mutable_claim()->mutable_submission()->set_key("key-" + std::to_string(i));
+            store.append(record, static_cast<std::uint64_t>(i));
+        }
+        while (m_synced < records && m_failures == 0)
+            m_io.run_one();
+    }
+
+    ClaimMemory memoryOfNextLife()
+    {
+        return open()->takeRecovery().memory;
+    }
+
+    ClaimStoreOptions m_options;
+    boost::asio::io_context m_io;
+    std::string m_bootId = "boot-1";
+    std::string m_error;
+    int m_synced = 0;
+    int m_failures = 0;
+};
+
+} // namespace
+
+TEST_F(ClaimStoreTest, onlyAnInitializedFolderIsAFirstLife)
+{
+    EXPECT_EQ(memoryOfNextLife(), ClaimMemory::Lost);
+    std::filesystem::remove_all(m_options.folder);
+    ASSERT_TRUE(static_cast<bool>(ClaimStore::initialize(m_options.folder)));
+    EXPECT_EQ(memoryOfNextLife(), ClaimMemory::Whole);
+    EXPECT_FALSE(static_cast<bool>(ClaimStore::initialize(m_options.folder))) << "it holds claims";
+}
+
+TEST_F(ClaimStoreTest, theBootTellsWhetherRecordsMayBeLost)
+{
+    live(*open(), 3);
+    EXPECT_EQ(m_synced, 3);
+    const auto recovery = open()->takeRecovery();
+    EXPECT_EQ(recovery.memory, ClaimMemory::Whole);
+    EXPECT_EQ(recovery.records.size(), 4U);
+    m_bootId = "boot-2";
+    EXPECT_EQ(memoryOfNextLife(), ClaimMemory::TailMayBeLost);
+    std::filesystem::remove_all(m_options.folder);
+    EXPECT_EQ(memoryOfNextLife(), ClaimMemory::Lost);
+}
+
+TEST_F(ClaimStoreTest, oneProcessHoldsTheFolder)
+{
+    const auto store = open();
+    EXPECT_EQ(open(), nullptr);
+    EXPECT_NE(m_error.find("another process holds it"), std::string::npos);
+}
+
+TEST_F(ClaimStoreTest, afterAFailedSyncNothingIsReportedAndTheJournalIsNotTakenForWhole)
+{
+    int syncs = 0;
+    m_options.hooks.sync = [&](int) {
+        errno = EIO;
+        // The journal is made, and replaced once, before records are synced.
+        return ++syncs > 2 ? -1 : 0;
+    };
+    live(*open(), 3);
+    EXPECT_EQ(m_synced, 0);
+    EXPECT_EQ(m_failures, 1);
+    m_options.hooks = {};
+    EXPECT_EQ(memoryOfNextLife(), ClaimMemory::TailMayBeLost);
+}
+
+TEST_F(ClaimStoreTest, aFullDiskFailsOnceAndLaterAppendsAreIgnored)
+{
+    int writes = 0;
+    m_options.hooks.write = [&](int descriptor, const void *bytes, std::size_t size) -> ssize_t {
+        errno = ENOSPC;
+        return ++writes > 3 ? -1 : ::write(descriptor, bytes, size);
+    };
+    const auto store = open();
+    live(*store, 3);
+    EXPECT_EQ(m_failures, 1);
+    EXPECT_TRUE(store->hasFailed());
+}
+
+TEST_F(ClaimStoreTest, aDiskThatFailsAtTheStartLeavesAStoreThatHasFailed)
+{
+    m_options.hooks.write = [](int, const void *, std::size_t) -> ssize_t {
+        errno = EIO;
+        return -1;
+    };
+    const auto store = open();
+    ASSERT_NE(store, nullptr);
+    EXPECT_TRUE(store->hasFailed());
+    live(*store, 1);
+    EXPECT_EQ(m_failures, 1);
+}
+
+TEST_F(ClaimStoreTest, aDamagedJournalIsRefused)
+{
+    live(*open(), 3);
+    std::fstream file(m_options.folder + "/claims", std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(30);
+    file.put('X');
+    file.close();
+    EXPECT_EQ(open(), nullptr);
+    EXPECT_NE(m_error.find("is damaged"), std::string::npos) << m_error;
+}
--- a/tools/run.sh
+++ b/tools/run.sh
@@ -52,7 +52,8 @@
 # Lints the sources that changed, or whose headers changed, since their last clean run.
 lint() {
     installPackages
-    configure build-lint -DCMAKE_BUILD_TYPE=Debug -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON
+    # Always configured anew: nothing is built there, so that new files and definitions would else stay unknown.
+    cmake -S . -B build-lint -G Ninja -DCMAKE_BUILD_TYPE=Debug -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
     mkdir -p build-lint/clean
     sources | grep '\.cpp$' | xargs -r -P "$(nproc)" -n 1 bash tools/lintfile.sh build-lint
 }
