--- a/src/log/event.h
+++ b/src/log/event.h
@@ -28,6 +28,8 @@
     PeerAlive = 301,
     PeerSuspected = 302,
     PeerLeaving = 303,
+    ClaimsRecovered = 310,
+    ClaimStorageFailed = 311,
     ConfigurationInForce = 400,
     ConfigurationLeader = 401,
     ConfigurationStorageFailed = 402,
--- a/src/settings/settingspec.cpp
+++ b/src/settings/settingspec.cpp
@@ -39,10 +39,12 @@
     SettingSpec{"vms[].name", Kind::Name, "", 1, longestName, "", Reload::Restart, "Name of the entry VM."},
     SettingSpec{"vms[].failureDomain", Kind::Name, "", 1, longestName, "", Reload::Restart,
                 "Failure domain it stands in."},
-    SettingSpec{"vms[].disk", Kind::Switch, "true", 0, 0, "", Reload::Restart,
-                "Whether it has a disk; keys that carry no date are at home only with such VMs."},
     SettingSpec{"vms[].voter", Kind::Switch, "true", 0, 0, "", Reload::Restart,
                 "Whether it votes on the replicated configuration; such a VM needs a data folder."},
+    SettingSpec{
+        "vms[].disk", Kind::Switch, "true", 0, 0, "", Reload::Restart,
+        "Whether it has a data folder; only such a VM is home to keys without a date. Must be the same on "
+        "each VM, and may not change while callers may resubmit such keys."},
     SettingSpec{"vms[].peers", Kind::Object, "", 0, 0, "", Reload::Restart,
                 "Where its link for other entry VMs is reached from here."},
     SettingSpec{"vms[].peers.address", Kind::Address, "", 0, 0, "", Reload::Restart, "IP number."},
@@ -74,7 +76,7 @@
                 "How long answers are kept for resubmissions."},
     SettingSpec{"keyAgeMs", Kind::Number, "3600000", 1000, 30 * dayMs, "ms", Reload::Restart,
                 "A key that carries an older date and is not known is never started."},
-    SettingSpec{"clockSkewMs", Kind::Number, "2000", 0, 600'000, "ms", Reload::Restart,
+    SettingSpec{"clockSkewMs", Kind::Number, "2000", 1, 600'000, "ms", Reload::Restart,
                 "Most by which two clocks of the deployment differ, and by which one is ever set back."},
     SettingSpec{"defaultDeadlineMs", Kind::Number, "30000", 1, dayMs, "ms", Reload::Signal,
                 "Deadline of a job that names none, counted from its arrival."},
--- a/tests/integration/journaltest.cpp
+++ b/tests/integration/journaltest.cpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <random>
 
 using namespace Citronpitch;
 namespace leaf = boost::leaf;
@@ -79,6 +80,48 @@
     EXPECT_NE(records.front().find("offset 10"), std::string::npos);
 }
 
+TEST_F(JournalTest, aTailOfZerosIsCut)
+{
+    write({"one", "two"});
+    const auto whole = std::filesystem::file_size(m_path);
+    for (const auto zeros : {1U, 16U, 4096U}) {
+        std::filesystem::resize_file(m_path, whole + zeros);
+        EXPECT_EQ(read(), (std::vector<std::string>{"one", "two"})) << zeros;
+    }
+    std::filesystem::resize_file(m_path, whole - 1);
+    std::filesystem::resize_file(m_path, whole + 4096);
+    EXPECT_EQ(read(), (std::vector<std::string>{"one"}));
+}
+
+TEST_F(JournalTest, anotherFormatVersionIsRefused)
+{
+    write({"one"});
+    std::fstream file(m_path, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(6);
+    file.put(static_cast<char>(journalFormatVersion + 1));
+    file.close();
+    EXPECT_NE(read().front().find("format version"), std::string::npos);
+}
+
+TEST_F(JournalTest, mutatedBytesGiveAPrefixOrAnError)
+{
+    const std::vector<std::string> records{"one", "two", "three", "four"};
+    std::mt19937_64 random(1);
+    write(records);
+    std::ifstream original(m_path, std::ios::binary);
+    const std::string whole{std::istreambuf_iterator<char>(original), {}};
+    for (int i = 0; i < 2000; ++i) {
+        auto changed = whole;
+        changed[random() % changed.size()] = static_cast<char>(random());
+        std::ofstream(m_path, std::ios::binary) << changed;
+        const auto found = read();
+        const bool isError = found.size() == 1 && found.front().find(m_path) != std::string::npos;
+        const bool isPrefix =
+            found.size() <= records.size() && std::equal(found.begin(), found.end(), records.begin());
+        EXPECT_TRUE(isError || isPrefix) << i;
+    }
+}
+
 TEST_F(JournalTest, replaceKeepsOnlyTheNewRecords)
 {
     write({"one", "two"});
