--- a/src/cli/statecommands.cpp
+++ b/src/cli/statecommands.cpp
@@ -70,10 +70,11 @@
               << cell(explanation, "why") << "\n";
     if (!explanation.contains("tasks"))
         return;
-    TextTable table({"task", "state", "upstream", "attempts"});
+    TextTable table({"task", "state", "upstream", "may have started"});
     std::size_t n = 0;
     for (const auto &it : explanation["tasks"])
-        table.add({std::to_string(n++), cell(it, "state"), cell(it, "upstream"), cell(it, "attempts")});
+        table.add({std::to_string(n++), cell(it, "state"), cell(it, "upstream"),
+                   it.value("hasStarted", false) ? "yes" : "no"});
     std::cout << table.text();
 }
 
--- a/src/cli/vmclient.cpp
+++ b/src/cli/vmclient.cpp
@@ -71,11 +71,14 @@
 
 leaf::result<VmReply> VmClient::ask(const ClientRequest &request) const
 {
-    return askUntil(request, [](const VmReply &) { return true; });
+    return askUntil(
+        request, [](const VmReply &) { return true; },
+        "what was asked for may have been done; run the same command again");
 }
 
 leaf::result<VmReply> VmClient::askUntil(const ClientRequest &request,
-                                         const std::function<bool(const VmReply &)> &isFinal) const
+                                         const std::function<bool(const VmReply &)> &isFinal,
+                                         const std::string &advice) const
 {
     const auto deadline = Clock::now() + m_timeout;
     std::optional<VmReply> last;
@@ -98,9 +101,7 @@
     }
     if (last)
         return *last;
-    return leaf::new_error(CliError{{m_step, addresses(m_vms), "no answer"},
-                                    "what was asked for may have been done; run the same command again",
-                                    ExitCode::NoAnswer});
+    return leaf::new_error(CliError{{m_step, addresses(m_vms), "no answer"}, advice, ExitCode::NoAnswer});
 }
 
 leaf::result<VmReply> VmClient::askOne(const Endpoint &vm, const ClientRequest &request) const
--- a/src/cli/vmclient.h
+++ b/src/cli/vmclient.h
@@ -39,9 +39,11 @@
     /// Sends @p request to the VMs in order, and over again until one answers or the time is over.
     boost::leaf::result<VmReply> ask(const ClientRequest &request) const;
 
-    /// The same, until @p isFinal holds for an answer; when the time is over, the last answer that came.
+    /// The same, until @p isFinal holds for an answer; when the time is over, the last answer that came. @p
+    /// advice is given where none came.
     boost::leaf::result<VmReply> askUntil(const ClientRequest &request,
-                                          const std::function<bool(const VmReply &)> &isFinal) const;
+                                          const std::function<bool(const VmReply &)> &isFinal,
+                                          const std::string &advice) const;
 
     /// Sends @p request once to VM @p vm.
     boost::leaf::result<VmReply> askOne(const Endpoint &vm, const ClientRequest &request) const;
--- a/src/core/explanation.cpp
+++ b/src/core/explanation.cpp
@@ -46,8 +46,7 @@
 
 TaskPlacement placementOf(const TaskReport &report)
 {
-    const bool hasRun = !report.upstream.empty();
-    return {TaskStage::Ended, report.upstream, hasRun ? 1U : 0U};
+    return {TaskStage::Ended, report.upstream, report.state != TaskState::NotRun};
 }
 
 } // namespace
@@ -61,14 +60,14 @@
     explanation.state = "not known";
     if (!explanation.isHome)
         return explanation;
-    if (const auto *answer = m_claims.findAnswer(team, text)) {
+    if (const auto *answer = m_claims.findAnswer({team, text})) {
         explanation.state = nameIn(outcomeNames, answer->outcome);
         explanation.why = answer->detail.empty() ? "It is answered." : answer->detail;
         for (const auto &it : answer->tasks)
             explanation.tasks.push_back(placementOf(it));
         return explanation;
     }
-    const auto job = m_claims.findJob(team, text);
+    const auto job = m_claims.findJob({team, text});
     if (!job) {
         explanation.why = "The key is not known here, or its answer is no longer kept.";
         return explanation;
--- a/src/daemon/controlapi.cpp
+++ b/src/daemon/controlapi.cpp
@@ -101,7 +101,7 @@
     for (const auto &it : explanation.tasks)
         tasks.push_back({{"state", nameIn(taskStageNames, it.stage)},
                          {"upstream", it.upstream},
-                         {"attempts", it.attempts}});
+                         {"hasStarted", it.hasStarted}});
     const Json body{{"key", key},
                     {"home", explanation.home},
                     {"isHome", explanation.isHome},
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -15,7 +15,7 @@
 constexpr int exitUsage = 2;
 
 /// What the process was asked to do.
-enum class Task { Serve, PrintSettings, PrintSettingsReference, PrintEvents, PrintHelp };
+enum class Task { Serve, Initialize, PrintSettings, PrintSettingsReference, PrintEvents, PrintHelp };
 
 /// What the command line asked for.
 struct Arguments
@@ -26,21 +26,41 @@
 
 void printHelp()
 {
-    std::cout << "usage: citronpitchd --settings FILE\n"
-                 "Serves one entry VM until SIGTERM; SIGHUP makes it read FILE again.\n"
-                 "  --print-settings            print the settings with every default filled in, and end\n"
-                 "  --print-settings-reference  print the reference of all keys, docs/SETTINGS.md, and end\n"
-                 "  --print-events              print the catalogue of events, docs/EVENTS.md, and end\n"
-                 "  --help                      print this, and end\n"
-                 "exit codes: 0 ended as asked, 1 failed, 2 wrong usage or settings\n";
+    std::cout
+        << "usage: citronpitchd --settings FILE\n"
+           "Serves one entry VM until SIGTERM; SIGHUP makes it read FILE again.\n"
+           "  --print-settings            print the settings with every default filled in, and end\n"
+           "  --print-settings-reference  print the reference of all keys, docs/SETTINGS.md, and end\n"
+           "  --print-events              print the catalogue of events, docs/EVENTS.md, and end\n"
+           "  --initialize                prepare the data folder of a VM that never lived before under its\n"
+           "                              name, and end; a folder that was never prepared counts as lost "
+           "memory\n"
+           "  --help                      print this, and end\n"
+           "exit codes: 0 ended as asked, 1 failed, 2 wrong usage or settings\n";
+}
+
+int serveWithClaims(const Settings &settings, const std::string &path)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<int> {
+            ClaimStoreOptions options;
+            options.folder = settings.dataFolder;
+            BOOST_LEAF_ASSIGN(auto claims, ClaimStore::open(options));
+            Daemon daemon(settings, path, std::move(claims));
+            return daemon.run();
+        },
+        [](const StepError &error) {
+            logEvent(Event::StartFailed, {{"step", error.step}, {"error", error.text()}});
+            return exitFailure;
+        },
+        [] { return exitFailure; });
 }
 
 int serve(const Settings &settings, const std::string &path)
 {
     setUpEventLog(settings.log);
     try {
-        Daemon daemon(settings, path);
-        return daemon.run();
+        return serveWithClaims(settings, path);
     } catch (const std::exception &e) {
         logEvent(Event::StartFailed, {{"step", "listen"}, {"error", e.what()}});
         return exitFailure;
@@ -56,6 +76,10 @@
                 std::cout << settings.text << "\n";
                 return 0;
             }
+            if (arguments.task == Task::Initialize) {
+                BOOST_LEAF_CHECK(ClaimStore::initialize(settings.dataFolder));
+                return 0;
+            }
             return serve(settings, arguments.settingsFile);
         },
         [](const StepError &error) {
@@ -99,6 +123,7 @@
                               {"print-settings", no_argument, nullptr, 'p'},
                               {"print-settings-reference", no_argument, nullptr, 'r'},
                               {"print-events", no_argument, nullptr, 'e'},
+                              {"initialize", no_argument, nullptr, 'i'},
                               {"help", no_argument, nullptr, 'h'},
                               {nullptr, 0, nullptr, 0}};
     Arguments arguments;
@@ -112,6 +137,8 @@
             arguments.task = Task::PrintSettingsReference;
         else if (it == 'e')
             arguments.task = Task::PrintEvents;
+        else if (it == 'i')
+            arguments.task = Task::Initialize;
         else if (it == 'h')
             arguments.task = Task::PrintHelp;
         else
