--- a/include/citronpitch/jobrun.h
+++ b/include/citronpitch/jobrun.h
@@ -56,17 +56,18 @@
     /// Whether a task of the job has an attempt whose end is not known.
     bool hasOpenAttempts() const;
 
-    /// Upstream of the last attempt of @p task; empty where there was none.
-    const std::string &upstreamOf(std::uint32_t task) const;
-
-    /// Where each task was placed so far.
-    std::vector<TaskPlacement> placements() const;
     /// Whether a start message of the task may ever have been sent.
     bool hasStarted(std::uint32_t task) const;
 
     /// Whether every task has succeeded or has an attempt whose end is not known.
     bool isAllPlaced() const;
 
+    /// Upstream of the last attempt of @p task; empty where there was none.
+    const std::string &upstreamOf(std::uint32_t task) const;
+
+    /// Where each task was placed so far.
+    std::vector<TaskPlacement> placements() const;
+
     /// Complete answer; every task must have succeeded.
     Answer completeAnswer() const;
 
@@ -80,6 +81,8 @@
     struct Task
     {
         std::optional<AttemptId> attempt;
+        /// Attempts of this life, the one in flight included.
+        std::uint32_t attempts = 0;
         /// Attempts whose end will never be known.
         std::uint32_t brokenAttempts = 0;
         bool hasStarted = false;
--- a/src/core/claims/jobrun.cpp
+++ b/src/core/claims/jobrun.cpp
@@ -36,6 +36,7 @@
 {
     auto &it = m_tasks.at(task);
     it.attempt = attempt;
+    ++it.attempts;
     it.hasStarted = true;
     it.report.upstream = upstream;
 }
@@ -87,6 +88,17 @@
     return std::any_of(m_tasks.begin(), m_tasks.end(), [](const auto &it) { return it.attempt.has_value(); });
 }
 
+bool JobRun::hasStarted(std::uint32_t task) const
+{
+    return m_tasks.at(task).hasStarted;
+}
+
+bool JobRun::isAllPlaced() const
+{
+    return std::all_of(m_tasks.begin(), m_tasks.end(),
+                       [](const auto &it) { return it.attempt || it.report.state == TaskState::Ran; });
+}
+
 const std::string &JobRun::upstreamOf(std::uint32_t task) const
 {
     return m_tasks.at(task).report.upstream;
@@ -103,17 +115,6 @@
     return list;
 }
 
-bool JobRun::hasStarted(std::uint32_t task) const
-{
-    return m_tasks.at(task).hasStarted;
-}
-
-bool JobRun::isAllPlaced() const
-{
-    return std::all_of(m_tasks.begin(), m_tasks.end(),
-                       [](const auto &it) { return it.attempt || it.report.state == TaskState::Ran; });
-}
-
 Answer JobRun::completeAnswer() const
 {
     Answer answer{m_submission.key, Outcome::Complete, Reason::None, {}, {}, {}};
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -21,6 +21,13 @@
 constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
 constexpr Duration advancePeriod = std::chrono::milliseconds(100);
 
+/// Multiple of the expected time at which an attempt on a little known upstream counts as late.
+constexpr int lateNumerator = 3;
+constexpr int lateDenominator = 2;
+
+/// How long an upstream on trial takes single tasks alone before it takes any.
+constexpr Duration singlesPeriod = std::chrono::seconds(5);
+
 /// Upstreams whose lease ended this long ago are forgotten.
 constexpr Duration upstreamMemory = std::chrono::minutes(10);
 constexpr Duration forgetPeriod = std::chrono::minutes(1);
@@ -217,11 +224,22 @@
     while (!wakeups.empty() && wakeups.begin()->first <= now) {
         const auto upstream = wakeups.begin()->second;
         wakeups.erase(wakeups.begin());
-        health.passTime(now, upstream);
+        if (health.passTime(now, upstream))
+            wakeups.emplace(now + singlesPeriod, upstream);
+        if (health.state(upstream) != UpstreamState::Serving)
+            ++upstreamSet;
         refresh(now, upstream);
     }
+    while (!lingering.empty() && lingering.begin()->first <= now) {
+        release(now, lingering.begin()->second);
+        lingering.erase(lingering.begin());
+    }
     if (loans.expire(now))
         refreshAll(now);
+    for (const auto &it : attempts.takeLate(now)) {
+        times.stillRuns(now, it.of, it.upstream, it.declared, now - it.startedAt);
+        classes.at(it.of).isRankingOld = true;
+    }
     for (const auto &it : attempts.takeStuck(now))
         observe(now, it, HealthSign::Stuck);
     if (now - forgottenAt < forgetPeriod)
@@ -259,10 +277,10 @@
         const auto &it = upstreams.at(upstream);
         if (it.parallel == 0)
             continue;
-        const auto time = health.state(upstream) == UpstreamState::Serving
-            ? times.expected(now, of, upstream, {})
-            : Duration();
-        ranked.push_back({upstream, time, it.rack, it.parallel, it.isFree});
+        const bool isOnTrial = health.state(upstream) != UpstreamState::Serving;
+        const auto time = isOnTrial ? Duration() : times.expected(now, of, upstream, {});
+        const bool isForSingles = isOnTrial && now < health.backoffUntil(upstream) + singlesPeriod;
+        ranked.push_back({upstream, time, it.rack, it.parallel, it.isFree, isForSingles});
     }
     entry.ranking.rebuild(std::move(ranked));
     entry.rankedAt = now;
@@ -271,6 +289,15 @@
     return entry.ranking;
 }
 
+bool Dispatcher::State::isHopeless(TimePoint now, const LaneHead &head) const
+{
+    if (head.deadline <= now)
+        return true;
+    if (isBaseline() || !times.isLearned(head.lane.of) || !jobs.at(head.job).perRack.empty())
+        return false;
+    return now + queue.findJob(head.job)->alone > head.deadline;
+}
+
 std::optional<Placement> Dispatcher::State::startFrom(TimePoint now, const LaneHead &head)
 {
     if (isBaseline()) {
@@ -322,6 +349,10 @@
     attempt.declared = job.declared[task];
     attempt.startedAt = now;
     attempt.stuckAt = now + times.stuckAfter(now, attempt.of, upstream, attempt.declared);
+    if (times.isLittleKnown(upstream)) {
+        const auto expected = times.expected(attempt.of, attempt.declared);
+        attempt.lateAt = now + expected * lateNumerator / lateDenominator;
+    }
     queue.started(attempt.team);
     retries.started();
     entry.used += attempt.cost;
@@ -336,6 +367,23 @@
     return {head.job, task, id, announcement.name, announcement.address, announcement.port};
 }
 
+void Dispatcher::State::release(TimePoint now, const InFlight &attempt)
+{
+    auto &entry = upstreams.at(attempt.upstream);
+    if (entry.announcement.incarnation != attempt.incarnation)
+        return;
+    entry.used -= attempt.cost;
+    entry.busy -= entry.busy > 0 ? 1 : 0;
+    refresh(now, attempt.upstream);
+}
+
+TimePoint Dispatcher::State::expectedEnd(TimePoint now, const InFlight &attempt) const
+{
+    return attempt.startedAt
+        + times.expected(now, attempt.of, attempt.upstream, attempt.declared) * lateNumerator
+        / lateDenominator;
+}
+
 void Dispatcher::State::learn(TimePoint now, const InFlight &attempt, const AttemptResult &result)
 {
     auto &entry = upstreams.at(attempt.upstream);
--- a/src/core/explanation.cpp
+++ b/src/core/explanation.cpp
@@ -1,5 +1,4 @@
 #include "citronpitch/entryvm.h"
-#include "citronpitch/jobkey.h"
 
 #include <algorithm>
 
@@ -54,20 +53,20 @@
 JobExplanation EntryVm::explain(TimePoint now, const std::string &team, const std::string &text) const
 {
     JobExplanation explanation;
-    const auto key = parseJobKey(text);
-    explanation.home = key ? homeOf(*key, team, text, m_vmNames) : std::string();
+    const ClaimKey key{team, text};
+    explanation.home = homeOfKey(key);
     explanation.isHome = explanation.home == m_options.self.name;
     explanation.state = "not known";
     if (!explanation.isHome)
         return explanation;
-    if (const auto *answer = m_claims.findAnswer({team, text})) {
+    if (const auto *answer = m_claims.findAnswer(key)) {
         explanation.state = nameIn(outcomeNames, answer->outcome);
         explanation.why = answer->detail.empty() ? "It is answered." : answer->detail;
         for (const auto &it : answer->tasks)
             explanation.tasks.push_back(placementOf(it));
         return explanation;
     }
-    const auto job = m_claims.findJob({team, text});
+    const auto job = m_claims.findJob(key);
     if (!job) {
         explanation.why = "The key is not known here, or its answer is no longer kept.";
         return explanation;
