--- a/src/cli/configurationclient.cpp
+++ b/src/cli/configurationclient.cpp
@@ -89,17 +89,8 @@
         Json{{"id", sent.id}, {"author", authorOf(m_options)}, {"basedOn", sent.basedOn}, {"change", content}}
             .dump(-1, ' ', false, Json::error_handler_t::replace);
     const auto hasOutcome = [](const VmReply &reply) { return reply.response.status != unavailableStatus; };
-    return leaf::try_handle_some(
-        [&]() -> leaf::result<SentChange> {
-            BOOST_LEAF_AUTO(reply, m_client.askUntil(request, hasOutcome));
-            return accepted(reply, sent);
-        },
-        [&](const CliError &error) -> leaf::result<SentChange> {
-            auto told = error;
-            if (told.code == ExitCode::NoAnswer)
-                told.advice = resendAdvice(sent);
-            return leaf::new_error(told);
-        });
+    BOOST_LEAF_AUTO(reply, m_client.askUntil(request, hasOutcome, resendAdvice(sent)));
+    return accepted(reply, sent);
 }
 
 leaf::result<SentChange> ConfigurationClient::accepted(const VmReply &reply, const SentChange &sent) const
