--- a/tests/integration/cliconfigurationtest.cpp
+++ b/tests/integration/cliconfigurationtest.cpp
@@ -133,6 +133,8 @@
 
 TEST_F(CliConfigurationTest, waitNamesTheVmOutOfReach)
 {
+    // The voters agree for the first time while all are there.
+    ASSERT_EQ(run({"team", "set", "t", "--quota", "30", "--wait"}).exitCode, 0);
     deployment->vm("b1").signal(SIGSTOP);
     for (int i = 0; i < 200; ++i) {
         const auto status = run({"status"}).json();
