--- a/src/daemon/configurationservice.cpp
+++ b/src/daemon/configurationservice.cpp
@@ -174,7 +174,7 @@
     if (m_notedLeader == m_node.leader())
         return;
     m_notedLeader = m_node.leader();
-    logEvent(Event::ConfigurationLeader,
+    logEvent(Event::ConfigurationLeaderChanged,
              {{"leader", m_notedLeader}, {"term", std::to_string(m_node.term())}});
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -24,7 +24,8 @@
 class Daemon
 {
 public:
-    explicit Daemon(const Settings &settings);
+    /// @p settingsFile is read again on SIGHUP.
+    Daemon(const Settings &settings, std::string settingsFile);
 
     /// Serves until a graceful shutdown has ended. Returns the exit code of the process.
     int run();
@@ -47,10 +48,12 @@
     void waitForSignal();
     void drain();
     void sendConfiguration(const std::string &vm, const std::string &bytes);
+    void reload();
     std::string newKey();
     TimePoint now() const;
 
     Settings m_settings;
+    std::string m_settingsFile;
     std::chrono::steady_clock::time_point m_steadyStart;
     TimePoint m_wallStart;
     boost::asio::io_context m_io;
