--- a/include/citronpitch/configurationstate.h
+++ b/include/citronpitch/configurationstate.h
@@ -30,8 +30,9 @@
     /// Sets the declarations that hold before the first change. Only the first call has an effect.
     void initialise(const Configuration &configuration);
 
-    /// Decides @p change and remembers the answer. A change that is remembered gets its first answer.
-    ChangeAnswer apply(const ConfigurationChange &change);
+    /// Decides @p change and remembers the answer. A change that is remembered gets its first answer. Only
+    /// tests switch @p checksVersion off.
+    ChangeAnswer apply(const ConfigurationChange &change, bool checksVersion = true);
 
     /// Answer that the change with @p id got, or null where it is not remembered.
     const ChangeAnswer *findAnswer(const std::string &id) const;
@@ -50,7 +51,7 @@
                                       const std::vector<ChangeHistory> &history);
 
 private:
-    ChangeAnswer decide(const ConfigurationChange &change);
+    ChangeAnswer decide(const ConfigurationChange &change, bool checksVersion);
     ChangeAnswer superseded(const ConfigurationChange &change) const;
     void remember(const ChangeAnswer &answer);
 
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -656,13 +656,10 @@
         m_state.initialise({0, entry.change.classes, entry.change.teams});
     if (entry.kind != EntryKind::Change)
         return;
-    auto change = entry.change;
-    if (m_options.faults.ignoresBasedOn)
-        change.basedOn = m_state.configuration().version;
     if (m_options.faults.forgetsAnswers)
         m_state = ConfigurationState::restore(m_state.configuration(), true, {},
                                               {m_state.history().begin(), m_state.history().end()});
-    m_state.apply(change);
+    m_state.apply(entry.change, !m_options.faults.ignoresBasedOn);
 }
 
 Duration ConfigurationNode::quorumAge(TimePoint now) const
--- a/src/core/config/configurationstate.cpp
+++ b/src/core/config/configurationstate.cpp
@@ -166,12 +166,12 @@
     m_configuration.version = 0;
 }
 
-ChangeAnswer ConfigurationState::apply(const ConfigurationChange &change)
+ChangeAnswer ConfigurationState::apply(const ConfigurationChange &change, bool checksVersion)
 {
     ChangeAnswer buffer;
     if (const auto *first = recall(change, buffer))
         return *first;
-    const auto answer = decide(change);
+    const auto answer = decide(change, checksVersion);
     remember(answer);
     return answer;
 }
@@ -230,9 +230,9 @@
     return state;
 }
 
-ChangeAnswer ConfigurationState::decide(const ConfigurationChange &change)
+ChangeAnswer ConfigurationState::decide(const ConfigurationChange &change, bool checksVersion)
 {
-    if (change.basedOn != m_configuration.version)
+    if (checksVersion && change.basedOn != m_configuration.version)
         return superseded(change);
     ChangeAnswer answer{change.id, ChangeOutcome::Invalid, m_configuration.version, {}, {},
                         {},        contentHashOf(change)};
--- a/tests/fuzz/configurationcluster.h
+++ b/tests/fuzz/configurationcluster.h
@@ -128,6 +128,8 @@
     void ask(std::size_t vm, std::size_t asked);
     void checkShown(std::size_t vm, const Configuration &configuration);
     void checkLeaders();
+    /// A new leader must hold every accepted change.
+    void checkLeaderHolds(const Vm &vm);
     void checkAccepted(const ChangeAnswer &answer, const ConfigurationChange &change);
     void checkEnd();
     bool isSettled() const;
