--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -583,7 +583,11 @@
     }
     const auto &install = message.install_snapshot();
     followLeader(now, vm, message.term());
-    if (install.snapshot().index() > m_commit)
+    const auto index = install.snapshot().index();
+    // A late snapshot must not drop the entries after it that were acknowledged since.
+    if (m_log.termAt(index) == install.snapshot().term())
+        commitTo(now, index);
+    else if (index > m_commit)
         installSnapshotState(install);
     replyToLeader(vm, true, std::min(install.snapshot().index(), m_commit));
     m_freshAt = std::max(m_freshAt.value_or(TimePoint()), now - Duration(install.quorum_age_us()));
--- a/tests/fuzz/configurationcluster.h
+++ b/tests/fuzz/configurationcluster.h
@@ -136,6 +136,8 @@
     bool keepsMajorityWithout(std::size_t vm) const;
     bool isFrozen(const Vm &vm) const;
     void fail(const std::string &text);
+    /// What each VM thinks, for the text of a failure.
+    std::string summary() const;
 
     ClusterPlan m_plan;
     std::mt19937_64 m_random;
