--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include "citronpitch/action.h"
+#include "citronpitch/burnledger.h"
 #include "citronpitch/claimbook.h"
+#include "citronpitch/claimreplay.h"
 #include "citronpitch/configuration.h"
 #include "citronpitch/dispatcher.h"
+#include "citronpitch/jobexplanation.h"
 #include "citronpitch/jobrun.h"
 #include "citronpitch/membership.h"
+#include "citronpitch/testfaults.h"
 
 #include <cstdint>
 #include <map>
@@ -26,8 +30,10 @@
     std::vector<VmIdentity> vms;
     Duration heartbeatPeriod = std::chrono::milliseconds(250);
     Duration suspicionTime = std::chrono::milliseconds(1500);
-    /// How long answers are kept.
-    Duration retention = std::chrono::hours(1);
+    /// How long an announcement of an upstream holds.
+    Duration upstreamLease = std::chrono::seconds(2);
+    ClaimLimits claimLimits;
+    TestFaults testFaults;
     /// How waiting tasks are ordered and upstreams chosen.
     DispatcherOptions dispatching;
 };
@@ -61,6 +67,22 @@
 public:
     explicit EntryVm(const EntryVmOptions &options);
 
+    /**
+     * Takes over the claims of earlier lives; called once, before any request or message.
+     *
+     * The owner replaces the journal by claimSnapshot() and syncs it before it carries out the actions. Jobs
+     * of which no task may have run go on; all others are answered at once. An owner that never calls it says
+     * that this is the first life.
+     */
+    void recover(TimePoint now, const ClaimRecovery &recovery);
+
+    /// Records that stand for everything that the journal of claims has to hold, in the order to write them.
+    std::vector<std::string> claimSnapshot() const;
+
+    /// The journal of claims can't be written any more: new keys are refused, and jobs with tasks that wait
+    /// fail.
+    void storageFailed(TimePoint now);
+
     /// A caller's request arrived; @p caller gets exactly one AnswerCaller unless callerGone() is called
     /// first.
     void request(TimePoint now, CallerId caller, CallerRequest request);
@@ -98,9 +120,13 @@
     /// Actions decided since the last call.
     std::vector<Action> takeActions();
 
+    /// Where the job of @p key was placed and why it waits, as far as this VM is home to the key.
+    JobExplanation explain(TimePoint now, const std::string &team, const std::string &key) const;
+
     const Dispatcher &dispatcher() const;
     const Membership &membership() const;
     const Configuration &configuration() const;
+    const BurnLedger &burn() const;
 
 private:
     struct OpenAttempt
@@ -127,9 +153,25 @@
         TimePoint deadline;
     };
 
+    /// Replies to forwarded requests of one VM that the claim book does not remember.
+    struct ForwardReplies
+    {
+        std::uint64_t incarnation = 0;
+        /// Requests with a lower number are over.
+        std::uint64_t lowestOpen = 0;
+        std::map<std::uint64_t, Answer> replies;
+    };
+
+    const TestFaults &faults() const;
+    std::string homeOfKey(const ClaimKey &key) const;
+    void recoverAnswered(const ClaimReplay &replay);
+    void recoverOpen(TimePoint now, ClaimMemory memory, const ClaimKey &key, const ReplayedClaim &claim);
+    std::uint64_t lowestOpenForward() const;
+    void noteLowestOpen(const std::string &vm, std::uint64_t incarnation, std::uint64_t lowestOpen);
+    void rememberReply(const Waiter &waiter, const Answer &answer);
     void handleAtHome(TimePoint now, const Waiter &waiter, CallerRequest request);
     void submitAtHome(TimePoint now, const Waiter &waiter, CallerRequest request);
-    void fetchAtHome(const Waiter &waiter, const CallerRequest &request);
+    void fetchAtHome(TimePoint now, const Waiter &waiter, const CallerRequest &request);
     void cancelAtHome(TimePoint now, const Waiter &waiter, const CallerRequest &request);
     void acceptJob(TimePoint now, const Waiter &waiter, CallerRequest request);
     void enqueueJob(TimePoint now, JobId job);
@@ -141,26 +183,33 @@
     void failForwardsOfEndedLinks(TimePoint now);
     void place(TimePoint now);
     void startAttempt(const Placement &placement);
-    void finishJob(TimePoint now, JobId job, const Answer &answer);
+    bool isAwaitingSync(JobId job) const;
+    void finishJob(TimePoint now, JobId job, Answer answer);
     void failLateJobs(TimePoint now);
     void resendForwards(TimePoint now);
     void sendHeartbeats(TimePoint now);
     void updateShare(TimePoint now);
+    bool holdsShare(TimePoint now, const std::string &vm) const;
+    void exchangeCapacity(TimePoint now);
+    void capacityRequested(TimePoint now, const citronpitch::wire::PeerMessage &message);
     void reply(const Waiter &waiter, const Answer &answer);
     void send(const std::string &vm, std::shared_ptr<citronpitch::wire::PeerMessage> message);
     std::shared_ptr<citronpitch::wire::PeerMessage> newMessage(std::uint64_t receiverIncarnation) const;
 
     EntryVmOptions m_options;
     std::vector<std::string> m_vmNames;
+    std::vector<std::string> m_diskVmNames;
     Membership m_membership;
     ClaimBook m_claims;
     Dispatcher m_dispatcher;
+    BurnLedger m_burn;
     Configuration m_configuration;
     std::map<JobId, JobRun> m_jobs;
     std::set<JobDeadline> m_deadlines;
     std::map<AttemptId, OpenAttempt> m_attempts;
     std::map<std::uint64_t, JobId> m_awaitingSync;
     std::map<std::uint64_t, Forward> m_forwards;
+    std::map<std::string, ForwardReplies> m_forwardReplies;
     /// When forwards over a link that has ended are given up, by VM.
     std::map<std::string, TimePoint> m_endedLinks;
     std::vector<Action> m_actions;
@@ -169,6 +218,7 @@
     std::uint64_t m_nextForward = 1;
     std::uint64_t m_nextSyncToken = 1;
     bool m_isDraining = false;
+    bool m_hasStorageFailed = false;
 };
 
 } // namespace Citronpitch
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -3,15 +3,28 @@
 #include "core/dispatch/admission.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Citronpitch {
 
 namespace {
 
+/// Target times by which work is put off that has missed its target, so that other work can still meet its
+/// own.
+constexpr int lateFactor = 4;
+
+/// Slack of a job in multiples of the time that it takes alone: large jobs give way to small ones, which gain
+/// more by it than the large ones lose.
+constexpr int aloneFactor = 3;
+
 /// How often estimates are taken over into a ranking.
 constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
 constexpr Duration advancePeriod = std::chrono::milliseconds(100);
 
+/// Multiple of the expected time at which an attempt on a little known upstream counts as late.
+constexpr int lateNumerator = 3;
+constexpr int lateDenominator = 2;
+
 /// Upstreams whose lease ended this long ago are forgotten.
 constexpr Duration upstreamMemory = std::chrono::minutes(10);
 constexpr Duration forgetPeriod = std::chrono::minutes(1);
@@ -52,7 +65,8 @@
 Dispatcher::State::State(const DispatcherOptions &options)
     : options(options)
     , baseline(baselineChoice(options.placement, options.seed))
-    , queue([this](const QueuedJob &job) { return dueTime(job); })
+    , queue([this](const QueuedJob &job) { return dueTime(job); },
+            [this](const QueuedJob &job) { return lateDueTime(job); })
     , placer(upstreams)
 {
 }
@@ -69,7 +83,15 @@
     const auto &entry = classes.at(job.of);
     if (!entry.hasTarget())
         return job.deadline;
-    return std::min(job.arrival + entry.declaration.targetTime + job.alone, job.deadline);
+    return std::min(job.arrival + entry.declaration.targetTime + aloneFactor * job.alone, job.deadline);
+}
+
+TimePoint Dispatcher::State::lateDueTime(const QueuedJob &job) const
+{
+    const auto &entry = classes.at(job.of);
+    if (isBaseline() || !entry.hasTarget())
+        return dueTime(job);
+    return std::min(dueTime(job) + lateFactor * entry.declaration.targetTime, job.deadline);
 }
 
 Duration Dispatcher::State::aloneTime(ClassIndex of, const Submission &submission) const
@@ -110,11 +132,90 @@
 {
     for (const auto &[name, upstream] : upstreams.byName()) {
         auto &entry = upstreams.at(upstream);
-        entry.own = share.base(entry);
+        entry.own = ownCapacity(upstream);
         refresh(now, upstream);
     }
 }
 
+Capacity Dispatcher::State::ownCapacity(UpstreamIndex upstream) const
+{
+    auto own = ownWithoutBorrowed(upstream);
+    own += loans.borrowed(upstream);
+    return own;
+}
+
+Capacity Dispatcher::State::ownWithoutBorrowed(UpstreamIndex upstream) const
+{
+    auto own = share.base(upstreams.at(upstream));
+    own -= loans.lent(upstream);
+    return own;
+}
+
+Capacity Dispatcher::State::borrowedInUse(UpstreamIndex upstream) const
+{
+    auto used = upstreams.at(upstream).used;
+    used -= ownWithoutBorrowed(upstream);
+    return used;
+}
+
+void Dispatcher::State::releaseRecalled(TimePoint now)
+{
+    if (loans.releaseRecalled([this](UpstreamIndex upstream) { return borrowedInUse(upstream); }))
+        refreshAll(now);
+}
+
+std::vector<UpstreamCapacity> Dispatcher::State::loansFrom(const std::vector<LoanedCapacity> &from) const
+{
+    std::vector<UpstreamCapacity> list;
+    for (const auto &it : from) {
+        const auto upstream = upstreams.find(it.upstream);
+        if (upstream && upstreams.at(*upstream).announcement.incarnation == it.incarnation)
+            list.push_back({*upstream, {it.slots, it.resources}});
+    }
+    return list;
+}
+
+std::vector<LoanedCapacity> Dispatcher::State::loansTo(const std::vector<UpstreamCapacity> &from) const
+{
+    std::vector<LoanedCapacity> list;
+    for (const auto &it : from) {
+        const auto &announcement = upstreams.at(it.upstream).announcement;
+        list.push_back(
+            {announcement.name, announcement.incarnation, it.capacity.slots, it.capacity.resources});
+    }
+    return list;
+}
+
+void Dispatcher::State::lendIdle(const std::string &vm, std::uint32_t tasks, const Resources &need)
+{
+    struct Offer
+    {
+        Duration time;
+        UpstreamIndex upstream;
+    };
+    std::vector<Offer> offers;
+    for (const auto &[name, upstream] : upstreams.byName()) {
+        if (upstreams.at(upstream).isFree && !health.taskLimit(upstream))
+            offers.push_back({times.speed(upstream), upstream});
+    }
+    std::sort(offers.begin(), offers.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.time, left.upstream) < std::tie(right.time, right.upstream);
+    });
+    for (const auto &it : offers) {
+        const auto &entry = upstreams.at(it.upstream);
+        const auto cost = costOf(need, entry.whole);
+        auto idle = ownWithoutBorrowed(it.upstream);
+        idle -= entry.used;
+        Capacity offered;
+        for (; tasks > 0 && idle.contains(cost); --tasks) {
+            idle -= cost;
+            offered += cost;
+        }
+        if (!offered.isEmpty())
+            loans.lend(vm, {it.upstream, offered});
+    }
+}
+
 void Dispatcher::State::passTime(TimePoint now)
 {
     while (!wakeups.empty() && wakeups.begin()->first <= now) {
@@ -123,6 +224,16 @@
         health.passTime(now, upstream);
         refresh(now, upstream);
     }
+    while (!lingering.empty() && lingering.begin()->first <= now) {
+        release(now, lingering.begin()->second);
+        lingering.erase(lingering.begin());
+    }
+    if (loans.expire(now))
+        refreshAll(now);
+    for (const auto &it : attempts.takeLate(now)) {
+        times.stillRuns(now, it.of, it.upstream, it.declared, now - it.startedAt);
+        classes.at(it.of).isRankingOld = true;
+    }
     for (const auto &it : attempts.takeStuck(now))
         observe(now, it, HealthSign::Stuck);
     if (now - forgottenAt < forgetPeriod)
@@ -130,6 +241,7 @@
     forgottenAt = now;
     for (const auto it : upstreams.forget(now - upstreamMemory)) {
         health.remove(it);
+        loans.forgetUpstream(it);
         times.forgetUpstream(it);
         ++upstreamSet;
     }
@@ -222,6 +334,10 @@
     attempt.declared = job.declared[task];
     attempt.startedAt = now;
     attempt.stuckAt = now + times.stuckAfter(now, attempt.of, upstream, attempt.declared);
+    if (times.isLittleKnown(upstream)) {
+        const auto expected = times.expected(attempt.of, attempt.declared);
+        attempt.lateAt = now + expected * lateNumerator / lateDenominator;
+    }
     queue.started(attempt.team);
     retries.started();
     entry.used += attempt.cost;
@@ -236,6 +352,23 @@
     return {head.job, task, id, announcement.name, announcement.address, announcement.port};
 }
 
+void Dispatcher::State::release(TimePoint now, const InFlight &attempt)
+{
+    auto &entry = upstreams.at(attempt.upstream);
+    if (entry.announcement.incarnation != attempt.incarnation)
+        return;
+    entry.used -= attempt.cost;
+    entry.busy -= entry.busy > 0 ? 1 : 0;
+    refresh(now, attempt.upstream);
+}
+
+TimePoint Dispatcher::State::expectedEnd(TimePoint now, const InFlight &attempt) const
+{
+    return attempt.startedAt
+        + times.expected(now, attempt.of, attempt.upstream, attempt.declared) * lateNumerator
+        / lateDenominator;
+}
+
 void Dispatcher::State::learn(TimePoint now, const InFlight &attempt, const AttemptResult &result)
 {
     auto &entry = upstreams.at(attempt.upstream);
--- a/src/daemon/configurationservice.cpp
+++ b/src/daemon/configurationservice.cpp
@@ -155,7 +155,6 @@
 
 void ConfigurationService::carryOut(const ShowConfiguration &action)
 {
-    logEvent(Event::ConfigurationInForce, {{"version", std::to_string(action.configuration.version)}});
     m_hooks.show(action.configuration);
 }
 
@@ -174,7 +173,7 @@
     if (m_notedLeader == m_node.leader())
         return;
     m_notedLeader = m_node.leader();
-    logEvent(Event::ConfigurationLeaderChanged,
+    logEvent(Event::ConfigurationLeader,
              {{"leader", m_notedLeader}, {"term", std::to_string(m_node.term())}});
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "citronpitch/jobkey.h"
+#include "daemon/burnapi.h"
 #include "daemon/callerapi.h"
 #include "daemon/controlapi.h"
 #include "log/eventlog.h"
@@ -19,6 +20,9 @@
 namespace {
 
 constexpr auto tickPeriod = std::chrono::milliseconds(5);
+/// Time between two looks at what changed and must be logged.
+constexpr Duration watchPeriod = std::chrono::milliseconds(100);
+
 constexpr int keysPerRequest = 100;
 
 /// How long connections are still taken after readiness has fallen, so that the balancer can notice.
@@ -29,16 +33,25 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
 }
 
-EntryVmOptions optionsOf(const Settings &settings, TimePoint start)
+/// A life's incarnation is its start, or one more than the last one's where the clock was set back.
+std::uint64_t nextIncarnation(TimePoint start, std::uint64_t last)
+{
+    return std::max(static_cast<std::uint64_t>(microsecondsOf(start)), last + 1);
+}
+
+EntryVmOptions optionsOf(const Settings &settings, std::uint64_t incarnation)
 {
     EntryVmOptions options;
     options.self = {settings.name, settings.failureDomain};
-    options.incarnation = static_cast<std::uint64_t>(microsecondsOf(start));
+    options.incarnation = incarnation;
     for (const auto &it : settings.vms)
         options.vms.push_back(it.identity);
     options.heartbeatPeriod = settings.heartbeatPeriod;
     options.suspicionTime = settings.suspicionTime;
-    options.retention = settings.answerRetention;
+    options.upstreamLease = settings.upstreamLease;
+    options.claimLimits.retention = settings.answerRetention;
+    options.claimLimits.keyAge = settings.keyAge;
+    options.claimLimits.clockSkew = settings.clockSkew;
     options.dispatching.placement = settings.placement;
     options.dispatching.entryVms = static_cast<std::uint32_t>(settings.vms.size());
     return options;
@@ -46,12 +59,14 @@
 
 } // namespace
 
-Daemon::Daemon(const Settings &settings, std::string settingsFile)
+Daemon::Daemon(const Settings &settings, std::string settingsFile, std::unique_ptr<ClaimStore> claims)
     : m_settings(settings)
     , m_settingsFile(std::move(settingsFile))
     , m_steadyStart(std::chrono::steady_clock::now())
     , m_wallStart(wallClock())
-    , m_vm(optionsOf(settings, m_wallStart))
+    , m_claims(std::move(claims))
+    , m_incarnation(nextIncarnation(m_wallStart, m_claims->lastIncarnation()))
+    , m_vm(optionsOf(settings, m_incarnation))
     , m_upstreams(m_io,
                   [this](AttemptId attempt, const AttemptResult &result) {
                       m_vm.attemptEnded(now(), attempt, result);
@@ -85,6 +100,7 @@
     , m_random(std::random_device{}())
 {
     m_configuration.start();
+    recoverClaims();
     waitForSignal();
     scheduleTick();
 }
@@ -94,6 +110,7 @@
     logEvent(Event::Started, {{"vm", m_settings.name}, {"failureDomain", m_settings.failureDomain}});
     m_io.run();
     logEvent(Event::Stopped, {{"vm", m_settings.name}});
+    logAllSuppressedEvents();
     return 0;
 }
 
@@ -137,6 +154,7 @@
             });
         },
         [&](const StepError &error) -> HttpGone {
+            logEvent(Event::CallerInputRefused, {{"peer", request.remoteAddress}, {"error", error.text()}});
             respond(errorResponse(400, error.text()));
             return nullptr;
         },
@@ -152,6 +170,14 @@
         respond({200, statusText(m_vm, m_settings.name), {}});
         return nullptr;
     }
+    if (request.path == "/v1/burn" && request.method == "GET") {
+        respond({200, burnText(now(), m_vm, {m_settings.name, m_settings.failureDomain}), {}});
+        return nullptr;
+    }
+    if (request.path.starts_with("/v1/explanations/") && request.method == "GET") {
+        explain(request, respond);
+        return nullptr;
+    }
     if (ConfigurationService::serves(request.path))
         return m_configuration.handle(request, respond);
     if (request.path == "/v1/upstreams" && request.method == "GET") {
@@ -166,6 +192,18 @@
     return nullptr;
 }
 
+void Daemon::explain(const HttpRequest &request, const HttpResponder &respond)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(const auto text, explanationText(now(), m_vm, request));
+            respond({200, text, {}});
+            return {};
+        },
+        [&](const StepError &error) { respond(errorResponse(400, error.text())); },
+        [&] { respond(errorResponse(500, "internal error")); });
+}
+
 void Daemon::announce(const HttpRequest &request, const HttpResponder &respond)
 {
     leaf::try_handle_all(
@@ -178,7 +216,10 @@
             carryOut();
             return {};
         },
-        [&](const StepError &error) { respond(errorResponse(400, error.text())); },
+        [&](const StepError &error) {
+            logEvent(Event::AnnouncementRefused, {{"peer", request.remoteAddress}, {"error", error.text()}});
+            respond(errorResponse(400, error.text()));
+        },
         [&] { respond(errorResponse(500, "internal error")); });
 }
 
@@ -215,8 +256,37 @@
     m_isCarryingOut = false;
 }
 
+void Daemon::recoverClaims()
+{
+    const auto recovery = m_claims->takeRecovery();
+    m_vm.recover(now(), recovery);
+    logEvent(Event::ClaimsRecovered,
+             {{"records", std::to_string(recovery.records.size())},
+              {"memory", std::string(nameIn(claimMemoryNames, recovery.memory))}});
+    m_claims->start(
+        m_io.get_executor(), m_incarnation, m_vm.claimSnapshot(),
+        [this](std::uint64_t token) {
+            m_vm.journalSynced(now(), token);
+            carryOut();
+        },
+        [this](const StepError &error) { storageFailed(error); });
+    carryOut();
+}
+
+void Daemon::storageFailed(const StepError &error)
+{
+    logEvent(Event::ClaimStorageFailed, {{"error", error.text()}});
+    m_vm.storageFailed(now());
+    carryOut();
+}
+
 void Daemon::carryOut(const StartTask &action)
 {
+    // The intent of the start may be missing in the journal, or the process was stopped since the decision.
+    if (m_claims->hasFailed() || now() >= action.deadline) {
+        m_vm.attemptEnded(now(), action.attempt, {AttemptEnd::NotSent, 0, {}});
+        return;
+    }
     m_upstreams.start(action);
 }
 
@@ -242,8 +312,7 @@
 
 void Daemon::carryOut(const AppendClaimRecord &action)
 {
-    if (action.syncToken != 0)
-        m_vm.journalSynced(now(), action.syncToken);
+    m_claims->append(*action.record, action.syncToken);
 }
 
 void Daemon::scheduleTick()
@@ -261,11 +330,17 @@
 {
     m_vm.tick(now());
     carryOut();
+    if (now() >= m_nextWatch)
+        watch();
     m_configuration.tick();
+    if (m_claims->needsCompaction())
+        m_claims->compact(m_vm.claimSnapshot());
     if (!m_isDraining)
         return;
     if (!m_hasStoppedListening && now() >= m_listenUntil) {
         m_hasStoppedListening = true;
+        logEvent(Event::ListeningStopped,
+                 {{"vm", m_settings.name}, {"inFlight", std::to_string(m_callerServer.connections())}});
         m_callerServer.drain();
     }
     const bool isDone = m_hasStoppedListening && m_vm.isIdle() && m_callerServer.connections() == 0;
@@ -276,6 +351,13 @@
     m_io.stop();
 }
 
+void Daemon::watch()
+{
+    m_nextWatch = now() + watchPeriod;
+    m_watch.observe(now(), m_vm);
+    logSuppressedEvents();
+}
+
 void Daemon::waitForSignal()
 {
     m_signals.async_wait([this](boost::system::error_code ec, int number) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -2,16 +2,19 @@
 
 #include "citronpitch/entryvm.h"
 #include "daemon/configurationservice.h"
+#include "daemon/statewatch.h"
 #include "net/httpserver.h"
 #include "net/peerlinks.h"
 #include "net/upstreamclient.h"
 #include "settings/settings.h"
+#include "store/claimstore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <memory>
 #include <random>
 
 namespace Citronpitch {
@@ -25,7 +28,7 @@
 {
 public:
     /// @p settingsFile is read again on SIGHUP.
-    Daemon(const Settings &settings, std::string settingsFile);
+    Daemon(const Settings &settings, std::string settingsFile, std::unique_ptr<ClaimStore> claims);
 
     /// Serves until a graceful shutdown has ended. Returns the exit code of the process.
     int run();
@@ -34,6 +37,7 @@
     HttpGone handleCaller(const HttpRequest &request, HttpResponder respond);
     HttpGone submit(const HttpRequest &request, HttpResponder respond);
     HttpGone handleControl(const HttpRequest &request, const HttpResponder &respond);
+    void explain(const HttpRequest &request, const HttpResponder &respond);
     void announce(const HttpRequest &request, const HttpResponder &respond);
     void issueKeys(const HttpResponder &respond);
     void peerReceived(std::string_view bytes);
@@ -43,12 +47,15 @@
     void carryOut(const AnswerCaller &action);
     void carryOut(const SendPeer &action);
     void carryOut(const AppendClaimRecord &action);
+    void recoverClaims();
+    void storageFailed(const StepError &error);
     void scheduleTick();
     void tick();
+    void watch();
     void waitForSignal();
     void drain();
-    void sendConfiguration(const std::string &vm, const std::string &bytes);
     void reload();
+    void sendConfiguration(const std::string &vm, const std::string &bytes);
     std::string newKey();
     TimePoint now() const;
 
@@ -57,6 +64,8 @@
     std::chrono::steady_clock::time_point m_steadyStart;
     TimePoint m_wallStart;
     boost::asio::io_context m_io;
+    std::unique_ptr<ClaimStore> m_claims;
+    std::uint64_t m_incarnation;
     EntryVm m_vm;
     UpstreamClient m_upstreams;
     PeerLinks m_links;
@@ -66,6 +75,8 @@
     boost::asio::steady_timer m_tickTimer;
     boost::asio::signal_set m_signals;
     std::map<CallerId, HttpResponder> m_callers;
+    StateWatch m_watch;
+    TimePoint m_nextWatch;
     std::mt19937_64 m_random;
     CallerId m_nextCaller = 1;
     TimePoint m_drainDeadline;
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -26,7 +26,7 @@
     EventEntry{Event::SettingsRefused, EventLevel::Error, "settings file refused", "error",
                "The file that SIGHUP made the daemon read has errors; nothing changed. Run "
                "`citronpitch settings check FILE`."},
-    EventEntry{Event::RepeatsSuppressed, EventLevel::Warning, "repeats were not logged", "event count",
+    EventEntry{Event::RepeatsSuppressed, EventLevel::Warning, "repeats were not logged", "repeated count",
                "The named event came more than `log.repeatLimit` times in a window; so many were left out."},
     EventEntry{Event::ListeningStopped, EventLevel::Info, "no more connections are taken", "vm inFlight",
                "Second step of a graceful shutdown; the number of connections in flight is said."},
@@ -53,12 +53,20 @@
                "It said so in its heartbeat."},
     EventEntry{Event::ConfigurationInForce, EventLevel::Info, "configuration is in force", "version",
                "This entry VM works by this version from now on."},
-    EventEntry{Event::ConfigurationLeaderChanged, EventLevel::Info, "leader of the configuration changed",
-               "leader term", "Without a leader no change is accepted; what is in force stays in force."},
-    EventEntry{Event::ConfigurationStorageFailed, EventLevel::Error,
-               "journal of the configuration can't be written", "error",
-               "This entry VM neither votes nor learns any more and goes on with what it shows. Mend the disk "
-               "and restart it."},
+    EventEntry{Event::ConfigurationLeader, EventLevel::Info, "leader of the configuration changed",
+               "leader term",
+               "Changes are decided by that entry VM from now on. Nothing to do, unless it comes often."},
+    EventEntry{
+        Event::ConfigurationStorageFailed, EventLevel::Error,
+        "the journal of the configuration can't be written", "error",
+        "This entry VM no longer votes or learns; its other work goes on. Mend the disk and restart it."},
+    EventEntry{Event::ClaimsRecovered, EventLevel::Info, "claims of earlier lives taken over",
+               "records memory",
+               "The journal of claims was read at the start. Jobs that may have run are answered as such."},
+    EventEntry{Event::ClaimStorageFailed, EventLevel::Error, "the journal of claims can't be written",
+               "error",
+               "New keys are refused as not run; answers, forwarding and other work go on. Mend the disk and "
+               "restart the VM."},
     EventEntry{Event::CallerInputRefused, EventLevel::Warning, "caller's request refused as malformed",
                "peer error", "The caller got the same text; nothing was run."},
 };
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -29,8 +29,10 @@
     PeerSuspected = 302,
     PeerLeaving = 303,
     ConfigurationInForce = 400,
-    ConfigurationLeaderChanged = 401,
+    ConfigurationLeader = 401,
     ConfigurationStorageFailed = 402,
+    ClaimsRecovered = 450,
+    ClaimStorageFailed = 451,
     CallerInputRefused = 500,
 };
 
--- a/tests/integration/placementsettingstest.cpp
+++ b/tests/integration/placementsettingstest.cpp
@@ -11,8 +11,8 @@
 std::string settingsText(const std::string &more)
 {
     return R"({"name": "a1", "failureDomain": "a", "callers": {"address": "127.0.0.1", "port": 1},
-        "control": {"address": "127.0.0.1", "port": 2}, "peers": {"address": "127.0.0.1", "port": 3},
-        "vms": [{"name": "a1", "failureDomain": "a", "peers": {"address": "127.0.0.1", "port": 3}}])"
+        "control": {"address": "127.0.0.1", "port": 2}, "peers": {"address": "127.0.0.1", "port": 3}, "vms":
+        [{"name": "a1", "failureDomain": "a", "peers": {"address": "127.0.0.1", "port": 3}}])"
         + more + "}";
 }
 
@@ -40,6 +40,6 @@
 
 TEST(PlacementSettingsTest, anUnknownNameIsAnError)
 {
-    const auto error = placementOf(settingsText(R"(, "placement": "best")"));
-    EXPECT_NE(error.find("placement: found \"best\""), std::string::npos) << error;
+    const auto text = placementOf(settingsText(R"(, "placement": "best")"));
+    EXPECT_NE(text.find("placement: found \"best\"; allowed: one of \"target\""), std::string::npos) << text;
 }
