--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -63,7 +63,7 @@
                "This entry VM works by this version from now on."},
     EventEntry{Event::ConfigurationLeader, EventLevel::Info, "leader of the configuration changed",
                "leader term",
-               "Changes are accepted by this entry VM from now on. Nothing to do, unless it comes often."},
+               "Changes are decided by that entry VM from now on. Nothing to do, unless it comes often."},
     EventEntry{
         Event::ConfigurationStorageFailed, EventLevel::Error,
         "the journal of the configuration can't be written", "error",
--- a/tests/fuzz/configurationcluster.cpp
+++ b/tests/fuzz/configurationcluster.cpp
@@ -142,7 +142,7 @@
     while (m_now < deadline && m_failure.empty() && !isSettled())
         runTurn();
     if (m_failure.empty() && !isSettled())
-        fail("liveness: no leader, or not every VM shows the newest version in time");
+        fail("liveness: no leader, or not every VM shows the newest version in time" + summary());
     if (m_failure.empty())
         checkEnd();
 }
@@ -333,12 +333,29 @@
     for (const auto &it : m_vms) {
         if (!it.isUp || it.node->role() != ConfigurationRole::Leader)
             continue;
-        const auto &first = m_leaders.emplace(it.node->term(), it.name).first->second;
-        if (first != it.name)
+        const auto [first, isNew] = m_leaders.emplace(it.node->term(), it.name);
+        if (isNew)
+            checkLeaderHolds(it);
+        if (first->second != it.name)
             fail("leaders: term " + std::to_string(it.node->term()) + " has two");
     }
 }
 
+void ConfigurationCluster::checkLeaderHolds(const Vm &vm)
+{
+    std::set<std::string> held;
+    for (const auto &it : vm.node->state().history())
+        held.insert(it.id);
+    const auto &log = vm.node->log();
+    for (auto it = vm.node->commitIndex() + 1; it <= log.lastIndex(); ++it)
+        held.insert(log.at(it).change.id);
+    for (const auto &[version, id] : m_acceptedIds) {
+        if (!held.contains(id))
+            fail("lost: " + vm.name + " became the leader of term " + std::to_string(vm.node->term())
+                 + " without accepted change " + id);
+    }
+}
+
 void ConfigurationCluster::checkAccepted(const ChangeAnswer &answer, const ConfigurationChange &change)
 {
     ++m_counts.accepted;
@@ -400,6 +417,24 @@
     return vm.frozenUntil > m_now;
 }
 
+std::string ConfigurationCluster::summary() const
+{
+    std::string text;
+    for (const auto &it : m_vms) {
+        const auto &node = *it.node;
+        text += "\n" + it.name + " " + std::string(nameIn(configurationRoleNames, node.role())) + " term "
+            + std::to_string(node.term()) + " last " + std::to_string(node.log().lastIndex()) + " commit "
+            + std::to_string(node.commitIndex()) + " identity " + std::to_string(node.voterIdentity())
+            + " leader " + node.leader() + " version " + std::to_string(node.shown().version) + " voters";
+        for (const auto &voter : node.log().voters())
+            text += " " + voter.name + "/" + std::to_string(voter.storage);
+        for (const auto &[vm, progress] : node.progress())
+            text += " " + vm + ":" + std::to_string(progress.match) + "+" + std::to_string(progress.next);
+        text += " snapshot " + std::to_string(node.log().snapshotIndex());
+    }
+    return text;
+}
+
 void ConfigurationCluster::fail(const std::string &text)
 {
     if (m_failure.empty())
--- a/tests/fuzz/configurationcluster.h
+++ b/tests/fuzz/configurationcluster.h
@@ -128,12 +128,16 @@
     void ask(std::size_t vm, std::size_t asked);
     void checkShown(std::size_t vm, const Configuration &configuration);
     void checkLeaders();
+    /// A new leader must hold every accepted change.
+    void checkLeaderHolds(const Vm &vm);
     void checkAccepted(const ChangeAnswer &answer, const ConfigurationChange &change);
     void checkEnd();
     bool isSettled() const;
     bool keepsMajorityWithout(std::size_t vm) const;
     bool isFrozen(const Vm &vm) const;
     void fail(const std::string &text);
+    /// What each VM thinks, for the text of a failure.
+    std::string summary() const;
 
     ClusterPlan m_plan;
     std::mt19937_64 m_random;
