--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -29,22 +29,38 @@
     std::cout
         << "usage: citronpitchd --settings FILE\n"
            "Serves one entry VM until SIGTERM; SIGHUP makes it read FILE again.\n"
-           "  --initialize                prepare the data folder of a VM that never lived before under its\n"
-           "                              name, and end; a VM that starts with a folder that was never\n"
-           "                              prepared takes it that its memory is lost\n"
            "  --print-settings            print the settings with every default filled in, and end\n"
            "  --print-settings-reference  print the reference of all keys, docs/SETTINGS.md, and end\n"
            "  --print-events              print the catalogue of events, docs/EVENTS.md, and end\n"
+           "  --initialize                prepare the data folder of a VM that never lived before under its\n"
+           "                              name, and end; a folder that was never prepared counts as lost "
+           "memory\n"
            "  --help                      print this, and end\n"
            "exit codes: 0 ended as asked, 1 failed, 2 wrong usage or settings\n";
 }
 
-int serve(const Settings &settings, const std::string &path, std::unique_ptr<ClaimStore> claims)
+int serveWithClaims(const Settings &settings, const std::string &path)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<int> {
+            ClaimStoreOptions options;
+            options.folder = settings.dataFolder;
+            BOOST_LEAF_ASSIGN(auto claims, ClaimStore::open(options));
+            Daemon daemon(settings, path, std::move(claims));
+            return daemon.run();
+        },
+        [](const StepError &error) {
+            logEvent(Event::StartFailed, {{"step", error.step}, {"error", error.text()}});
+            return exitFailure;
+        },
+        [] { return exitFailure; });
+}
+
+int serve(const Settings &settings, const std::string &path)
 {
     setUpEventLog(settings.log);
     try {
-        Daemon daemon(settings, path, std::move(claims));
-        return daemon.run();
+        return serveWithClaims(settings, path);
     } catch (const std::exception &e) {
         logEvent(Event::StartFailed, {{"step", "listen"}, {"error", e.what()}});
         return exitFailure;
@@ -64,15 +80,16 @@
                 BOOST_LEAF_CHECK(ClaimStore::initialize(settings.dataFolder));
                 return 0;
             }
-            ClaimStoreOptions options;
-            options.folder = settings.dataFolder;
-            BOOST_LEAF_ASSIGN(auto claims, ClaimStore::open(options));
-            return serve(settings, arguments.settingsFile, std::move(claims));
+            return serve(settings, arguments.settingsFile);
         },
         [](const StepError &error) {
             std::cerr << "citronpitchd: " << error.text() << "\n";
             return exitUsage;
         },
+        [](const std::exception &error) {
+            std::cerr << "citronpitchd: " << error.what() << "\n";
+            return exitFailure;
+        },
         [] { return exitFailure; });
 }
 
@@ -103,10 +120,10 @@
 int main(int argc, char **argv)
 {
     const option options[] = {{"settings", required_argument, nullptr, 's'},
-                              {"initialize", no_argument, nullptr, 'i'},
                               {"print-settings", no_argument, nullptr, 'p'},
                               {"print-settings-reference", no_argument, nullptr, 'r'},
                               {"print-events", no_argument, nullptr, 'e'},
+                              {"initialize", no_argument, nullptr, 'i'},
                               {"help", no_argument, nullptr, 'h'},
                               {nullptr, 0, nullptr, 0}};
     Arguments arguments;
@@ -114,14 +131,14 @@
          it = getopt_long(argc, argv, "s:h", options, nullptr)) {
         if (it == 's')
             arguments.settingsFile = optarg;
-        else if (it == 'i')
-            arguments.task = Task::Initialize;
         else if (it == 'p')
             arguments.task = Task::PrintSettings;
         else if (it == 'r')
             arguments.task = Task::PrintSettingsReference;
         else if (it == 'e')
             arguments.task = Task::PrintEvents;
+        else if (it == 'i')
+            arguments.task = Task::Initialize;
         else if (it == 'h')
             arguments.task = Task::PrintHelp;
         else
