--- a/bench/statebench.cpp
+++ b/bench/statebench.cpp
@@ -20,7 +20,6 @@
 
 namespace Citronpitch {
 
-namespace leaf = boost::leaf;
 namespace files = std::filesystem;
 using Json = nlohmann::json;
 using Clock = std::chrono::steady_clock;
