--- a/bench/benchmain.cpp
+++ b/bench/benchmain.cpp
@@ -1,6 +1,8 @@
 #include "loadbench.h"
 #include "pathbench.h"
+#include "report.h"
 #include "slopesbench.h"
+#include "statebench.h"
 
 #include <getopt.h>
 
@@ -24,7 +26,7 @@
 
 void printUsage()
 {
-    std::cerr << "usage: citronpitch-bench [--programs FOLDER] path|slopes|load [--scenario NAME] [--site "
+    std::cerr << "usage: citronpitch-bench [--programs FOLDER] path|slopes|state|load [--scenario NAME] [--site "
                  "NAME] [--seed N]\n";
 }
 
@@ -73,6 +75,11 @@
         return Citronpitch::runPathBench(arguments.programs);
     if (arguments.name == "slopes")
         return Citronpitch::runSlopesBench(arguments.programs);
+    if (arguments.name == "state") {
+        Citronpitch::StateBenchOptions options;
+        options.commit = Citronpitch::currentCommit();
+        return Citronpitch::runStateBench(options);
+    }
     if (arguments.name == "load")
         return runLoad(arguments);
     printUsage();
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -51,14 +51,6 @@
                "until it is heard again. See docs/OPERATING.md."},
     EventEntry{Event::PeerLeaving, EventLevel::Info, "entry VM is shutting down", "peer failureDomain",
                "It said so in its heartbeat."},
-    EventEntry{Event::ClaimsRecovered, EventLevel::Info, "claims of earlier lives taken over",
-               "records memory",
-               "Memory is \"whole\", \"tail-may-be-lost\" after a loss of power or of the disk, or \"lost\"; "
-               "but for "
-               "the first, keys of that time are answered \"unknown\". See docs/decisions/claims.md."},
-    EventEntry{Event::ClaimStorageFailed, EventLevel::Error,
-               "the journal of claims can't be written; new keys are refused", "error",
-               "Make room or replace the disk, and start the VM again. Other work goes on."},
     EventEntry{Event::ConfigurationInForce, EventLevel::Info, "configuration is in force", "version",
                "This entry VM works by this version from now on."},
     EventEntry{Event::ConfigurationLeader, EventLevel::Info, "leader of the configuration changed",
