--- a/bench/loadbench.cpp
+++ b/bench/loadbench.cpp
@@ -57,8 +57,8 @@
 
 void addWaste(LoadFigures &figures)
 {
-    const auto wasted = figures.declinedStarts + figures.duplicateStarts + figures.unusedStarts
-        + figures.cancelledStarts + figures.resentForwards;
+    const auto wasted =
+        figures.declinedStarts + figures.duplicateStarts + figures.unusedStarts + figures.cancelledStarts;
     const auto ran = figures.starts - figures.unusedStarts - figures.cancelledStarts;
     figures.wastedPerTask = ran == 0 ? 0 : 2 * static_cast<double>(wasted) / static_cast<double>(ran);
 }
@@ -69,13 +69,11 @@
     deployment.start();
     CallerPool pool(poolPlan(plan, deployment));
     pool.run();
-    const auto resent = deployment.statusSum("resentForwards");
     const auto silentLinks = deployment.silentLinks();
     const bool isClean = deployment.deployment().stop();
     auto figures = loadFiguresOf(pool, deployment, deployment.deployment().records(), plan.scenario,
                                  delaysOf(plan.site));
     figures.policy = nameIn(policyNames, policy);
-    figures.resentForwards = resent;
     figures.silentLinks = silentLinks;
     figures.isShutdownClean = isClean || plan.scenario.killsEntryVm;
     addWaste(figures);
--- a/bench/loaddeployment.cpp
+++ b/bench/loaddeployment.cpp
@@ -210,14 +210,6 @@
     return response.end == ExchangeEnd::Answered && response.response.status == 200;
 }
 
-std::uint64_t LoadDeployment::statusSum(const char *field) const
-{
-    std::uint64_t sum = 0;
-    for (const auto &it : m_plan.vms)
-        sum += statusOf(it.name).value(field, std::uint64_t{0});
-    return sum;
-}
-
 std::vector<std::string> LoadDeployment::silentLinks() const
 {
     std::vector<std::string> list;
--- a/bench/loaddeployment.h
+++ b/bench/loaddeployment.h
@@ -72,9 +72,6 @@
     /// accepted.
     void retireBatchClass();
 
-    /// Sum of a counter over the status of the VMs that answer.
-    std::uint64_t statusSum(const char *field) const;
-
     /// Pairs of VMs of which the first does not hear the second, as "A does not hear B".
     std::vector<std::string> silentLinks() const;
 
--- a/bench/loadfigures.cpp
+++ b/bench/loadfigures.cpp
@@ -207,7 +207,6 @@
             {"duplicateStarts", figures.duplicateStarts},
             {"unusedStarts", figures.unusedStarts},
             {"cancelledStarts", figures.cancelledStarts},
-            {"resentForwards", figures.resentForwards},
             {"wastedPerTask", figures.wastedPerTask},
             {"utilisation", figures.utilisation},
             {"silentLinks", figures.silentLinks},
--- a/bench/loadfigures.h
+++ b/bench/loadfigures.h
@@ -56,8 +56,6 @@
     /// Starts whose result nobody used, those of cancelled jobs apart.
     std::uint64_t unusedStarts = 0;
     std::uint64_t cancelledStarts = 0;
-    /// Forwarded requests that were sent again.
-    std::uint64_t resentForwards = 0;
     /// Messages beyond one start and one answer of a task that ran, for each task that ran.
     double wastedPerTask = 0;
     /// Share of the slots' time in which they ran tasks whose results were used.
