--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -69,11 +69,19 @@
     /// Ranking of a class, built anew when it is out of date.
     const UpstreamRanking &rankingOf(TimePoint now, ClassIndex of);
 
+    /// Whether a job of which nothing has started can't meet its deadline any more.
+    bool isHopeless(TimePoint now, const LaneHead &head) const;
+
     /// Starts the task that @p head names, or another one of its lane; nothing when the lane has to wait.
     std::optional<Placement> startFrom(TimePoint now, const LaneHead &head);
     std::optional<UpstreamIndex> chooseForBaseline(const Resources &need) const;
     Placement start(TimePoint now, const LaneHead &head, UpstreamIndex upstream);
 
+    /// Frees what an attempt took of its upstream.
+    void release(TimePoint now, const InFlight &attempt);
+    /// When the upstream is expected to have ended a task whose connection was given up.
+    TimePoint expectedEnd(TimePoint now, const InFlight &attempt) const;
+
     /// Learns from the end of an attempt.
     void learn(TimePoint now, const InFlight &attempt, const AttemptResult &result);
     void learnFromAnswer(TimePoint now, const InFlight &attempt, int status);
@@ -95,6 +103,8 @@
     std::unordered_map<JobId, JobTrace> jobs;
     /// When the state of an upstream has to be looked at again.
     std::multimap<TimePoint, UpstreamIndex> wakeups;
+    /// Attempts that were given up while the upstream may go on with the task, by its expected end.
+    std::multimap<TimePoint, InFlight> lingering;
     std::uint32_t freeUpstreams = 0;
     std::uint32_t parallel = 0;
     /// Counts the changes in which upstreams take work, and how much.
--- a/src/daemon/configurationservice.cpp
+++ b/src/daemon/configurationservice.cpp
@@ -155,7 +155,6 @@
 
 void ConfigurationService::carryOut(const ShowConfiguration &action)
 {
-    logEvent(Event::ConfigurationInForce, {{"version", std::to_string(action.configuration.version)}});
     m_hooks.show(action.configuration);
 }
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "citronpitch/jobkey.h"
+#include "daemon/burnapi.h"
 #include "daemon/callerapi.h"
 #include "daemon/controlapi.h"
 #include "log/eventlog.h"
@@ -19,6 +20,9 @@
 namespace {
 
 constexpr auto tickPeriod = std::chrono::milliseconds(5);
+/// Time between two looks at what changed and must be logged.
+constexpr Duration watchPeriod = std::chrono::milliseconds(100);
+
 constexpr int keysPerRequest = 100;
 
 /// How long connections are still taken after readiness has fallen, so that the balancer can notice.
@@ -106,6 +110,7 @@
     logEvent(Event::Started, {{"vm", m_settings.name}, {"failureDomain", m_settings.failureDomain}});
     m_io.run();
     logEvent(Event::Stopped, {{"vm", m_settings.name}});
+    logAllSuppressedEvents();
     return 0;
 }
 
@@ -149,6 +154,7 @@
             });
         },
         [&](const StepError &error) -> HttpGone {
+            logEvent(Event::CallerInputRefused, {{"peer", request.remoteAddress}, {"error", error.text()}});
             respond(errorResponse(400, error.text()));
             return nullptr;
         },
@@ -164,6 +170,14 @@
         respond({200, statusText(m_vm, m_settings.name), {}});
         return nullptr;
     }
+    if (request.path == "/v1/burn" && request.method == "GET") {
+        respond({200, burnText(now(), m_vm, {m_settings.name, m_settings.failureDomain}), {}});
+        return nullptr;
+    }
+    if (request.path.starts_with("/v1/explanations/") && request.method == "GET") {
+        explain(request, respond);
+        return nullptr;
+    }
     if (ConfigurationService::serves(request.path))
         return m_configuration.handle(request, respond);
     if (request.path == "/v1/upstreams" && request.method == "GET") {
@@ -178,6 +192,18 @@
     return nullptr;
 }
 
+void Daemon::explain(const HttpRequest &request, const HttpResponder &respond)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(const auto text, explanationText(now(), m_vm, request));
+            respond({200, text, {}});
+            return {};
+        },
+        [&](const StepError &error) { respond(errorResponse(400, error.text())); },
+        [&] { respond(errorResponse(500, "internal error")); });
+}
+
 void Daemon::announce(const HttpRequest &request, const HttpResponder &respond)
 {
     leaf::try_handle_all(
@@ -190,7 +216,10 @@
             carryOut();
             return {};
         },
-        [&](const StepError &error) { respond(errorResponse(400, error.text())); },
+        [&](const StepError &error) {
+            logEvent(Event::AnnouncementRefused, {{"peer", request.remoteAddress}, {"error", error.text()}});
+            respond(errorResponse(400, error.text()));
+        },
         [&] { respond(errorResponse(500, "internal error")); });
 }
 
@@ -301,6 +330,8 @@
 {
     m_vm.tick(now());
     carryOut();
+    if (now() >= m_nextWatch)
+        watch();
     m_configuration.tick();
     if (m_claims->needsCompaction())
         m_claims->compact(m_vm.claimSnapshot());
@@ -308,6 +339,8 @@
         return;
     if (!m_hasStoppedListening && now() >= m_listenUntil) {
         m_hasStoppedListening = true;
+        logEvent(Event::ListeningStopped,
+                 {{"vm", m_settings.name}, {"inFlight", std::to_string(m_callerServer.connections())}});
         m_callerServer.drain();
     }
     const bool isDone = m_hasStoppedListening && m_vm.isIdle() && m_callerServer.connections() == 0;
@@ -318,6 +351,13 @@
     m_io.stop();
 }
 
+void Daemon::watch()
+{
+    m_nextWatch = now() + watchPeriod;
+    m_watch.observe(now(), m_vm);
+    logSuppressedEvents();
+}
+
 void Daemon::waitForSignal()
 {
     m_signals.async_wait([this](boost::system::error_code ec, int number) {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -2,6 +2,7 @@
 
 #include "citronpitch/entryvm.h"
 #include "daemon/configurationservice.h"
+#include "daemon/statewatch.h"
 #include "net/httpserver.h"
 #include "net/peerlinks.h"
 #include "net/upstreamclient.h"
@@ -36,6 +37,7 @@
     HttpGone handleCaller(const HttpRequest &request, HttpResponder respond);
     HttpGone submit(const HttpRequest &request, HttpResponder respond);
     HttpGone handleControl(const HttpRequest &request, const HttpResponder &respond);
+    void explain(const HttpRequest &request, const HttpResponder &respond);
     void announce(const HttpRequest &request, const HttpResponder &respond);
     void issueKeys(const HttpResponder &respond);
     void peerReceived(std::string_view bytes);
@@ -49,6 +51,7 @@
     void storageFailed(const StepError &error);
     void scheduleTick();
     void tick();
+    void watch();
     void waitForSignal();
     void drain();
     void reload();
@@ -72,6 +75,8 @@
     boost::asio::steady_timer m_tickTimer;
     boost::asio::signal_set m_signals;
     std::map<CallerId, HttpResponder> m_callers;
+    StateWatch m_watch;
+    TimePoint m_nextWatch;
     std::mt19937_64 m_random;
     CallerId m_nextCaller = 1;
     TimePoint m_drainDeadline;
--- a/tests/unit/dispatchertest.cpp
+++ b/tests/unit/dispatchertest.cpp
@@ -160,11 +160,27 @@
     dispatcher.remove(now, job);
     dispatcher.requeue(now, job, submission(2), 0);
     dispatcher.finish(now, placed.at(0).attempt, broken);
+    now += 1s;
     const auto next = place();
     ASSERT_EQ(next.size(), 1U);
     EXPECT_EQ(next[0].job, other);
 }
 
+TEST_F(DispatcherTest, aTaskThatIsGivenUpKeepsItsSlotUntilItsExpectedEnd)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    runOneByOne(4, {{"a", 100ms}});
+    const auto job = add(submission(1));
+    const auto placed = place();
+    add(submission(1));
+    now += 10ms;
+    dispatcher.remove(now, job);
+    dispatcher.finish(now, placed.at(0).attempt, broken);
+    EXPECT_TRUE(place().empty()) << "the upstream may still run the task, and would decline another";
+    now += 190ms;
+    EXPECT_EQ(place().size(), 1U);
+}
+
 TEST_F(DispatcherTest, learnsWhichUpstreamIsFasterFromAFewTasks)
 {
     dispatcher.announce(now, upstream("slow", 1));
@@ -300,7 +316,7 @@
     auto configuration = twoClasses();
     configuration.teams = {{"greedy", 1}, {"modest", 4}};
     dispatcher.setConfiguration(configuration);
-    const auto greedy = add(submission(6, "short", "greedy"));
+    const auto greedy = add(submission(20, "short", "greedy"));
     auto placed = place();
     EXPECT_EQ(placed.size(), 4U) << "nobody else wants the slots";
     const auto modest = add(submission(2, "long", "modest"));
@@ -363,6 +379,36 @@
     EXPECT_GE(starts, 4);
 }
 
+TEST_F(DispatcherTest, anEjectedUpstreamIsTriedWithSingleTasksFirst)
+{
+    for (const auto *name : {"a", "b", "c"})
+        dispatcher.announce(now, upstream(name, 4));
+    for (int i = 0; i < 20; ++i) {
+        const auto job = add(submission(12));
+        for (const auto &it : place())
+            dispatcher.finish(now, it.attempt, it.upstream == "a" ? failure : success);
+        dispatcher.remove(now, job);
+        now += 10ms;
+    }
+    const auto startsOnA = [this](std::uint32_t tasks) {
+        const auto job = add(submission(tasks));
+        int n = 0;
+        for (const auto &it : place()) {
+            n += it.upstream == "a" ? 1 : 0;
+            dispatcher.finish(now, it.attempt, success);
+        }
+        dispatcher.remove(now, job);
+        return n;
+    };
+    EXPECT_EQ(startsOnA(12), 0) << "ejected";
+    now += 3s;
+    EXPECT_EQ(startsOnA(12), 0);
+    EXPECT_EQ(startsOnA(1), 1);
+    now += 5s;
+    EXPECT_EQ(startsOnA(12), 1) << "without single tasks, others are used in the end";
+    EXPECT_GT(startsOnA(12), 1) << "two successes bring it back";
+}
+
 TEST_F(DispatcherTest, retriesStayWithinABudget)
 {
     int retries = 0;
