Take announcements that are counted in resources alone

Workers have processors, memory and accelerators and no slots; the resource for announcements asked for at least one slot. Without millicores it still does.

--- a/src/daemon/controlapi.cpp
+++ b/src/daemon/controlapi.cpp
@@ -49,13 +49,15 @@
     BOOST_LEAF_ASSIGN(announcement.address, fields.text("address"));
     BOOST_LEAF_CHECK(checkAddress(fields, announcement.address));
     BOOST_LEAF_ASSIGN(const auto port, fields.requiredNumber("port", 1, maximumPort));
-    BOOST_LEAF_ASSIGN(const auto slots, fields.requiredNumber("slots", 1, maximumSlots));
+    BOOST_LEAF_ASSIGN(announcement.capacity, parseCapacity(from, name));
+    const bool isCountedInCores = announcement.capacity.millicores > 0;
+    BOOST_LEAF_ASSIGN(const auto slots,
+                      fields.requiredNumber("slots", isCountedInCores ? 0 : 1, maximumSlots));
     announcement.port = static_cast<std::uint16_t>(port);
     announcement.slots = static_cast<std::uint32_t>(slots);
     BOOST_LEAF_ASSIGN(announcement.rack, fields.optionalText("rack"));
     BOOST_LEAF_ASSIGN(announcement.incarnation,
                       fields.requiredNumber("incarnation", 1, std::numeric_limits<std::uint64_t>::max()));
-    BOOST_LEAF_ASSIGN(announcement.capacity, parseCapacity(from, name));
     BOOST_LEAF_ASSIGN(announcement.leaving, fields.flag("leaving"));
     return announcement;
 }
