Judge what is hopeless by learned times alone

Cause: the time that a job takes alone was kept from its arrival, when only declared times were known. Now the time is computed when the job is looked at, three quarters of it must be left, and a class without learned times is not refused for its deadline.

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -108,8 +108,11 @@
     }
     const auto of = classes.find(submission.className).value_or(0);
     AdmissionLoad load;
-    load.alone = aloneTime(of, submission);
-    load.workAhead = queue.workBefore(dueTime({of, {}, now, submission.deadline, load.alone}));
+    const auto alone = aloneTime(of, submission);
+    if (times.isLearned(of)) {
+        load.alone = alone;
+        load.workAhead = queue.workBefore(dueTime({of, {}, now, submission.deadline, alone}));
+    }
     load.parallel = parallel;
     load.queuedOfClass = queue.queuedOfClass(of);
     load.queuedOfTeam = queue.queuedOfTeam(submission.team);
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -21,6 +21,10 @@
 constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
 constexpr Duration advancePeriod = std::chrono::milliseconds(100);
 
+/// A job is given up when not even this part of its expected time is left.
+constexpr int hopelessNumerator = 3;
+constexpr int hopelessDenominator = 4;
+
 /// Multiple of the expected time at which an attempt on a little known upstream counts as late.
 constexpr int lateNumerator = 3;
 constexpr int lateDenominator = 2;
@@ -295,7 +299,16 @@
         return true;
     if (isBaseline() || !times.isLearned(head.lane.of) || !jobs.at(head.job).perRack.empty())
         return false;
-    return now + queue.findJob(head.job)->alone > head.deadline;
+    Duration work{};
+    Duration longest{};
+    for (const auto declared : jobs.at(head.job).declared) {
+        const auto expected = times.expected(head.lane.of, declared);
+        work += expected;
+        longest = std::max(longest, expected);
+    }
+    const auto least =
+        std::max(longest, work / std::max(parallel, 1U)) * hopelessNumerator / hopelessDenominator;
+    return now + least > head.deadline;
 }
 
 std::optional<Placement> Dispatcher::State::startFrom(TimePoint now, const LaneHead &head)
