Never put a job off beyond the last moment at which it can start

Cause: with a declared time ten times too long, a job was due only at its deadline, where nothing can be finished any more. A job is due no later than its deadline less the time it takes alone (but not before its target for that), and until a class has learned times that time counts as no more than the target. The new test fails without it.

--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -90,7 +90,11 @@
     const auto &entry = classes.at(job.of);
     if (!entry.hasTarget())
         return job.deadline;
-    return std::min(job.arrival + entry.declaration.targetTime + aloneFactor * job.alone, job.deadline);
+    const auto target = job.arrival + entry.declaration.targetTime;
+    const auto alone =
+        times.isLearned(job.of) ? job.alone : std::min(job.alone, entry.declaration.targetTime);
+    const auto latest = std::max(target, job.deadline - alone);
+    return std::min({target + aloneFactor * alone, latest, job.deadline});
 }
 
 TimePoint Dispatcher::State::lateDueTime(const QueuedJob &job) const
@@ -98,7 +102,9 @@
     const auto &entry = classes.at(job.of);
     if (isBaseline() || !entry.hasTarget())
         return dueTime(job);
-    return std::min(dueTime(job) + lateFactor * entry.declaration.targetTime, job.deadline);
+    const auto due = dueTime(job);
+    const auto latest = std::max(due, job.deadline - job.alone);
+    return std::min({due + lateFactor * entry.declaration.targetTime, latest, job.deadline});
 }
 
 Duration Dispatcher::State::aloneTime(ClassIndex of, const Submission &submission) const
--- a/tests/unit/dispatchertest.cpp
+++ b/tests/unit/dispatchertest.cpp
@@ -371,6 +371,29 @@
     }
 }
 
+TEST_F(DispatcherTest, aJobWithADeclaredTimeThatIsTooLongIsNotPutOffToItsDeadline)
+{
+    dispatcher.announce(now, upstream("a", 1));
+    auto overstated = submission(1);
+    overstated.tasks[0].declaredTime = 10s;
+    overstated.deadline = now + 3s;
+    const auto job = add(overstated);
+    TimePoint startedAt;
+    for (int i = 0; startedAt == TimePoint() && i < 100; ++i) {
+        auto other = submission(1);
+        other.deadline = now + 3s;
+        add(other);
+        const auto placed = place();
+        ASSERT_EQ(placed.size(), 1U);
+        if (placed[0].job == job)
+            startedAt = now;
+        now += 100ms;
+        dispatcher.finish(now, placed[0].attempt, success);
+        dispatcher.remove(now, placed[0].job);
+    }
+    EXPECT_LT(startedAt, overstated.deadline - 1s);
+}
+
 TEST_F(DispatcherTest, aFullTeamQueueIsRefusedAndOthersAreNot)
 {
     dispatcher.announce(now, upstream("a", 1));
