--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -305,15 +305,9 @@
         return true;
     if (isBaseline() || !times.isLearned(head.lane.of) || !jobs.at(head.job).perRack.empty())
         return false;
-    Duration work{};
-    Duration longest{};
-    for (const auto declared : jobs.at(head.job).declared) {
-        const auto expected = times.expected(head.lane.of, declared);
-        work += expected;
-        longest = std::max(longest, expected);
-    }
-    const auto least =
-        std::max(longest, work / std::max(parallel, 1U)) * hopelessNumerator / hopelessDenominator;
+    const auto one = times.expected(head.lane.of, {});
+    const auto all = one * jobs.at(head.job).tasks / std::max(parallel, 1U);
+    const auto least = std::max(one, all) * hopelessNumerator / hopelessDenominator;
     return now + least > head.deadline;
 }
 
