--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "citronpitch/action.h"
+#include "citronpitch/burnledger.h"
 #include "citronpitch/claimbook.h"
 #include "citronpitch/claimreplay.h"
 #include "citronpitch/configuration.h"
 #include "citronpitch/dispatcher.h"
+#include "citronpitch/jobexplanation.h"
 #include "citronpitch/jobrun.h"
 #include "citronpitch/membership.h"
 #include "citronpitch/testfaults.h"
@@ -118,9 +120,13 @@
     /// Actions decided since the last call.
     std::vector<Action> takeActions();
 
+    /// Where the job of @p key was placed and why it waits, as far as this VM is home to the key.
+    JobExplanation explain(TimePoint now, const std::string &team, const std::string &key) const;
+
     const Dispatcher &dispatcher() const;
     const Membership &membership() const;
     const Configuration &configuration() const;
+    const BurnLedger &burn() const;
 
 private:
     struct OpenAttempt
@@ -196,6 +202,7 @@
     Membership m_membership;
     ClaimBook m_claims;
     Dispatcher m_dispatcher;
+    BurnLedger m_burn;
     Configuration m_configuration;
     std::map<JobId, JobRun> m_jobs;
     std::set<JobDeadline> m_deadlines;
