Do not take tasks on a slow upstream for stuck

Cause: with times of little spread a task counted as stuck after 2.7 times its expected time and 0.5 s; upstreams four times slower than the others were ejected, and their trials went first. Eight times the expected time at least now. The new test fails without it (a limit of 4.5 s for tasks of 2 s).

--- a/src/core/dispatch/servicetimes.cpp
+++ b/src/core/dispatch/servicetimes.cpp
@@ -38,6 +38,8 @@
 constexpr Duration stuckSlack = std::chrono::milliseconds(500);
 constexpr double stuckFactor = 2;
 constexpr double stuckDeviations = 3;
+/// An upstream that is several times slower than the others is not stuck.
+constexpr double leastStuckSpread = 1.4;
 constexpr double largestStuckSpread = 2.3;
 
 Duration durationOf(double logarithm)
@@ -122,7 +124,8 @@
 {
     double spread = largestStuckSpread;
     if (of < m_classes.size() && m_classes[of].plain.samples >= samplesForSpread)
-        spread = std::min(stuckDeviations * std::sqrt(m_classes[of].plain.variance), largestStuckSpread);
+        spread = std::clamp(stuckDeviations * std::sqrt(m_classes[of].plain.variance), leastStuckSpread,
+                            largestStuckSpread);
     const double usual = classLog(of, declared) + speedLog(now, upstream) + pairLog(of, upstream);
     return durationOf(usual + spread + std::log(stuckFactor)) + stuckSlack;
 }
--- a/tests/unit/servicetimestest.cpp
+++ b/tests/unit/servicetimestest.cpp
@@ -68,6 +68,15 @@
     EXPECT_LT(times.expected(start + 5min, 0, 1, {}), fresh);
 }
 
+TEST(ServiceTimesTest, aTaskOnAnUpstreamThatIsFourTimesSlowerIsNotStuck)
+{
+    ServiceTimes times;
+    for (int i = 0; i < 20; ++i)
+        times.succeeded(start, 0, 0, {}, 2s);
+    EXPECT_GT(times.stuckAfter(start, 0, 1, {}), 10s);
+    EXPECT_LT(times.stuckAfter(start, 0, 1, {}), 60s);
+}
+
 TEST(ServiceTimesTest, anUpstreamWithoutSuccessesHasNoSpeed)
 {
     ServiceTimes times;
