--- a/include/citronpitch/jobexplanation.h
+++ b/include/citronpitch/jobexplanation.h
@@ -23,7 +23,8 @@
     TaskStage stage = TaskStage::Waiting;
     /// Upstream of the last attempt; empty where there was none.
     std::string upstream;
-    std::uint32_t attempts = 0;
+    /// Whether a start message of it may ever have been sent.
+    bool hasStarted = false;
 };
 
 /// Where a job was placed and why it waits, for operators.
--- a/src/core/claims/jobrun.cpp
+++ b/src/core/claims/jobrun.cpp
@@ -110,7 +110,7 @@
     for (const auto &it : m_tasks) {
         const bool hasEnded = it.report.state == TaskState::Ran;
         const auto idle = hasEnded ? TaskStage::Ended : TaskStage::Waiting;
-        list.push_back({it.attempt ? TaskStage::Running : idle, it.report.upstream, it.attempts});
+        list.push_back({it.attempt ? TaskStage::Running : idle, it.report.upstream, it.hasStarted});
     }
     return list;
 }
--- a/src/core/explanation.cpp
+++ b/src/core/explanation.cpp
@@ -45,8 +45,7 @@
 
 TaskPlacement placementOf(const TaskReport &report)
 {
-    const bool hasRun = !report.upstream.empty();
-    return {TaskStage::Ended, report.upstream, hasRun ? 1U : 0U};
+    return {TaskStage::Ended, report.upstream, report.state != TaskState::NotRun};
 }
 
 } // namespace
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -131,6 +131,8 @@
          it = getopt_long(argc, argv, "s:h", options, nullptr)) {
         if (it == 's')
             arguments.settingsFile = optarg;
+        else if (it == 'i')
+            arguments.task = Task::Initialize;
         else if (it == 'p')
             arguments.task = Task::PrintSettings;
         else if (it == 'r')
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -51,6 +51,14 @@
                "until it is heard again. See docs/OPERATING.md."},
     EventEntry{Event::PeerLeaving, EventLevel::Info, "entry VM is shutting down", "peer failureDomain",
                "It said so in its heartbeat."},
+    EventEntry{Event::ClaimsRecovered, EventLevel::Info, "claims of earlier lives taken over",
+               "records memory",
+               "Memory is \"whole\", \"tail-may-be-lost\" after a loss of power or of the disk, or \"lost\"; "
+               "but for "
+               "the first, keys of that time are answered \"unknown\". See docs/decisions/claims.md."},
+    EventEntry{Event::ClaimStorageFailed, EventLevel::Error,
+               "the journal of claims can't be written; new keys are refused", "error",
+               "Make room or replace the disk, and start the VM again. Other work goes on."},
     EventEntry{Event::ConfigurationInForce, EventLevel::Info, "configuration is in force", "version",
                "This entry VM works by this version from now on."},
     EventEntry{Event::ConfigurationLeader, EventLevel::Info, "leader of the configuration changed",
@@ -60,13 +68,6 @@
         Event::ConfigurationStorageFailed, EventLevel::Error,
         "the journal of the configuration can't be written", "error",
         "This entry VM no longer votes or learns; its other work goes on. Mend the disk and restart it."},
-    EventEntry{Event::ClaimsRecovered, EventLevel::Info, "claims of earlier lives taken over",
-               "records memory",
-               "The journal of claims was read at the start. Jobs that may have run are answered as such."},
-    EventEntry{Event::ClaimStorageFailed, EventLevel::Error, "the journal of claims can't be written",
-               "error",
-               "New keys are refused as not run; answers, forwarding and other work go on. Mend the disk and "
-               "restart the VM."},
     EventEntry{Event::CallerInputRefused, EventLevel::Warning, "caller's request refused as malformed",
                "peer error", "The caller got the same text; nothing was run."},
 };
