--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -21,6 +21,10 @@
 constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
 constexpr Duration advancePeriod = std::chrono::milliseconds(100);
 
+/// A job is given up when not even this part of its expected time is left.
+constexpr int hopelessNumerator = 3;
+constexpr int hopelessDenominator = 4;
+
 /// Multiple of the expected time at which an attempt on a little known upstream counts as late.
 constexpr int lateNumerator = 3;
 constexpr int lateDenominator = 2;
@@ -86,7 +90,11 @@
     const auto &entry = classes.at(job.of);
     if (!entry.hasTarget())
         return job.deadline;
-    return std::min(job.arrival + entry.declaration.targetTime + aloneFactor * job.alone, job.deadline);
+    const auto target = job.arrival + entry.declaration.targetTime;
+    const auto alone =
+        times.isLearned(job.of) ? job.alone : std::min(job.alone, entry.declaration.targetTime);
+    const auto latest = std::max(target, job.deadline - alone);
+    return std::min({target + aloneFactor * alone, latest, job.deadline});
 }
 
 TimePoint Dispatcher::State::lateDueTime(const QueuedJob &job) const
@@ -94,7 +102,9 @@
     const auto &entry = classes.at(job.of);
     if (isBaseline() || !entry.hasTarget())
         return dueTime(job);
-    return std::min(dueTime(job) + lateFactor * entry.declaration.targetTime, job.deadline);
+    const auto due = dueTime(job);
+    const auto latest = std::max(due, job.deadline - job.alone);
+    return std::min({due + lateFactor * entry.declaration.targetTime, latest, job.deadline});
 }
 
 Duration Dispatcher::State::aloneTime(ClassIndex of, const Submission &submission) const
@@ -295,7 +305,10 @@
         return true;
     if (isBaseline() || !times.isLearned(head.lane.of) || !jobs.at(head.job).perRack.empty())
         return false;
-    return now + queue.findJob(head.job)->alone > head.deadline;
+    const auto one = times.expected(head.lane.of, {});
+    const auto all = one * jobs.at(head.job).tasks / std::max(parallel, 1U);
+    const auto least = std::max(one, all) * hopelessNumerator / hopelessDenominator;
+    return now + least > head.deadline;
 }
 
 std::optional<Placement> Dispatcher::State::startFrom(TimePoint now, const LaneHead &head)
