--- a/bench/benchmain.cpp
+++ b/bench/benchmain.cpp
@@ -1,6 +1,5 @@
 #include "loadbench.h"
 #include "pathbench.h"
-#include "report.h"
 #include "slopesbench.h"
 #include "statebench.h"
 
@@ -26,8 +25,9 @@
 
 void printUsage()
 {
-    std::cerr << "usage: citronpitch-bench [--programs FOLDER] path|slopes|state|load [--scenario NAME] [--site "
-                 "NAME] [--seed N]\n";
+    std::cerr
+        << "usage: citronpitch-bench [--programs FOLDER] path|slopes|state|load [--scenario NAME] [--site "
+           "NAME] [--seed N]\n";
 }
 
 bool parseArguments(int argc, char **argv, BenchArguments &arguments)
@@ -75,11 +75,8 @@
         return Citronpitch::runPathBench(arguments.programs);
     if (arguments.name == "slopes")
         return Citronpitch::runSlopesBench(arguments.programs);
-    if (arguments.name == "state") {
-        Citronpitch::StateBenchOptions options;
-        options.commit = Citronpitch::currentCommit();
-        return Citronpitch::runStateBench(options);
-    }
+    if (arguments.name == "state")
+        return Citronpitch::runStateBench(arguments.programs + "/statebench");
     if (arguments.name == "load")
         return runLoad(arguments);
     printUsage();
--- a/bench/statebench.cpp
+++ b/bench/statebench.cpp
@@ -2,6 +2,7 @@
 
 #include "citronpitch/entryvm.h"
 #include "citronpitch/jobkey.h"
+#include "report.h"
 #include "store/claimstore.h"
 
 #include "wire/peer.pb.h"
@@ -12,10 +13,8 @@
 #include <algorithm>
 #include <chrono>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <map>
-#include <thread>
 #include <vector>
 
 namespace Citronpitch {
@@ -124,7 +123,7 @@
         if (!folder.empty() && !files::exists(folder + "/claims") && !ClaimStore::initialize(folder))
             throw std::runtime_error("the folder can't be initialized");
         ClaimStoreOptions options;
-        options.folder = folder;
+        folder = folder;
         auto store = ClaimStore::open(options);
         if (!store)
             throw std::runtime_error("the journal can't be opened");
@@ -229,23 +228,18 @@
 
 } // namespace
 
-int runStateBench(const StateBenchOptions &options)
+int runStateBench(const std::string &folder)
 {
     const std::vector<ClaimLoad> loads{{"no-journal", false, true, 20'000, 1},
                                        {"dated-unsynced", true, true, 20'000, 1},
                                        {"undated-synced-one-by-one", true, false, 500, 1},
                                        {"undated-synced-batched", true, false, 20'000, 256}};
-    Json results{{"commit", options.commit},
-                 {"cores", std::thread::hardware_concurrency()},
-                 {"payloadBytes", payloadBytes},
-                 {"claims", Json::array()},
-                 {"restarts", Json::array()}};
+    Json results{{"payloadBytes", payloadBytes}, {"claims", Json::array()}, {"restarts", Json::array()}};
     for (const auto &it : loads)
-        results["claims"].push_back(measureClaims(options.folder, it));
+        results["claims"].push_back(measureClaims(folder, it));
     for (const std::size_t jobs : {1'000U, 10'000U, 100'000U})
-        results["restarts"].push_back(measureRestart(options.folder, jobs));
-    files::create_directories(files::path(options.resultFile).parent_path());
-    std::ofstream(options.resultFile) << results.dump(2) << "\n";
+        results["restarts"].push_back(measureRestart(folder, jobs));
+    writeReport("state-claims", results);
     std::cout << results.dump(2) << "\n";
     return 0;
 }
--- a/tests/integration/journaltest.cpp
+++ b/tests/integration/journaltest.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <unistd.h>
 
 using namespace Citronpitch;
 namespace leaf = boost::leaf;
@@ -17,7 +18,7 @@
     void SetUp() override
     {
         const auto *test = testing::UnitTest::GetInstance()->current_test_info();
-        m_folder = testing::TempDir() + "journaltest-" + test->name();
+        m_folder = testing::TempDir() + "journaltest-" + std::to_string(::getpid()) + "-" + test->name();
         std::filesystem::remove_all(m_folder);
         std::filesystem::create_directories(m_folder);
         m_path = m_folder + "/journal";
