--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -60,6 +60,15 @@
         Event::ConfigurationStorageFailed, EventLevel::Error,
         "the journal of the configuration can't be written", "error",
         "This entry VM no longer votes or learns; its other work goes on. Mend the disk and restart it."},
+    EventEntry{Event::ClaimsRecovered, EventLevel::Info, "claims of earlier lives taken over",
+               "records memory",
+               "Memory is \"whole\", \"tail-may-be-lost\" after a loss of power or of the disk, or \"lost\"; "
+               "but for "
+               "the first, keys of that time are answered \"unknown\". See docs/decisions/claims.md."},
+    EventEntry{Event::ClaimStorageFailed, EventLevel::Error, "the journal of claims can't be written",
+               "error",
+               "New keys are refused as not run; answers, forwarding and other work go on. Mend the disk and "
+               "restart the VM."},
     EventEntry{Event::CallerInputRefused, EventLevel::Warning, "caller's request refused as malformed",
                "peer error", "The caller got the same text; nothing was run."},
 };
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -31,6 +31,8 @@
     ConfigurationInForce = 400,
     ConfigurationLeader = 401,
     ConfigurationStorageFailed = 402,
+    ClaimsRecovered = 450,
+    ClaimStorageFailed = 451,
     CallerInputRefused = 500,
 };
 
--- a/tests/integration/claimstoretest.cpp
+++ b/tests/integration/claimstoretest.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <unistd.h>
 
 using namespace Citronpitch;
 namespace leaf = boost::leaf;
@@ -21,7 +22,8 @@
     void SetUp() override
     {
         const auto *test = testing::UnitTest::GetInstance()->current_test_info();
-        m_options.folder = testing::TempDir() + "claimstoretest-" + test->name();
+        m_options.folder =
+            testing::TempDir() + "claimstoretest-" + std::to_string(::getpid()) + "-" + test->name();
         m_options.bootId = [this] { return m_bootId; };
         std::filesystem::remove_all(m_options.folder);
     }
