--- a/bench/statebench.cpp
+++ b/bench/statebench.cpp
@@ -123,7 +123,7 @@
         if (!folder.empty() && !files::exists(folder + "/claims") && !ClaimStore::initialize(folder))
             throw std::runtime_error("the folder can't be initialized");
         ClaimStoreOptions options;
-        folder = folder;
+        options.folder = folder;
         auto store = ClaimStore::open(options);
         if (!store)
             throw std::runtime_error("the journal can't be opened");
