Tests wait for readiness and suspicion by time, not by a count of fast tries

Cause: 200 tries against a port that nobody listens on yet take 0.4 s, less than a start on a busy machine; two DocsTest cases failed so. Both places now wait as the other tests do. No expectation changed.

--- a/tests/integration/cliconfigurationtest.cpp
+++ b/tests/integration/cliconfigurationtest.cpp
@@ -1,5 +1,6 @@
 #include "support/clirun.h"
 #include "support/deployment.h"
+#include "support/submissions.h"
 
 #include <gtest/gtest.h>
 
@@ -136,11 +137,10 @@
     // The voters agree for the first time while all are there.
     ASSERT_EQ(run({"team", "set", "t", "--quota", "30", "--wait"}).exitCode, 0);
     deployment->vm("b1").signal(SIGSTOP);
-    for (int i = 0; i < 200; ++i) {
+    ASSERT_TRUE(eventually([&] {
         const auto status = run({"status"}).json();
-        if (status.at("vms").back().at("state") == "suspected")
-            break;
-    }
+        return status.at("vms").back().at("state") == "suspected";
+    }));
     const auto change = run({"team", "set", "t", "--quota", "40", "--wait"});
     deployment->vm("b1").signal(SIGCONT);
     EXPECT_EQ(change.exitCode, 0) << change.output;
--- a/tests/integration/docstest.cpp
+++ b/tests/integration/docstest.cpp
@@ -1,5 +1,6 @@
 #include "support/clirun.h"
 #include "support/deployment.h"
+#include "support/submissions.h"
 
 #include <gtest/gtest.h>
 
@@ -124,12 +125,10 @@
 
     bool isReady() const
     {
-        for (int i = 0; i < 200; ++i) {
+        return eventually([this] {
             const auto result = run({{"upstreams", "--json", "--timeout-ms", "500"}});
-            if (result.exitCode == 0 && !result.json().at("upstreams").empty())
-                return true;
-        }
-        return false;
+            return result.exitCode == 0 && !result.json().at("upstreams").empty();
+        });
     }
 
     std::string folder;
