./run fuzz drives the configuration too; fuzzers run under the sanitizers

CliTest.exitCodesTellOutcomesApart cancelled a job before its claim was synced, which is truly refused as not run; it now waits for the start, as its expectation (failed, cancelled) needs.

--- a/tests/fuzz/configurationfuzztest.cpp
+++ b/tests/fuzz/configurationfuzztest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <ostream>
+#include <string>
+
 using namespace Citronpitch;
 
 class ConfigurationFuzzTest : public testing::TestWithParam<std::uint64_t>
@@ -29,6 +32,11 @@
     std::uint64_t seed = 1;
 };
 
+std::ostream &operator<<(std::ostream &os, const BrokenVariant &variant)
+{
+    return os << variant.name;
+}
+
 class BrokenConfigurationTest : public testing::TestWithParam<BrokenVariant>
 {
 };
--- a/tests/fuzz/fuzzmain.cpp
+++ b/tests/fuzz/fuzzmain.cpp
@@ -1,22 +1,37 @@
 // Runs every model of the fuzzer on one seed.
 #include "fuzz/claimsmodel.h"
+#include "fuzz/configurationmodel.h"
 
 #include <getopt.h>
 
 #include <cstdlib>
 #include <iostream>
+#include <string>
 #include <vector>
 
 namespace {
 
 constexpr int exitUsage = 2;
 
+Citronpitch::FuzzReport runClaims(std::uint64_t seed, std::uint64_t steps)
+{
+    return Citronpitch::fuzzClaims({seed, steps, {}, true});
+}
+
+Citronpitch::FuzzReport runConfiguration(std::uint64_t seed, std::uint64_t steps)
+{
+    const auto result = Citronpitch::fuzzConfiguration(seed, steps);
+    if (!result.hasPassed)
+        return {false, result.failure};
+    return {true,
+            std::to_string(result.events) + " events, " + std::to_string(result.faults) + " faults injected, "
+                + std::to_string(result.changesAccepted) + " changes accepted, "
+                + std::to_string(result.changesRefused) + " refused"};
+}
+
 std::vector<Citronpitch::FuzzModel> models()
 {
-    using namespace Citronpitch;
-    return {{"claims", [](std::uint64_t seed, std::uint64_t steps) {
-                 return fuzzClaims({seed, steps, {}, true});
-             }}};
+    return {{"claims", runClaims}, {"configuration", runConfiguration}};
 }
 
 /// Prints one line on success; the seed, the breach and the shrunk trace on failure.
--- a/tests/integration/clitest.cpp
+++ b/tests/integration/clitest.cpp
@@ -117,6 +117,8 @@
     const auto pending =
         cli({"submit", jobFile("slow", 1, 3000), "--key", "slow-1", "--no-wait", "--vm", callers("a1")});
     EXPECT_EQ(pending.exitCode, 7) << pending.output;
+    // Before its claim is synced a job can still be cancelled as not run.
+    ASSERT_TRUE(eventually([&] { return deployment->records().starts["slow/0"] == 1; }));
     const auto cancelled = cli({"cancel", "slow-1", "--team", "t", "--vm", callers("b1"), "--json"});
     EXPECT_EQ(cancelled.exitCode, 1) << cancelled.output;
     EXPECT_EQ(cancelled.json().value("reason", ""), "cancelled");
--- a/tools/run.sh
+++ b/tools/run.sh
@@ -33,7 +33,7 @@
 buildSanitized() {
     installPackages
     configure $sanitized -DCMAKE_BUILD_TYPE=Debug -DCITRONPITCH_SANITIZE=ON
-    cmake --build $sanitized --target decisiontests
+    cmake --build $sanitized --target decisiontests fuzztests
 }
 
 sources() {
