A job that is given up is answered at once, and only where others need its slots

Ruled out: starvation by other classes (their targets were met). Change: the dispatcher names the jobs it gave up, EntryVm answers them with deadline-out-of-reach, every task notRun and a spread time to come back; nothing is given up while more slots are free than tasks wait.

--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -112,6 +112,12 @@
     /// Chooses upstreams for as many waiting tasks as there are usable slots.
     std::vector<Placement> place(TimePoint now);
 
+    /**
+     * Jobs that place() gave up since the last call: nothing of them has started, and with what waits before
+     * them their deadlines can't be met. The owner answers them at once and removes them.
+     */
+    std::vector<JobId> takeGivenUp();
+
     /**
      * Frees the slot of an attempt and learns from how it ended.
      *
--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -182,6 +182,7 @@
     void failForwards(TimePoint now, const std::string &home);
     void failForwardsOfEndedLinks(TimePoint now);
     void place(TimePoint now);
+    void answerGivenUp(TimePoint now);
     void startAttempt(const Placement &placement);
     bool isAwaitingSync(JobId job) const;
     void finishJob(TimePoint now, JobId job, Answer answer);
--- a/include/citronpitch/job.h
+++ b/include/citronpitch/job.h
@@ -101,6 +101,7 @@
     HomeUnreachable,
     MemoryLost,
     StorageFailed,
+    DeadlineOutOfReach,
 };
 
 inline constexpr std::array reasonNames{
@@ -124,6 +125,7 @@
     EnumName<Reason>{Reason::HomeUnreachable, "home-unreachable"},
     EnumName<Reason>{Reason::MemoryLost, "memory-lost"},
     EnumName<Reason>{Reason::StorageFailed, "storage-failed"},
+    EnumName<Reason>{Reason::DeadlineOutOfReach, "deadline-out-of-reach"},
 };
 
 /// The final answer to a submission, or the state of one that was asked for.
--- a/src/core/dispatch/attempttable.cpp
+++ b/src/core/dispatch/attempttable.cpp
@@ -25,6 +25,11 @@
     return removed;
 }
 
+std::size_t AttemptTable::size() const
+{
+    return m_attempts.size();
+}
+
 void AttemptTable::abandon(AttemptId attempt)
 {
     const auto it = m_attempts.find(attempt);
--- a/src/core/dispatch/attempttable.h
+++ b/src/core/dispatch/attempttable.h
@@ -47,6 +47,9 @@
     /// Takes out an attempt; nothing for an unknown one.
     std::optional<InFlight> remove(AttemptId attempt);
 
+    /// Number of attempts in flight.
+    std::size_t size() const;
+
     /// Notes that nobody waits for @p attempt any more; it is not taken for stuck from now on.
     void abandon(AttemptId attempt);
 
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -182,6 +182,7 @@
             break;
         if (m_state->isHopeless(now, *head)) {
             m_state->queue.dropTasks(head->job);
+            m_state->givenUp.push_back(head->job);
             continue;
         }
         if (m_state->freeUpstreams == 0) {
@@ -198,6 +199,11 @@
     return placements;
 }
 
+std::vector<JobId> Dispatcher::takeGivenUp()
+{
+    return std::exchange(m_state->givenUp, {});
+}
+
 void Dispatcher::setNeighbours(const std::vector<std::string> &vms)
 {
     m_state->loans.setNeighbours(m_state->isBaseline() ? std::vector<std::string>() : vms);
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -299,11 +299,17 @@
     return entry.ranking;
 }
 
+bool Dispatcher::State::isContended() const
+{
+    return queue.size() + attempts.size() + lingering.size() > parallel;
+}
+
 bool Dispatcher::State::isHopeless(TimePoint now, const LaneHead &head) const
 {
     if (head.deadline <= now)
         return true;
-    if (isBaseline() || !times.isLearned(head.lane.of) || !jobs.at(head.job).perRack.empty())
+    if (isBaseline() || !isContended() || !times.isLearned(head.lane.of)
+        || !jobs.at(head.job).perRack.empty())
         return false;
     const auto one = times.expected(head.lane.of, {});
     const auto all = one * jobs.at(head.job).tasks / std::max(parallel, 1U);
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -69,6 +69,9 @@
     /// Ranking of a class, built anew when it is out of date.
     const UpstreamRanking &rankingOf(TimePoint now, ClassIndex of);
 
+    /// Whether more tasks wait than slots are free.
+    bool isContended() const;
+
     /// Whether a job of which nothing has started can't meet its deadline any more.
     bool isHopeless(TimePoint now, const LaneHead &head) const;
 
@@ -105,6 +108,8 @@
     std::multimap<TimePoint, UpstreamIndex> wakeups;
     /// Attempts that were given up while the upstream may go on with the task, by its expected end.
     std::multimap<TimePoint, InFlight> lingering;
+    /// Jobs whose tasks were dropped since their deadline can't be met, until they are taken.
+    std::vector<JobId> givenUp;
     std::uint32_t freeUpstreams = 0;
     std::uint32_t parallel = 0;
     /// Counts the changes in which upstreams take work, and how much.
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -2,6 +2,7 @@
 
 #include "citronpitch/jobkey.h"
 #include "citronpitch/wireconvert.h"
+#include "core/dispatch/admission.h"
 
 #include "wire/peer.pb.h"
 
@@ -16,6 +17,7 @@
 
 constexpr Duration firstResend = std::chrono::seconds(1);
 constexpr Duration unreachableRetry = std::chrono::seconds(1);
+constexpr Duration overloadRetry = std::chrono::seconds(1);
 constexpr Duration drainRetry = std::chrono::seconds(2);
 
 /// How long a link that has ended may take to stand again before forwards over it are given up.
@@ -482,9 +484,23 @@
     }
     for (const auto &it : placements)
         startAttempt(it);
+    answerGivenUp(now);
     exchangeCapacity(now);
 }
 
+void EntryVm::answerGivenUp(TimePoint now)
+{
+    for (const auto job : m_dispatcher.takeGivenUp()) {
+        const auto it = m_jobs.find(job);
+        if (it == m_jobs.end())
+            continue;
+        auto answer = it->second.failedAnswer(
+            Reason::DeadlineOutOfReach, "dispatch: the job can't be finished before its deadline any more");
+        answer.retryAt = spreadReturn(now + overloadRetry, overloadRetry, it->second.submission());
+        finishJob(now, job, std::move(answer));
+    }
+}
+
 void EntryVm::exchangeCapacity(TimePoint now)
 {
     for (const auto &it : m_dispatcher.capacityRequests(now)) {
--- a/tests/unit/dispatchertest.cpp
+++ b/tests/unit/dispatchertest.cpp
@@ -470,3 +470,22 @@
     baseline.add(now, 2, submission(1, "short"));
     EXPECT_EQ(baseline.place(now).at(0).job, 1U);
 }
+
+TEST_F(DispatcherTest, aJobIsGivenUpOnlyWhereOthersNeedItsSlots)
+{
+    dispatcher.announce(now, upstream("a", 2));
+    runOneByOne(20, {{"a", 1s}});
+    auto late = submission(1);
+    late.deadline = now + 500ms;
+    add(late);
+    EXPECT_EQ(place().size(), 1U);
+    EXPECT_TRUE(dispatcher.takeGivenUp().empty());
+    add(submission(1));
+    EXPECT_EQ(place().size(), 1U);
+    late.deadline = now + 400ms;
+    const auto job = add(late);
+    EXPECT_TRUE(place().empty());
+    EXPECT_EQ(dispatcher.takeGivenUp(), std::vector<JobId>{job});
+    EXPECT_TRUE(dispatcher.takeGivenUp().empty());
+    EXPECT_EQ(dispatcher.queuedTasks(), 0U);
+}
