--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -299,22 +299,22 @@
     return entry.ranking;
 }
 
-bool Dispatcher::State::isContended() const
+bool Dispatcher::State::isContended(JobId job) const
 {
-    return queue.size() + attempts.size() + lingering.size() > parallel;
+    const std::size_t ownTasks = jobs.at(job).tasks;
+    const auto waitingOfOthers = queue.size() - std::min<std::size_t>(queue.size(), ownTasks);
+    return parallel > 0 && waitingOfOthers + attempts.size() + lingering.size() >= parallel;
 }
 
 bool Dispatcher::State::isHopeless(TimePoint now, const LaneHead &head) const
 {
     if (head.deadline <= now)
         return true;
-    if (isBaseline() || !isContended() || !times.isLearned(head.lane.of)
+    if (isBaseline() || !isContended(head.job) || !times.isLearned(head.lane.of)
         || !jobs.at(head.job).perRack.empty())
         return false;
     const auto one = times.expected(head.lane.of, {});
-    const auto all = one * jobs.at(head.job).tasks / std::max(parallel, 1U);
-    const auto least = std::max(one, all) * hopelessNumerator / hopelessDenominator;
-    return now + least > head.deadline;
+    return now + one * hopelessNumerator / hopelessDenominator > head.deadline;
 }
 
 std::optional<Placement> Dispatcher::State::startFrom(TimePoint now, const LaneHead &head)
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -69,10 +69,11 @@
     /// Ranking of a class, built anew when it is out of date.
     const UpstreamRanking &rankingOf(TimePoint now, ClassIndex of);
 
-    /// Whether more tasks wait than slots are free.
-    bool isContended() const;
+    /// Whether the work of others takes every slot that @p job could have; not so while all slots are lent
+    /// out.
+    bool isContended(JobId job) const;
 
-    /// Whether a job of which nothing has started can't meet its deadline any more.
+    /// Whether not even one task of a job of which nothing has started would end before its deadline.
     bool isHopeless(TimePoint now, const LaneHead &head) const;
 
     /// Starts the task that @p head names, or another one of its lane; nothing when the lane has to wait.
