--- a/include/citronpitch/configurationchange.h
+++ b/include/citronpitch/configurationchange.h
@@ -24,6 +24,10 @@
     RemoveTeam,
     /// Replaces every declaration at once; a class that is not listed is retired.
     Apply,
+    /// Replaces the declared document where its version is higher than the one in force.
+    Replace,
+    /// Gives a group to another holder under a new fencing token; made by leaders, not by operators.
+    SetHolder,
 };
 
 inline constexpr std::array changeKindNames{
@@ -34,9 +38,12 @@
     EnumName<ChangeKind>{ChangeKind::SetTeam, "setTeam"},
     EnumName<ChangeKind>{ChangeKind::RemoveTeam, "removeTeam"},
     EnumName<ChangeKind>{ChangeKind::Apply, "apply"},
+    EnumName<ChangeKind>{ChangeKind::Replace, "replace"},
+    EnumName<ChangeKind>{ChangeKind::SetHolder, "setHolder"},
 };
 
-/// One change that an operator asks for. All kinds but Apply use exactly one class or one team.
+/// One change that an operator asks for. All kinds but Apply, Replace and SetHolder use exactly one class or one
+/// team.
 struct ConfigurationChange
 {
     /// Chosen by the operator, unique to the change; the same when the change is resent.
@@ -49,6 +56,10 @@
     std::vector<TeamDeclaration> teams;
     /// When the entry VM took it from the operator.
     TimePoint proposedAt;
+    /// Set for Replace.
+    DeclaredDocument document;
+    /// Set for SetHolder; its fence is the one that it replaces, zero for a group without a holder.
+    GroupHolder holder;
 };
 
 /// How a change ended.
--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -87,6 +87,12 @@
     Duration proposalTimeout = std::chrono::seconds(5);
     /// Entries kept after a snapshot; one is taken when there are twice as many.
     std::uint64_t keptEntries = 1000;
+    /// Most voters of a fleet whose members come and go. Zero: the voters are those that the members name.
+    std::size_t maximumVoters = 0;
+    /// Fleet that comes and goes: the voters of its first start. Set only in the first life of its VMs.
+    std::vector<std::string> founders;
+    /// Fleet that comes and goes: silence after which another VM takes the place of a voter.
+    Duration absentVoterTimeout = std::chrono::milliseconds(1500);
     ConfigurationTestFaults faults;
 };
 
@@ -156,6 +162,10 @@
     std::uint64_t next = 1;
     TimePoint lastReply;
     TimePoint nextSend;
+    /// When the newest message was sent that the VM has answered.
+    TimePoint confirmedAt;
+    /// Stamp of its newest answer.
+    std::int64_t repliedAt = 0;
 };
 
 /**
@@ -189,6 +199,12 @@
     /// An operator asks for @p change; AnswerChange follows once.
     void propose(TimePoint now, ChangeRequestId request, const ConfigurationChange &change);
 
+    /// Sets the VMs of a fleet whose members come and go; this one may be among them.
+    void setMembers(TimePoint now, const std::vector<ConfigurationMember> &members);
+
+    /// Gives the group of @p wanted to its VM, in place of the holder with its fence. Leaders only.
+    void assignHolder(TimePoint now, const GroupHolder &wanted);
+
     std::vector<ConfigurationAction> takeActions();
 
     /// The configuration in force here.
@@ -198,6 +214,14 @@
     /// How long ago it was known that the shown configuration was the newest; nothing if it never was.
     std::optional<Duration> age(TimePoint now) const;
 
+    /**
+     * How long ago it was certain that no newer configuration than the shown one was accepted.
+     *
+     * Rests on answers to messages that this VM sent itself, so it holds after a freeze too. Nothing where it is
+     * not known in this life.
+     */
+    std::optional<Duration> confirmedAge(TimePoint now) const;
+
     ConfigurationRole role() const;
     std::uint64_t term() const;
     /// Name of the leader; empty while none is known.
@@ -260,6 +284,11 @@
     void replaceJournal();
     std::vector<std::string> wholeJournal() const;
 
+    /// Moment on this VM's clock as a number that only this life of it takes back; above zero.
+    std::int64_t stamp(TimePoint now) const;
+    /// The moment of a stamp of this life.
+    std::optional<TimePoint> unstamp(std::int64_t value) const;
+
     // Founding.
     void greet(TimePoint now);
     void greeted(const std::string &vm, std::uint64_t storage);
@@ -292,14 +321,18 @@
     void replyArrived(TimePoint now, const std::string &vm, const Message &message);
     /// Returns false where the entries can't be taken.
     bool takeEntries(const citronpitch::wire::configuration::Append &append);
-    void replyToLeader(const std::string &vm, bool matched, std::uint64_t index);
+    void replyToLeader(TimePoint now, const std::string &vm, bool matched, std::uint64_t index, std::int64_t echoedAt);
     void followLeader(TimePoint now, const std::string &vm, std::uint64_t term);
     void advanceLeaderCommit(TimePoint now);
     void commitTo(TimePoint now, std::uint64_t index);
     void apply(const LogEntry &entry);
     Duration quorumAge(TimePoint now) const;
+    /// How long ago a majority is known to have followed this leader, by what it sent itself.
+    std::optional<Duration> leaderConfirmedAge(TimePoint now) const;
     void manageVoters(TimePoint now);
     bool isCaughtUp(TimePoint now, const std::string &vm) const;
+    bool isMembershipOpen() const;
+    bool isAbsent(TimePoint now, const Voter &voter) const;
     bool removeOneVoter(TimePoint now);
     bool addOneVoter(TimePoint now);
     void proposeVoters(std::vector<Voter> voters);
@@ -343,7 +376,10 @@
     TimePoint m_nextVoterCheck;
 
     Configuration m_shown;
+    TimePoint m_startedAt;
     std::optional<TimePoint> m_freshAt;
+    /// As m_freshAt, but certain, and of this life.
+    std::optional<TimePoint> m_confirmedAt;
 
     std::vector<std::string> m_unwritten;
     std::uint64_t m_nextToken = 1;
--- a/include/citronpitch/configurationstate.h
+++ b/include/citronpitch/configurationstate.h
@@ -48,11 +48,16 @@
     /// Rebuilds a state from a snapshot.
     static ConfigurationState restore(const Configuration &configuration, bool isInitialised,
                                       const std::vector<ChangeAnswer> &answers,
-                                      const std::vector<ChangeHistory> &history);
+                                      const std::vector<ChangeHistory> &history, std::uint64_t lastFence = 0);
+
+    /// Fencing token given out last.
+    std::uint64_t lastFence() const;
 
 private:
     ChangeAnswer decide(const ConfigurationChange &change, bool checksVersion);
     ChangeAnswer superseded(const ConfigurationChange &change) const;
+    ChangeAnswer replaceDocument(const ConfigurationChange &change);
+    ChangeAnswer setHolder(const ConfigurationChange &change);
     void remember(const ChangeAnswer &answer);
 
     Configuration m_configuration;
@@ -62,6 +67,7 @@
     std::map<std::string, std::uint64_t, std::less<>> m_positions;
     std::uint64_t m_firstPosition = 0;
     std::deque<ChangeHistory> m_history;
+    std::uint64_t m_lastFence = 0;
 };
 
 /// What changing @p configuration by @p change is refused for; empty where the change fits. On success
--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -145,6 +145,10 @@
     std::vector<ClassStatus> classes(TimePoint now) const;
     std::uint32_t freeSlots(TimePoint now) const;
     std::uint32_t queuedTasks() const;
+    /// Tasks of the usual need that run side by side.
+    std::uint32_t parallelTasks() const;
+    /// Expected run time of the waiting tasks.
+    Duration waitingWork() const;
 
 private:
     struct State;
--- /dev/null
+++ b/include/citronpitch/groupdispatcher.h
@@ -0,0 +1,207 @@
+#pragma once
+
+#include "citronpitch/dispatcher.h"
+#include "citronpitch/fleetupstream.h"
+#include "citronpitch/runorder.h"
+#include "citronpitch/upstreamruns.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Citronpitch {
+
+/// What a GroupDispatcher is told at its start.
+struct GroupDispatcherOptions
+{
+    std::string group;
+    UpstreamRunsOptions runs;
+    /// Silence after which an upstream takes no new work.
+    Duration upstreamLease = std::chrono::seconds(6);
+    /// How long the answer to a job is kept for an entry VM that passes it on again.
+    Duration answerMemory = std::chrono::seconds(10);
+    /// Name of a task on its upstream.
+    std::function<std::string(const std::string &key, std::uint32_t task)> nameTask;
+};
+
+/// The job of an entry VM, by the number that the entry VM gave it.
+struct JobOwner
+{
+    std::string vm;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const JobOwner &) const = default;
+};
+
+/// A job that an entry VM passes to the holder of a group.
+struct HeldJob
+{
+    JobOwner owner;
+    std::string pool;
+    /// Runs of one task that may fail before the job does.
+    std::uint32_t attempts = 1;
+    Submission submission;
+};
+
+/// The answer to a job, told once.
+struct FinishedJob
+{
+    JobOwner owner;
+    Answer answer;
+};
+
+/// How much a group has to do, for choosing among groups.
+struct GroupLoad
+{
+    std::string group;
+    std::uint64_t fence = 0;
+    /// Whether it takes new jobs.
+    bool isOpen = false;
+    /// Tasks of the usual need that would start at once.
+    std::uint32_t freeTasks = 0;
+    /// Tasks of the usual need that run side by side.
+    std::uint32_t parallel = 0;
+    /// Expected run time of the waiting tasks.
+    Duration waiting{};
+};
+
+/// What the process around a GroupDispatcher has to do, in order.
+using GroupAction = std::variant<RunOrder, FinishedJob>;
+
+/**
+ * @brief Dispatches jobs that need not be kept to the upstreams of one group, as their only holder.
+ *
+ * Which task runs next and where is decided by a Dispatcher for each pool; what is known of the runs by an
+ * UpstreamRuns for each upstream. Does no I/O and reads no clock. Used by ControlVm.
+ */
+class GroupDispatcher
+{
+public:
+    explicit GroupDispatcher(GroupDispatcherOptions options);
+    ~GroupDispatcher();
+    GroupDispatcher(const GroupDispatcher &) = delete;
+    GroupDispatcher &operator=(const GroupDispatcher &) = delete;
+
+    /// The classes of work and their targets.
+    void setClasses(const std::vector<ClassDeclaration> &classes);
+
+    /// An upstream of the group announced itself, or said that it is leaving or has left.
+    void announce(TimePoint now, const FleetAnnouncement &announcement);
+
+    /**
+     * An entry VM passes on a job, possibly again.
+     *
+     * A job with the key of one in flight is the same job, and the answer goes to its new owner.
+     */
+    void submit(TimePoint now, const HeldJob &job);
+
+    /// The entry VM no longer waits for its job.
+    void cancel(TimePoint now, const JobOwner &owner);
+
+    /// Jobs of @p vm are over whose number is below @p lowestOpen, or that are of another incarnation.
+    void endOthers(TimePoint now, const std::string &vm, std::uint64_t incarnation, std::uint64_t lowestOpen);
+
+    /// @p vm is out of reach: its jobs are stopped.
+    void ownerGone(TimePoint now, const std::string &vm);
+
+    void orderEnded(TimePoint now, OrderId id, const OrderResult &result);
+    void tick(TimePoint now);
+
+    /// Takes no new jobs; those of which nothing was started are refused.
+    void close(TimePoint now);
+
+    std::vector<GroupAction> takeActions();
+
+    GroupLoad load(TimePoint now) const;
+    std::uint64_t fence() const;
+    /// Whether no job is in flight.
+    bool isIdle() const;
+    /// Upstreams on which runs may be started, and all that are known.
+    std::size_t readyUpstreams() const;
+    std::size_t upstreams() const;
+
+private:
+    struct Task
+    {
+        bool isDone = false;
+        std::uint32_t failures = 0;
+        std::uint32_t lastRun = 0;
+        /// Number of the attempt in flight; zero: none.
+        std::uint64_t attempt = 0;
+    };
+
+    struct Job
+    {
+        HeldJob held;
+        std::vector<Task> tasks;
+        std::uint32_t done = 0;
+        std::uint32_t open = 0;
+        bool hasStarted = false;
+        /// Answered or cancelled; it stays until its runs are over.
+        bool isEnded = false;
+        /// A job with the same key that waits for this one to be gone.
+        std::unique_ptr<HeldJob> successor;
+    };
+
+    struct Attempt
+    {
+        JobId job = 0;
+        std::uint32_t task = 0;
+        std::string pool;
+        std::string upstream;
+        AttemptId placed = 0;
+        TimePoint startedAt;
+    };
+
+    struct Upstream
+    {
+        std::unique_ptr<UpstreamRuns> runs;
+        bool isOffered = false;
+        TimePoint leaseDeadline;
+    };
+
+    struct KeptAnswer
+    {
+        TimePoint forgetAt;
+        JobOwner owner;
+    };
+
+    Dispatcher &pool(const std::string &name);
+    void reply(TimePoint now, const JobOwner &owner, Answer answer);
+    void add(TimePoint now, const HeldJob &held);
+    void place(TimePoint now);
+    void start(TimePoint now, const std::string &pool, const Placement &placement);
+    void settle(TimePoint now);
+    void runFinished(TimePoint now, const FinishedRun &run);
+    void answer(TimePoint now, JobId id, Outcome outcome, Reason reason, const std::string &detail);
+    void end(TimePoint now, JobId id);
+    void removeIfOver(TimePoint now, JobId id);
+    void offer(TimePoint now, Upstream &upstream);
+    void refuse(TimePoint now, const JobOwner &owner, const Refusal &refusal);
+
+    GroupDispatcherOptions m_options;
+    std::vector<ClassDeclaration> m_classes;
+    std::map<std::string, Dispatcher> m_pools;
+    std::map<std::string, Upstream> m_upstreams;
+    std::map<JobId, Job> m_jobs;
+    std::map<std::string, JobId> m_byKey;
+    std::map<JobOwner, JobId> m_byOwner;
+    std::map<JobOwner, Answer> m_answers;
+    /// Kept answers, oldest first.
+    std::deque<KeptAnswer> m_keptAnswers;
+    std::map<std::uint64_t, Attempt> m_attempts;
+    std::map<OrderId, std::string> m_orders;
+    std::vector<GroupAction> m_actions;
+    JobId m_nextJob = 1;
+    std::uint64_t m_nextAttempt = 1;
+    OrderId m_nextOrder = 1;
+    bool m_isClosed = false;
+};
+
+} // namespace Citronpitch
--- a/include/citronpitch/upstream.h
+++ b/include/citronpitch/upstream.h
@@ -39,6 +39,8 @@
     Answered,
     /// The start message was written in whole or in part, and no answer came.
     Broken,
+    /// The task was stopped, or is known to have ended without a result through no fault of its upstream.
+    Stopped,
 };
 
 inline constexpr std::array attemptEndNames{
@@ -46,6 +48,7 @@
     EnumName<AttemptEnd>{AttemptEnd::Declined, "declined"},
     EnumName<AttemptEnd>{AttemptEnd::Answered, "answered"},
     EnumName<AttemptEnd>{AttemptEnd::Broken, "broken"},
+    EnumName<AttemptEnd>{AttemptEnd::Stopped, "stopped"},
 };
 
 /// Result of one attempt, as the connection to the upstream saw it.
--- a/src/core/config/configuration.cpp
+++ b/src/core/config/configuration.cpp
@@ -17,4 +17,13 @@
     return it == teams.end() ? nullptr : &*it;
 }
 
+const GroupHolder *Configuration::findHolder(std::string_view group) const
+{
+    for (const auto &it : holders) {
+        if (it.group == group)
+            return &it;
+    }
+    return nullptr;
+}
+
 } // namespace Citronpitch
--- a/src/core/config/configurationchange.cpp
+++ b/src/core/config/configurationchange.cpp
@@ -48,6 +48,10 @@
         text.add(it.name);
         text.add(it.quotaTasks);
     }
+    if (change.kind == ChangeKind::Replace) {
+        text.add(change.document.version);
+        text.add(change.document.text);
+    }
     return text.hash();
 }
 
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -21,6 +21,10 @@
 /// Silence of the leader after which a learner no longer passes changes on to it.
 constexpr Duration learnerLeaderTimeout = std::chrono::seconds(3);
 
+/// A stamp holds the microseconds since the start of a life, and bits that tell the life from others.
+constexpr int elapsedBits = 42;
+constexpr std::uint64_t lifeMask = (1 << 20) - 1;
+
 constexpr std::size_t maximumEntriesPerMessage = 64;
 constexpr std::uint64_t maximumUncommittedEntries = 1000;
 
@@ -35,6 +39,10 @@
 std::vector<Voter> foundersOf(const ConfigurationNodeOptions &options)
 {
     std::vector<Voter> founders;
+    for (const auto &it : options.founders)
+        founders.push_back({it, foundingStorage});
+    if (options.maximumVoters > 0)
+        return founders;
     for (const auto &it : options.members) {
         if (it.isVoter)
             founders.push_back({it.name, foundingStorage});
@@ -49,6 +57,7 @@
     : m_options(options)
     , m_log(foundersOf(options))
     , m_shown(options.initial)
+    , m_startedAt(now)
 {
     recover(records);
     setElectionDeadline(now);
@@ -158,6 +167,43 @@
     m_proposals.push_back(std::move(proposal));
 }
 
+void ConfigurationNode::setMembers(TimePoint now, const std::vector<ConfigurationMember> &members)
+{
+    m_options.members = members;
+    if (m_role != ConfigurationRole::Leader)
+        return;
+    const auto isKnown = [&](const std::string &vm) {
+        return hasVoterNamed(vm)
+            || std::any_of(members.begin(), members.end(), [&](const auto &it) { return it.name == vm; });
+    };
+    std::erase_if(m_progress, [&](const auto &it) { return !isKnown(it.first); });
+    for (const auto &it : members) {
+        if (it.name != m_options.self && !m_progress.contains(it.name))
+            m_progress[it.name] = {std::nullopt, 0, m_commit + 1, now, now};
+    }
+}
+
+void ConfigurationNode::assignHolder(TimePoint now, const GroupHolder &wanted)
+{
+    if (m_role != ConfigurationRole::Leader || m_hasStorageFailed)
+        return;
+    const auto isSame = [&](const LogEntry &entry) {
+        return entry.kind == EntryKind::Change && entry.change.kind == ChangeKind::SetHolder
+            && entry.change.holder.group == wanted.group && entry.change.holder.fence == wanted.fence;
+    };
+    for (auto it = m_commit + 1; it <= m_log.lastIndex(); ++it) {
+        if (isSame(m_log.at(it)))
+            return;
+    }
+    LogEntry entry;
+    entry.kind = EntryKind::Change;
+    entry.change.kind = ChangeKind::SetHolder;
+    entry.change.holder = wanted;
+    entry.change.proposedAt = now;
+    appendOwn(entry);
+    broadcast(now);
+}
+
 std::vector<ConfigurationAction> ConfigurationNode::takeActions()
 {
     flushRecords();
@@ -183,6 +229,17 @@
     return std::max(Duration::zero(), now - *m_freshAt);
 }
 
+std::optional<Duration> ConfigurationNode::confirmedAge(TimePoint now) const
+{
+    if (!m_heldShows.empty())
+        return std::nullopt;
+    if (m_role == ConfigurationRole::Leader)
+        return leaderConfirmedAge(now);
+    if (!m_confirmedAt)
+        return std::nullopt;
+    return std::max(Duration::zero(), now - *m_confirmedAt);
+}
+
 ConfigurationRole ConfigurationNode::role() const
 {
     const bool votes = m_isDecided && isVoter({m_options.self, voterIdentity()});
@@ -224,6 +281,20 @@
     return m_progress;
 }
 
+std::int64_t ConfigurationNode::stamp(TimePoint now) const
+{
+    const auto life = static_cast<std::int64_t>(m_options.seed & lifeMask);
+    return (life << elapsedBits) | (now - m_startedAt).count();
+}
+
+std::optional<TimePoint> ConfigurationNode::unstamp(std::int64_t value) const
+{
+    const auto life = static_cast<std::int64_t>(m_options.seed & lifeMask);
+    if (value == 0 || value >> elapsedBits != life)
+        return std::nullopt;
+    return m_startedAt + Duration(value & ((std::int64_t{1} << elapsedBits) - 1));
+}
+
 void ConfigurationNode::greet(TimePoint now)
 {
     if (m_isDecided || now < m_nextGreeting)
@@ -372,7 +443,11 @@
         entry.change.classes = m_options.initial.classes;
         entry.change.teams = m_options.initial.teams;
     }
+    const bool isFirst = entry.kind == EntryKind::Initial;
     appendOwn(entry);
+    // VMs that join later learn the founding voters from the log alone.
+    if (isFirst && isMembershipOpen())
+        proposeVoters(m_log.voters());
     for (const auto &[vm, progress] : m_progress)
         sendAppend(now, vm);
 }
@@ -476,6 +551,11 @@
     append->set_previous_term(*m_log.termAt(progress.next - 1));
     append->set_commit(m_commit);
     append->set_quorum_age_us(quorumAge(now).count());
+    append->set_sent_at(stamp(now));
+    if (const auto age = leaderConfirmedAge(now); age && progress.repliedAt != 0) {
+        append->set_echoed_at(progress.repliedAt);
+        append->set_confirmed_age_us(age->count());
+    }
     const bool isSilent = now - progress.lastReply > 2 * m_options.learnerHeartbeat;
     auto end = votes ? m_log.lastIndex() : m_commit;
     end = isSilent ? 0 : std::min(end, progress.next - 1 + maximumEntriesPerMessage);
@@ -489,6 +569,7 @@
     auto message = newMessage();
     auto *install = message.mutable_install_snapshot();
     install->set_quorum_age_us(quorumAge(now).count());
+    install->set_sent_at(stamp(now));
     auto &progress = m_progress[vm];
     const bool isSilent = now - progress.lastReply > 2 * m_options.learnerHeartbeat;
     if (isSilent) {
@@ -497,6 +578,7 @@
         probe.mutable_append()->set_previous_index(m_commit);
         probe.mutable_append()->set_previous_term(*m_log.termAt(m_commit));
         probe.mutable_append()->set_commit(m_commit);
+        probe.mutable_append()->set_sent_at(stamp(now));
         sendAfter(m_termToken, vm, probe);
         return;
     }
@@ -509,29 +591,35 @@
 void ConfigurationNode::appendArrived(TimePoint now, const std::string &vm, const Message &message)
 {
     const auto &append = message.append();
+    const auto echo = append.sent_at();
     if (message.term() < m_term || m_role == ConfigurationRole::Leader) {
-        replyToLeader(vm, false, m_commit);
+        replyToLeader(now, vm, false, m_commit, echo);
         return;
     }
     followLeader(now, vm, message.term());
     const auto previous = append.previous_index();
     if (previous > m_log.lastIndex()) {
-        replyToLeader(vm, false, m_log.lastIndex());
+        replyToLeader(now, vm, false, m_log.lastIndex(), echo);
         return;
     }
     const auto term = m_log.termAt(previous);
     const bool matches = previous < m_log.snapshotIndex() || term == append.previous_term();
     if (!matches && !m_options.faults.skipsLogMatching) {
-        replyToLeader(vm, false, m_commit);
+        replyToLeader(now, vm, false, m_commit, echo);
         return;
     }
     if (!takeEntries(append))
         return;
     const auto matched = previous + static_cast<std::uint64_t>(append.entries_size());
-    replyToLeader(vm, true, matched);
+    replyToLeader(now, vm, true, matched, echo);
     commitTo(now, std::min({append.commit(), matched, m_log.lastIndex()}));
-    if (m_commit >= append.commit())
-        m_freshAt = std::max(m_freshAt.value_or(TimePoint()), now - Duration(append.quorum_age_us()));
+    if (m_commit < append.commit())
+        return;
+    m_freshAt = std::max(m_freshAt.value_or(TimePoint()), now - Duration(append.quorum_age_us()));
+    if (const auto sentAt = unstamp(append.echoed_at())) {
+        const auto confirmedAt = *sentAt - Duration(append.confirmed_age_us());
+        m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
+    }
 }
 
 bool ConfigurationNode::takeEntries(const wire::Append &append)
@@ -557,9 +645,12 @@
     return true;
 }
 
-void ConfigurationNode::replyToLeader(const std::string &vm, bool matched, std::uint64_t index)
+void ConfigurationNode::replyToLeader(TimePoint now, const std::string &vm, bool matched, std::uint64_t index,
+                                      std::int64_t echoedAt)
 {
     auto message = newMessage();
+    message.mutable_append_reply()->set_sent_at(stamp(now));
+    message.mutable_append_reply()->set_echoed_at(echoedAt);
     message.mutable_append_reply()->set_matched(matched);
     message.mutable_append_reply()->set_index(index);
     sendAfter(recordsToken(), vm, message);
@@ -577,8 +668,9 @@
 
 void ConfigurationNode::snapshotArrived(TimePoint now, const std::string &vm, const Message &message)
 {
+    const auto echo = message.install_snapshot().sent_at();
     if (message.term() < m_term || m_role == ConfigurationRole::Leader) {
-        replyToLeader(vm, false, m_commit);
+        replyToLeader(now, vm, false, m_commit, echo);
         return;
     }
     const auto &install = message.install_snapshot();
@@ -589,7 +681,7 @@
         commitTo(now, index);
     else if (index > m_commit)
         installSnapshotState(install);
-    replyToLeader(vm, true, std::min(install.snapshot().index(), m_commit));
+    replyToLeader(now, vm, true, std::min(install.snapshot().index(), m_commit), echo);
     m_freshAt = std::max(m_freshAt.value_or(TimePoint()), now - Duration(install.quorum_age_us()));
 }
 
@@ -606,6 +698,9 @@
     }
     progress.lastReply = now;
     const auto &reply = message.append_reply();
+    if (const auto sentAt = unstamp(reply.echoed_at()))
+        progress.confirmedAt = std::max(progress.confirmedAt, *sentAt);
+    progress.repliedAt = reply.sent_at();
     if (reply.matched()) {
         progress.match = std::max(progress.match, reply.index());
         progress.next = std::max(progress.next, progress.match + 1);
@@ -681,6 +776,38 @@
     return std::max(Duration::zero(), ages[majority() - 1]);
 }
 
+std::optional<Duration> ConfigurationNode::leaderConfirmedAge(TimePoint now) const
+{
+    // Entries of earlier terms may be committed and unknown until one of this term is.
+    if (m_log.termAt(m_commit) != m_term)
+        return std::nullopt;
+    std::vector<Duration> ages;
+    for (const auto &it : m_log.voters()) {
+        const auto progress = m_progress.find(it.name);
+        if (it.name == m_options.self)
+            ages.push_back(Duration::zero());
+        else if (progress != m_progress.end() && progress->second.voter == it.storage)
+            ages.push_back(std::max(Duration::zero(), now - progress->second.confirmedAt));
+    }
+    if (ages.size() < majority())
+        return std::nullopt;
+    std::sort(ages.begin(), ages.end());
+    return ages[majority() - 1];
+}
+
+bool ConfigurationNode::isMembershipOpen() const
+{
+    return m_options.maximumVoters > 0;
+}
+
+bool ConfigurationNode::isAbsent(TimePoint now, const Voter &voter) const
+{
+    if (voter.name == m_options.self)
+        return false;
+    const auto it = m_progress.find(voter.name);
+    return it == m_progress.end() || now - it->second.lastReply > m_options.absentVoterTimeout;
+}
+
 void ConfigurationNode::manageVoters(TimePoint now)
 {
     if (now < m_nextVoterCheck)
@@ -710,7 +837,10 @@
     };
     for (const auto &it : voters) {
         const bool isReplaced = isCaughtUp(now, it.name) && m_progress[it.name].voter != it.storage;
-        if (it.name == m_options.self || (!isReplaced && isNamedVoter(it.name)))
+        const bool isSurplus = isMembershipOpen()
+            ? voters.size() > m_options.maximumVoters && isAbsent(now, it)
+            : !isNamedVoter(it.name);
+        if (it.name == m_options.self || (!isReplaced && !isSurplus))
             continue;
         auto fewer = voters;
         std::erase(fewer, it);
@@ -725,6 +855,13 @@
 
 bool ConfigurationNode::addOneVoter(TimePoint now)
 {
+    const auto &voters = m_log.voters();
+    const auto present = std::count_if(voters.begin(), voters.end(), [&](const auto &it) { return !isAbsent(now, it); });
+    // One voter more than usual stands for the moment in which an absent one is replaced.
+    const bool isFull = static_cast<std::size_t>(present) >= m_options.maximumVoters
+        || voters.size() > m_options.maximumVoters;
+    if (isMembershipOpen() && isFull)
+        return false;
     for (const auto &it : m_options.members) {
         if (!it.isVoter || it.name == m_options.self || hasVoterNamed(it.name) || !isCaughtUp(now, it.name))
             continue;
--- a/src/core/config/configurationnoderecords.cpp
+++ b/src/core/config/configurationnoderecords.cpp
@@ -27,6 +27,14 @@
     if (m_storage != 0)
         return;
     m_storage = m_options.freshStorage;
+    if (isMembershipOpen()) {
+        const auto &founders = m_options.founders;
+        m_isDecided = true;
+        m_isFounder = std::find(founders.begin(), founders.end(), m_options.self) != founders.end();
+        keepIdentity();
+        m_termToken = m_nextToken;
+        return;
+    }
     const bool isAlone =
         std::none_of(m_options.members.begin(), m_options.members.end(),
                      [&](const auto &it) { return it.isVoter && it.name != m_options.self; });
@@ -44,6 +52,8 @@
         m_storage = record.identity().storage();
         m_isDecided = record.identity().decided();
         m_isFounder = record.identity().founder();
+        if (record.identity().voters_size() > 0)
+            m_log.reset(0, 0, votersFromWire(record.identity()));
         break;
     case Record::kKnownStorage:
         m_knownStorages[record.known_storage().name()] = record.known_storage().storage();
@@ -101,6 +111,11 @@
     record.mutable_identity()->set_storage(m_storage);
     record.mutable_identity()->set_decided(m_isDecided);
     record.mutable_identity()->set_founder(m_isFounder);
+    for (const auto &it : isMembershipOpen() ? m_log.votersAt(m_log.snapshotIndex()) : std::vector<Voter>()) {
+        auto *voter = record.mutable_identity()->add_voters();
+        voter->set_name(it.name);
+        voter->set_storage(it.storage);
+    }
     keep(record);
 }
 
--- a/src/core/config/configurationstate.cpp
+++ b/src/core/config/configurationstate.cpp
@@ -126,7 +126,7 @@
 
 std::string subjectOf(const ConfigurationChange &change)
 {
-    if (change.kind == ChangeKind::Apply)
+    if (change.kind == ChangeKind::Apply || (change.classes.empty() && change.teams.empty()))
         return {};
     return change.classes.empty() ? change.teams.front().name : change.classes.front().name;
 }
@@ -169,9 +169,12 @@
 ChangeAnswer ConfigurationState::apply(const ConfigurationChange &change, bool checksVersion)
 {
     ChangeAnswer buffer;
+    if (change.kind == ChangeKind::SetHolder)
+        return setHolder(change);
     if (const auto *first = recall(change, buffer))
         return *first;
-    const auto answer = decide(change, checksVersion);
+    const auto answer =
+        change.kind == ChangeKind::Replace ? replaceDocument(change) : decide(change, checksVersion);
     remember(answer);
     return answer;
 }
@@ -219,7 +222,8 @@
 
 ConfigurationState ConfigurationState::restore(const Configuration &configuration, bool isInitialised,
                                                const std::vector<ChangeAnswer> &answers,
-                                               const std::vector<ChangeHistory> &history)
+                                               const std::vector<ChangeHistory> &history,
+                                               std::uint64_t lastFence)
 {
     ConfigurationState state;
     state.m_configuration = configuration;
@@ -227,9 +231,54 @@
     for (const auto &it : answers)
         state.remember(it);
     state.m_history.assign(history.begin(), history.end());
+    state.m_lastFence = lastFence;
     return state;
 }
 
+std::uint64_t ConfigurationState::lastFence() const
+{
+    return m_lastFence;
+}
+
+ChangeAnswer ConfigurationState::replaceDocument(const ConfigurationChange &change)
+{
+    auto &document = m_configuration.document;
+    ChangeAnswer answer{change.id, ChangeOutcome::Accepted, m_configuration.version, {}, {},
+                        {},        contentHashOf(change)};
+    if (change.document.version == document.version && change.document.text != document.text) {
+        answer.outcome = ChangeOutcome::Superseded;
+        answer.detail = "version " + std::to_string(document.version) + " is in force with another content";
+        return answer;
+    }
+    // An older document was overtaken: it counts as accepted, and changes nothing.
+    if (change.document.version <= document.version)
+        return answer;
+    document = change.document;
+    answer.version = ++m_configuration.version;
+    m_history.push_back({answer.version, change.id, change.author, change.proposedAt, change.kind,
+                         "version " + std::to_string(document.version)});
+    if (m_history.size() > maximumHistory)
+        m_history.pop_front();
+    return answer;
+}
+
+ChangeAnswer ConfigurationState::setHolder(const ConfigurationChange &change)
+{
+    ChangeAnswer answer{change.id, ChangeOutcome::Superseded, m_configuration.version, {}, {}, {}, 0};
+    auto &holders = m_configuration.holders;
+    auto it = std::find_if(holders.begin(), holders.end(),
+                           [&](const auto &holder) { return holder.group == change.holder.group; });
+    const auto current = it == holders.end() ? 0 : it->fence;
+    if (current != change.holder.fence)
+        return answer;
+    if (it == holders.end())
+        it = holders.insert(holders.end(), change.holder);
+    *it = change.holder;
+    it->fence = ++m_lastFence;
+    answer.outcome = ChangeOutcome::Accepted;
+    return answer;
+}
+
 ChangeAnswer ConfigurationState::decide(const ConfigurationChange &change, bool checksVersion)
 {
     if (checksVersion && change.basedOn != m_configuration.version)
--- a/src/core/config/configurationwire.cpp
+++ b/src/core/config/configurationwire.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-template <typename From> std::vector<Voter> votersFromWire(const From &from)
+template <typename From> std::vector<Voter> votersOf(const From &from)
 {
     std::vector<Voter> voters;
     for (const auto &it : from.voters())
@@ -59,8 +59,31 @@
     return voters;
 }
 
+void documentToWire(const DeclaredDocument &from, wire::Document *to)
+{
+    to->set_version(from.version);
+    to->set_text(from.text);
+}
+
+void holderToWire(const GroupHolder &from, wire::Holder *to)
+{
+    to->set_group(from.group);
+    to->set_vm(from.vm);
+    to->set_incarnation(from.incarnation);
+    to->set_fence(from.fence);
+}
+
+GroupHolder holderFromWire(const wire::Holder &from)
+{
+    return {from.group(), from.vm(), from.incarnation(), from.fence()};
+}
+
 void stateToWire(const ConfigurationState &from, wire::State *to)
 {
+    documentToWire(from.configuration().document, to->mutable_document());
+    for (const auto &it : from.configuration().holders)
+        holderToWire(it, to->add_holders());
+    to->set_last_fence(from.lastFence());
     to->set_version(from.configuration().version);
     to->set_initialised(from.isInitialised());
     declarationsToWire(from.configuration().classes, from.configuration().teams, to);
@@ -87,7 +110,13 @@
 
 std::optional<ConfigurationState> stateFromWire(const wire::State &from)
 {
-    Configuration configuration{from.version(), classesFromWire(from), teamsFromWire(from)};
+    Configuration configuration{from.version(),
+                                classesFromWire(from),
+                                teamsFromWire(from),
+                                {from.document().version(), from.document().text()},
+                                {}};
+    for (const auto &it : from.holders())
+        configuration.holders.push_back(holderFromWire(it));
     std::vector<ChangeAnswer> answers;
     for (const auto &it : from.answers()) {
         if (it.outcome() >= changeOutcomeNames.size())
@@ -102,11 +131,17 @@
         history.push_back({it.version(), it.id(), it.author(), timePointOf(it.accepted_at_us()),
                            static_cast<ChangeKind>(it.kind()), it.subject()});
     }
-    return ConfigurationState::restore(configuration, from.initialised(), answers, history);
+    return ConfigurationState::restore(configuration, from.initialised(), answers, history,
+                                       from.last_fence());
 }
 
 } // namespace
 
+std::vector<Voter> votersFromWire(const wire::IdentityRecord &from)
+{
+    return votersOf(from);
+}
+
 void toWire(const ConfigurationChange &from, wire::Change *to)
 {
     to->set_id(from.id);
@@ -115,6 +150,10 @@
     to->set_kind(static_cast<std::uint32_t>(from.kind));
     declarationsToWire(from.classes, from.teams, to);
     to->set_proposed_at_us(microsecondsOf(from.proposedAt));
+    if (from.kind == ChangeKind::Replace)
+        documentToWire(from.document, to->mutable_document());
+    if (from.kind == ChangeKind::SetHolder)
+        holderToWire(from.holder, to->mutable_holder());
 }
 
 void toWire(const LogEntry &from, wire::LogEntry *to)
@@ -145,7 +184,9 @@
                                static_cast<ChangeKind>(from.kind()),
                                classesFromWire(from),
                                teamsFromWire(from),
-                               timePointOf(from.proposed_at_us())};
+                               timePointOf(from.proposed_at_us()),
+                               {from.document().version(), from.document().text()},
+                               holderFromWire(from.holder())};
 }
 
 std::optional<LogEntry> fromWire(const wire::LogEntry &from)
@@ -154,7 +195,7 @@
     if (from.kind() >= entryKinds || !change)
         return std::nullopt;
     return LogEntry{from.index(), from.term(), static_cast<EntryKind>(from.kind()), *change,
-                    votersFromWire(from)};
+                    votersOf(from)};
 }
 
 std::optional<ConfigurationSnapshot> fromWire(const wire::Snapshot &from)
@@ -162,7 +203,7 @@
     auto state = stateFromWire(from.state());
     if (!state)
         return std::nullopt;
-    return ConfigurationSnapshot{from.index(), from.term(), votersFromWire(from), std::move(*state)};
+    return ConfigurationSnapshot{from.index(), from.term(), votersOf(from), std::move(*state)};
 }
 
 } // namespace Citronpitch
--- a/src/core/config/configurationwire.h
+++ b/src/core/config/configurationwire.h
@@ -7,8 +7,15 @@
 
 #include <optional>
 
+namespace citronpitch::wire::configuration {
+class IdentityRecord;
+}
+
 namespace Citronpitch {
 
+/// The voters of an empty log, as a record of identity holds them.
+std::vector<Voter> votersFromWire(const citronpitch::wire::configuration::IdentityRecord &from);
+
 /// State of the log up to an index, in place of the entries that led to it.
 struct ConfigurationSnapshot
 {
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -123,6 +123,7 @@
 
 void Dispatcher::add(TimePoint now, JobId job, const Submission &submission)
 {
+    m_state->noteNeeds(now, submission);
     const auto of = m_state->classes.numberOf(submission.className);
     const auto alone = m_state->aloneTime(of, submission);
     JobTrace trace;
@@ -311,6 +312,16 @@
     return n;
 }
 
+std::uint32_t Dispatcher::parallelTasks() const
+{
+    return m_state->parallel;
+}
+
+Duration Dispatcher::waitingWork() const
+{
+    return m_state->queue.workBefore(TimePoint::max());
+}
+
 std::uint32_t Dispatcher::queuedTasks() const
 {
     return m_state->queue.size();
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -3,6 +3,7 @@
 #include "core/dispatch/admission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace Citronpitch {
@@ -17,6 +18,9 @@
 /// more by it than the large ones lose.
 constexpr int aloneFactor = 3;
 
+/// Unit of ClassDeclaration::targetStretch.
+constexpr int stretchUnit = 1000;
+
 /// How often estimates are taken over into a ranking.
 constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
 constexpr Duration advancePeriod = std::chrono::milliseconds(100);
@@ -40,18 +44,14 @@
 constexpr Duration firstPause = std::chrono::milliseconds(5);
 constexpr std::uint32_t pauseDoublings = 7;
 
+/// Weight of one task in the mean need.
+constexpr double needWeight = 0.02;
+/// Change of the mean need, in parts of it, from which parallel work is counted anew.
+constexpr double needChange = 0.1;
+
 constexpr int firstSuccess = 200;
 constexpr int firstRedirect = 300;
 
-/// Tasks that run side by side within @p own.
-std::uint32_t parallelOf(const Capacity &own)
-{
-    if (own.slots > 0)
-        return own.slots;
-    const auto cores = own.resources.millicores / defaultMillicores;
-    return std::max(cores, own.isEmpty() ? 0U : 1U);
-}
-
 /// Whether any task could fit into what is left.
 bool hasRoom(const UpstreamEntry &entry)
 {
@@ -90,7 +90,9 @@
     const auto &entry = classes.at(job.of);
     if (!entry.hasTarget())
         return job.deadline;
-    const auto target = job.arrival + entry.declaration.targetTime;
+    const auto &declared = entry.declaration;
+    const auto stretch = job.alone * declared.targetStretch / stretchUnit;
+    const auto target = job.arrival + declared.targetTime + stretch;
     const auto alone =
         times.isLearned(job.of) ? job.alone : std::min(job.alone, entry.declaration.targetTime);
     const auto latest = std::max(target, job.deadline - alone);
@@ -119,6 +121,26 @@
     return std::max(longest, work / std::max(parallel, 1U));
 }
 
+void Dispatcher::State::noteNeeds(TimePoint now, const Submission &submission)
+{
+    for (const auto &it : submission.tasks) {
+        const double millicores = it.need.millicores > 0 ? it.need.millicores : defaultMillicores;
+        meanMillicores = meanMillicores > 0 ? meanMillicores + needWeight * (millicores - meanMillicores) : millicores;
+    }
+    const double usual = usualMillicores;
+    if (meanMillicores <= 0 || std::abs(meanMillicores - usual) <= needChange * usual)
+        return;
+    usualMillicores = static_cast<std::uint32_t>(meanMillicores);
+    refreshAll(now);
+}
+
+std::uint32_t Dispatcher::State::parallelOf(const Capacity &own) const
+{
+    if (own.slots > 0)
+        return own.slots;
+    return std::max(own.resources.millicores / usualMillicores, own.isEmpty() ? 0U : 1U);
+}
+
 void Dispatcher::State::refresh(TimePoint now, UpstreamIndex upstream)
 {
     auto &entry = upstreams.at(upstream);
@@ -405,6 +427,8 @@
 
 void Dispatcher::State::learn(TimePoint now, const InFlight &attempt, const AttemptResult &result)
 {
+    if (result.end == AttemptEnd::Stopped)
+        return;
     auto &entry = upstreams.at(attempt.upstream);
     if (result.end == AttemptEnd::Answered) {
         learnFromAnswer(now, attempt, result.status);
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -39,6 +39,11 @@
     /// Why a job is refused that the configuration allows, or nothing.
     std::optional<Refusal> refuseLoad(TimePoint now, const Submission &submission) const;
 
+    /// Learns what a task usually needs of an upstream.
+    void noteNeeds(TimePoint now, const Submission &submission);
+    /// Tasks of the usual need that run side by side within @p own.
+    std::uint32_t parallelOf(const Capacity &own) const;
+
     /// Computes again whether an upstream can take a start, and tells the rankings.
     void refresh(TimePoint now, UpstreamIndex upstream);
     void refreshAll(TimePoint now);
@@ -113,6 +118,9 @@
     std::vector<JobId> givenUp;
     std::uint32_t freeUpstreams = 0;
     std::uint32_t parallel = 0;
+    /// Mean need of the tasks that came lately, and the one by which parallel work is counted.
+    double meanMillicores = 0;
+    std::uint32_t usualMillicores = defaultMillicores;
     /// Counts the changes in which upstreams take work, and how much.
     std::uint64_t upstreamSet = 1;
     TimePoint advancesUpdatedAt;
--- /dev/null
+++ b/src/core/fleet/peerdirectory.cpp
@@ -0,0 +1,138 @@
+#include "citronpitch/peerdirectory.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Citronpitch {
+
+PeerDirectory::PeerDirectory(PeerDirectoryOptions options)
+    : m_options(std::move(options))
+{
+}
+
+bool PeerDirectory::heard(TimePoint now, const std::string &name, std::uint64_t incarnation,
+                          std::int64_t sentAt, TimePoint echoedAt)
+{
+    if (name == m_options.self.name)
+        return false;
+    auto &it = m_peers[name];
+    const bool isNew = it.peer.incarnation != incarnation;
+    // Incarnations are start times of clocks that may step back: an ended life is told by a live successor.
+    if (isNew && incarnation < it.peer.incarnation && it.isAlive)
+        return false;
+    if (isNew) {
+        if (std::exchange(it.isAlive, false))
+            m_changes.push_back({it.peer, false});
+        const auto role = it.peer.role;
+        const auto domain = it.peer.domain;
+        it = {};
+        it.peer = {name, role, domain, incarnation};
+    }
+    it.heardAt = now;
+    it.echoedAt = std::max(it.echoedAt, echoedAt);
+    it.sentAt = std::max(it.sentAt, sentAt);
+    update(now, it);
+    return true;
+}
+
+void PeerDirectory::described(TimePoint now, const FleetPeer &peer, bool isDraining,
+                              const std::vector<FleetPeer> &controlVms)
+{
+    auto &it = m_peers[peer.name];
+    it.peer = peer;
+    it.isDraining = isDraining;
+    for (const auto &other : controlVms) {
+        if (other.name != m_options.self.name)
+            m_named[other.name] = now;
+    }
+    update(now, it);
+}
+
+void PeerDirectory::linkEnded(TimePoint now, const std::string &name)
+{
+    const auto it = m_peers.find(name);
+    if (it == m_peers.end())
+        return;
+    const auto latest = now - m_options.suspicionTime + m_options.endedLinkTime;
+    it->second.heardAt = std::min(it->second.heardAt, latest);
+}
+
+void PeerDirectory::tick(TimePoint now)
+{
+    for (auto &[name, it] : m_peers)
+        update(now, it);
+    const auto isForgotten = [&](TimePoint heardAt) { return now - heardAt > m_options.memory; };
+    std::erase_if(m_peers, [&](const auto &it) { return !it.second.isAlive && isForgotten(it.second.heardAt); });
+    std::erase_if(m_named, [&](const auto &it) { return isForgotten(it.second); });
+}
+
+std::vector<std::string> PeerDirectory::targets() const
+{
+    std::set<std::string> names(m_options.seeds.begin(), m_options.seeds.end());
+    for (const auto &[name, at] : m_named)
+        names.insert(name);
+    for (const auto &[name, it] : m_peers) {
+        const bool isWanted = m_options.self.role == VmRole::Control || it.peer.role == VmRole::Control;
+        if (isWanted)
+            names.insert(name);
+        else
+            names.erase(name);
+    }
+    names.erase(m_options.self.name);
+    return {names.begin(), names.end()};
+}
+
+std::vector<FleetPeer> PeerDirectory::controlVms() const
+{
+    std::vector<FleetPeer> list;
+    if (m_options.self.role == VmRole::Control)
+        list.push_back(m_options.self);
+    for (const auto &[name, it] : m_peers) {
+        if (it.isAlive && it.peer.role == VmRole::Control)
+            list.push_back(it.peer);
+    }
+    return list;
+}
+
+const KnownPeer *PeerDirectory::find(const std::string &name) const
+{
+    const auto it = m_peers.find(name);
+    return it == m_peers.end() ? nullptr : &it->second;
+}
+
+bool PeerDirectory::isAlive(const std::string &name) const
+{
+    if (name == m_options.self.name)
+        return true;
+    const auto *it = find(name);
+    return it != nullptr && it->isAlive;
+}
+
+const std::map<std::string, KnownPeer> &PeerDirectory::peers() const
+{
+    return m_peers;
+}
+
+std::vector<PeerChange> PeerDirectory::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+bool PeerDirectory::isTwoWay(TimePoint now, const KnownPeer &it) const
+{
+    // After a freeze, messages that had arrived before look new; their echoes do not.
+    return now - it.heardAt < m_options.suspicionTime && now - it.echoedAt < m_options.suspicionTime
+        && !it.peer.domain.empty();
+}
+
+void PeerDirectory::update(TimePoint now, KnownPeer &it)
+{
+    const bool isAlive = isTwoWay(now, it);
+    if (isAlive == it.isAlive)
+        return;
+    it.isAlive = isAlive;
+    m_changes.push_back({it.peer, isAlive});
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/core/runs/upstreamruns.cpp
@@ -0,0 +1,375 @@
+#include "citronpitch/upstreamruns.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace Citronpitch {
+
+namespace {
+
+constexpr int thousand = 1000;
+
+bool isBefore(const RunningTask &left, const RunningTask &right)
+{
+    return std::tie(left.task, left.run) < std::tie(right.task, right.run);
+}
+
+std::int64_t millisecondsOf(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+} // namespace
+
+UpstreamRuns::UpstreamRuns(TimePoint now, const UpstreamRunsOptions &options,
+                           const FleetAnnouncement &announcement, SendOrder send)
+    : m_options(options)
+    , m_announcement(announcement)
+    , m_send(std::move(send))
+    , m_strangers(isBefore)
+{
+    noteClock(now, announcement.clockMs);
+    sendPoll(now);
+}
+
+void UpstreamRuns::announced(TimePoint now, const FleetAnnouncement &announcement)
+{
+    const auto known = m_announcement.upstream.incarnation;
+    if (announcement.upstream.incarnation < known)
+        return;
+    const bool isNewLife = announcement.upstream.incarnation > known;
+    m_announcement = announcement;
+    if (isNewLife)
+        startAnew(announcement.upstream.incarnation);
+    noteClock(now, announcement.clockMs);
+}
+
+void UpstreamRuns::left()
+{
+    m_hasLeft = true;
+    m_strangers.clear();
+    finishAll(RunOutcome::Lost);
+}
+
+void UpstreamRuns::start(TimePoint now, std::uint64_t attempt, const std::string &task, std::uint32_t run,
+                         const std::string &payload)
+{
+    auto &it = m_runs[task];
+    it = {};
+    it.attempt = attempt;
+    it.run = run;
+    auto order = newOrder(OrderKind::Start);
+    order.task = task;
+    order.run = run;
+    order.payload = payload;
+    order.leaseMs = clockFloor(now) + millisecondsOf(m_options.lease);
+    send(now, std::move(order), {OrderKind::Start, task, run, 0});
+    if (!m_isPolling)
+        sendPoll(now);
+}
+
+void UpstreamRuns::stop(TimePoint now, std::uint64_t attempt)
+{
+    for (auto &[task, it] : m_runs) {
+        if (it.attempt != attempt || it.isStopAsked)
+            continue;
+        it.isStopAsked = true;
+        it.isStopWanted = true;
+        if (it.stopOrder == 0 && !it.isStopAcknowledged)
+            sendStop(now, task, it.run, it.stopOrder, it.stopAgainAt);
+        return;
+    }
+}
+
+void UpstreamRuns::orderEnded(TimePoint now, OrderId id, const OrderResult &result)
+{
+    const auto it = m_orders.find(id);
+    if (it == m_orders.end())
+        return;
+    const auto open = it->second;
+    m_orders.erase(it);
+    noteAnswer(now, result);
+    if (result.verdict == OrderVerdict::StaleFence) {
+        m_isTakenOver = true;
+        finishAll(RunOutcome::TakenOver);
+    }
+    switch (open.kind) {
+    case OrderKind::Start:
+        startEnded(now, open, result);
+        break;
+    case OrderKind::Stop:
+        stopEnded(now, open, id, result);
+        break;
+    case OrderKind::Poll:
+        pollEnded(now, open, result);
+        break;
+    }
+}
+
+void UpstreamRuns::tick(TimePoint now)
+{
+    if (m_isTakenOver || m_hasLeft)
+        return;
+    const bool isLeaseOver = m_clockReadAt && m_leaseMs > 0 && clockFloor(now) > m_leaseMs;
+    if (isLeaseOver && !m_runs.empty()) {
+        m_isSilent = true;
+        finishAll(RunOutcome::Lost);
+    }
+    for (auto &[task, it] : m_runs) {
+        const bool isDue = it.isStopWanted && !it.isStopAcknowledged && it.stopOrder == 0;
+        if (isDue && now >= it.stopAgainAt)
+            sendStop(now, task, it.run, it.stopOrder, it.stopAgainAt);
+    }
+    for (auto &[running, it] : m_strangers) {
+        if (it.stopOrder == 0 && now >= it.stopAgainAt)
+            sendStop(now, running.task, running.run, it.stopOrder, it.stopAgainAt);
+    }
+    if (!m_isPolling && hasWork() && now >= m_pollAgainAt)
+        sendPoll(now);
+}
+
+bool UpstreamRuns::isReady() const
+{
+    return m_isFenced && !m_isSilent && !m_isTakenOver && !m_hasLeft && m_strangers.empty();
+}
+
+bool UpstreamRuns::isTakenOver() const
+{
+    return m_isTakenOver;
+}
+
+bool UpstreamRuns::isIdle() const
+{
+    return m_runs.empty();
+}
+
+const FleetAnnouncement &UpstreamRuns::announcement() const
+{
+    return m_announcement;
+}
+
+std::vector<FinishedRun> UpstreamRuns::takeFinished()
+{
+    return std::exchange(m_finished, {});
+}
+
+std::int64_t UpstreamRuns::clockFloor(TimePoint now) const
+{
+    if (!m_clockReadAt)
+        return m_clockMs;
+    return m_clockMs + millisecondsOf((now - *m_clockReadAt) * m_options.slowestClock / thousand);
+}
+
+void UpstreamRuns::noteClock(TimePoint now, std::int64_t clockMs)
+{
+    if (m_clockReadAt && clockMs < clockFloor(now))
+        return;
+    m_clockMs = clockMs;
+    m_clockReadAt = now;
+}
+
+void UpstreamRuns::noteAnswer(TimePoint now, const OrderResult &result)
+{
+    if (result.verdict == OrderVerdict::NoAnswer || result.verdict == OrderVerdict::NotSent)
+        return;
+    m_answeredAt = now;
+    const bool isOfThisLife = result.incarnation == 0 || result.incarnation == m_announcement.upstream.incarnation;
+    if (result.clockMs && isOfThisLife && result.verdict != OrderVerdict::OtherIncarnation)
+        noteClock(now, *result.clockMs);
+}
+
+RunOrder UpstreamRuns::newOrder(OrderKind kind) const
+{
+    RunOrder order;
+    order.kind = kind;
+    order.upstream = m_announcement.upstream.name;
+    order.address = m_announcement.upstream.address;
+    order.port = m_announcement.upstream.port;
+    order.fence = m_options.fence;
+    order.timeout = m_options.orderTimeout;
+    return order;
+}
+
+OrderId UpstreamRuns::send(TimePoint, RunOrder order, OpenOrder open)
+{
+    m_leaseMs = std::max(m_leaseMs, order.leaseMs);
+    const auto id = m_send(std::move(order));
+    m_orders.emplace(id, std::move(open));
+    return id;
+}
+
+void UpstreamRuns::sendPoll(TimePoint now)
+{
+    auto order = newOrder(OrderKind::Poll);
+    order.seenEnds = m_seenEnds;
+    const bool isAnswering = m_answeredAt && now - *m_answeredAt <= m_options.renewalLimit;
+    // The lease of an upstream that does not answer must end soon, so that its tasks can run elsewhere.
+    if (isAnswering && !m_runs.empty())
+        order.leaseMs = clockFloor(now) + millisecondsOf(m_options.lease);
+    const bool isDecisive = std::any_of(m_runs.begin(), m_runs.end(),
+                                        [](const auto &it) { return it.second.isStopAcknowledged; });
+    if (m_isFenced && !m_isSilent && !isDecisive && !m_runs.empty())
+        order.wait = m_options.pollWait;
+    order.timeout = m_options.orderTimeout + order.wait;
+    m_isPolling = true;
+    send(now, std::move(order), {OrderKind::Poll, {}, 0, m_nextPoll++});
+}
+
+void UpstreamRuns::sendStop(TimePoint now, const std::string &task, std::uint32_t run, OrderId &order,
+                            TimePoint &againAt)
+{
+    auto stop = newOrder(OrderKind::Stop);
+    stop.task = task;
+    stop.run = run;
+    againAt = now + m_options.retryPause;
+    order = send(now, std::move(stop), {OrderKind::Stop, task, run, 0});
+}
+
+void UpstreamRuns::startEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
+{
+    const auto it = m_runs.find(open.task);
+    if (it == m_runs.end() || it->second.run != open.run || it->second.phase != Phase::Ordered)
+        return;
+    switch (result.verdict) {
+    case OrderVerdict::Accepted:
+        it->second.phase = Phase::Running;
+        return;
+    case OrderVerdict::NoAnswer:
+        m_isSilent = true;
+        it->second.phase = Phase::Unconfirmed;
+        it->second.isStopWanted = true;
+        if (it->second.stopOrder == 0 && !it->second.isStopAcknowledged)
+            sendStop(now, it->first, it->second.run, it->second.stopOrder, it->second.stopAgainAt);
+        return;
+    case OrderVerdict::NotSent:
+        m_isSilent = true;
+        finish(it, RunOutcome::NotSent);
+        return;
+    default:
+        finish(it, RunOutcome::Declined, result.verdict);
+        return;
+    }
+}
+
+void UpstreamRuns::stopEnded(TimePoint now, const OpenOrder &open, OrderId id, const OrderResult &result)
+{
+    const auto stranger = m_strangers.find({open.task, open.run});
+    if (stranger != m_strangers.end() && stranger->second.stopOrder == id)
+        stranger->second.stopOrder = 0;
+    const auto it = m_runs.find(open.task);
+    if (it == m_runs.end() || it->second.run != open.run || it->second.stopOrder != id)
+        return;
+    it->second.stopOrder = 0;
+    if (result.verdict != OrderVerdict::Accepted)
+        return;
+    it->second.isStopAcknowledged = true;
+    it->second.decidingPoll = m_nextPoll;
+    m_pollAgainAt = now;
+}
+
+void UpstreamRuns::pollEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
+{
+    m_isPolling = false;
+    if (m_isTakenOver || m_hasLeft)
+        return;
+    const auto known = m_announcement.upstream.incarnation;
+    const bool isAnswered = result.verdict == OrderVerdict::Accepted;
+    if (!isAnswered || (result.incarnation != 0 && result.incarnation < known)) {
+        m_isSilent = true;
+        m_pollPause = std::clamp(2 * m_pollPause, m_options.retryPause, m_options.longestPause);
+        m_pollAgainAt = now + m_pollPause;
+        return;
+    }
+    if (result.incarnation > known) {
+        m_announcement.upstream.incarnation = result.incarnation;
+        startAnew(result.incarnation);
+        return;
+    }
+    m_isFenced = true;
+    m_isSilent = false;
+    m_pollPause = {};
+    m_reportedEnds = std::max(m_reportedEnds, m_seenEnds);
+    for (const auto &it : result.ended) {
+        if (it.number > m_seenEnds)
+            takeEnd(it);
+    }
+    std::set<RunningTask, bool (*)(const RunningTask &, const RunningTask &)> running(isBefore);
+    for (const auto &it : result.running) {
+        running.insert(it);
+        const auto own = m_runs.find(it.task);
+        if (own == m_runs.end() || own->second.run != it.run)
+            m_strangers.try_emplace(it);
+    }
+    std::erase_if(m_strangers, [&](const auto &it) { return !running.contains(it.first); });
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        const auto next = std::next(it);
+        const auto &run = it->second;
+        const bool isDecided = run.isStopAcknowledged && open.poll >= run.decidingPoll;
+        if (isDecided && !running.contains({it->first, run.run}))
+            finish(it, run.isStopAsked ? RunOutcome::Stopped : RunOutcome::Lost);
+        it = next;
+    }
+    m_pollAgainAt = now;
+    if (hasWork())
+        sendPoll(now);
+}
+
+void UpstreamRuns::takeEnd(const EndedTask &end)
+{
+    m_seenEnds = std::max(m_seenEnds, end.number);
+    const auto it = m_runs.find(end.task);
+    if (it == m_runs.end() || it->second.run != end.run)
+        return;
+    switch (end.how) {
+    case RunEndKind::Done:
+        finish(it, RunOutcome::Done);
+        return;
+    case RunEndKind::Failed:
+        finish(it, RunOutcome::Failed);
+        return;
+    default:
+        finish(it, it->second.isStopAsked ? RunOutcome::Stopped : RunOutcome::Lost);
+        return;
+    }
+}
+
+void UpstreamRuns::finish(std::map<std::string, Run>::iterator it, RunOutcome outcome, OrderVerdict verdict)
+{
+    m_finished.push_back({it->second.attempt, it->first, outcome, verdict});
+    m_runs.erase(it);
+}
+
+void UpstreamRuns::finishAll(RunOutcome outcome)
+{
+    while (!m_runs.empty())
+        finish(m_runs.begin(), outcome);
+}
+
+void UpstreamRuns::startAnew(std::uint64_t)
+{
+    m_clockReadAt.reset();
+    m_clockMs = 0;
+    m_leaseMs = 0;
+    m_seenEnds = 0;
+    m_reportedEnds = 0;
+    m_isFenced = false;
+    m_strangers.clear();
+    m_pollAgainAt = {};
+    // An order that was on its way may have reached the new life: each run has to be stopped there.
+    for (auto &[task, it] : m_runs) {
+        it.phase = Phase::Unconfirmed;
+        it.isStopWanted = true;
+        it.isStopAcknowledged = false;
+        it.stopOrder = 0;
+        it.stopAgainAt = {};
+    }
+}
+
+bool UpstreamRuns::hasWork() const
+{
+    return !m_isFenced || m_isSilent || !m_runs.empty() || !m_strangers.empty() || m_seenEnds > m_reportedEnds;
+}
+
+} // namespace Citronpitch
--- a/src/daemon/callerapi.cpp
+++ b/src/daemon/callerapi.cpp
@@ -1,7 +1,7 @@
 #include "daemon/callerapi.h"
 
 #include "citronpitch/jobkey.h"
-#include "daemon/jsonfields.h"
+#include "settings/jsonfields.h"
 
 #include <xxhash.h>
 
--- a/src/daemon/configurationapi.cpp
+++ b/src/daemon/configurationapi.cpp
@@ -1,6 +1,6 @@
 #include "daemon/configurationapi.h"
 
-#include "daemon/jsonfields.h"
+#include "settings/jsonfields.h"
 
 #include <algorithm>
 
@@ -67,7 +67,8 @@
     BOOST_LEAF_CHECK(fields.allowOnly({"type", "class", "team", "classes", "teams"}));
     BOOST_LEAF_ASSIGN(const auto type, fields.text("type"));
     const auto kind = valueIn(changeKindNames, type);
-    if (!kind)
+    const bool isOperators = kind && *kind != ChangeKind::Replace && *kind != ChangeKind::SetHolder;
+    if (!isOperators)
         return fields.error("field \"type\": there is no change of type \"" + type + "\"");
     change.kind = *kind;
     if (*kind == ChangeKind::Apply)
--- a/src/daemon/configurationservice.h
+++ b/src/daemon/configurationservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "citronpitch/configurationnode.h"
-#include "daemon/configurationstore.h"
+#include "store/configurationstore.h"
 #include "net/httptypes.h"
 #include "settings/settings.h"
 
--- a/src/daemon/controlapi.cpp
+++ b/src/daemon/controlapi.cpp
@@ -1,7 +1,7 @@
 #include "daemon/controlapi.h"
 
 #include "daemon/callerapi.h"
-#include "daemon/jsonfields.h"
+#include "settings/jsonfields.h"
 
 #include <boost/asio/ip/address.hpp>
 
--- /dev/null
+++ b/src/fleet/fleetcontrol.cpp
@@ -0,0 +1,470 @@
+#include "fleet/fleetcontrol.h"
+
+#include "fleet/fleetwire.h"
+#include "log/eventlog.h"
+
+#include "wire/fleet.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Citronpitch {
+
+namespace wire = citronpitch::wire::fleet;
+
+namespace {
+
+/// Announcements that an upstream may miss before it takes no new work, and before it is forgotten.
+constexpr int missedForLease = 4;
+constexpr int missedForMemory = 20;
+
+/// How long a new holder waits for the jobs of the one before to end.
+constexpr Duration handoverTime = std::chrono::milliseconds(1500);
+
+/// How long an announcement waits until the other control VMs have it; upstreams wait a second.
+constexpr Duration announcementTime = std::chrono::milliseconds(700);
+
+constexpr Duration assignmentPeriod = std::chrono::milliseconds(100);
+
+/// A read of the document fails when it is not certain that it was the newest this long ago.
+constexpr Duration readAge = std::chrono::milliseconds(1000);
+
+} // namespace
+
+FleetControl::FleetControl(boost::asio::io_context &io, const FleetSettings &settings, FleetControlHooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_settings(settings)
+    , m_registry(settings.announcementPeriod * missedForMemory)
+    , m_member(io, settings,
+               {[this](wire::Heartbeat &heartbeat) { describe(heartbeat); },
+                [this](const std::string &vm, const wire::Message &message) { received(vm, message); },
+                [this](const PeerChange &change) { peerChanged(change); },
+                [this](const Configuration &configuration) { shown(configuration); },
+                [this](const AnswerChange &answer) { changeAnswered(answer); }, [this] { ticked(); }})
+{
+}
+
+FleetControl::~FleetControl() = default;
+
+void FleetControl::start()
+{
+    m_member.start();
+}
+
+void FleetControl::announce(FleetAnnouncement announcement, std::function<void(bool)> taken)
+{
+    const auto arrivedAt = now();
+    const bool isFinal = announcement.upstream.leaving || announcement.isGone;
+    if (m_registry.take(announcement, arrivedAt))
+        offer(m_registry.upstreams().at(announcement.upstream.name));
+    const auto request = isFinal ? m_nextRequest++ : 0;
+    PendingAnnouncement pending{{}, std::move(taken), arrivedAt + announcementTime};
+    wire::Message message;
+    toWire(now(), arrivedAt, announcement, message.mutable_announcement());
+    message.mutable_announcement()->set_request(request);
+    for (const auto &it : m_member.directory().controlVms()) {
+        if (it.name == m_member.self().name)
+            continue;
+        m_member.send(it.name, message);
+        pending.missing.insert(it.name);
+    }
+    if (!isFinal || pending.missing.empty())
+        pending.taken(true);
+    else
+        m_pending.emplace(request, std::move(pending));
+    carryOut();
+}
+
+void FleetControl::left(const std::string &name, std::uint64_t incarnation, std::function<void(bool)> taken)
+{
+    const auto it = m_registry.upstreams().find(name);
+    const bool isKnown = it != m_registry.upstreams().end()
+        && (incarnation == 0 || incarnation == it->second.announcement.upstream.incarnation);
+    if (!isKnown) {
+        taken(true);
+        return;
+    }
+    auto announcement = it->second.announcement;
+    announcement.upstream.leaving = true;
+    announcement.isGone = true;
+    ++announcement.sequence;
+    announce(std::move(announcement), std::move(taken));
+}
+
+void FleetControl::replaceDocument(const DeclaredDocument &document,
+                                   std::function<void(const ChangeAnswer &)> answered)
+{
+    ConfigurationChange change;
+    change.kind = ChangeKind::Replace;
+    change.document = document;
+    change.proposedAt = now();
+    change.id = "document-" + std::to_string(document.version) + "-" + std::to_string(contentHashOf(change));
+    const auto request = m_nextRequest++;
+    m_operators.emplace(request, std::move(answered));
+    m_member.propose(request, change);
+}
+
+std::optional<DeclaredDocument> FleetControl::readDocument() const
+{
+    const auto age = m_member.configuration().confirmedAge(now());
+    if (!age || *age > readAge)
+        return std::nullopt;
+    return m_member.configuration().shown().document;
+}
+
+void FleetControl::drain()
+{
+    m_isDraining = true;
+    m_member.sendHeartbeats();
+}
+
+bool FleetControl::isReleased() const
+{
+    return m_isDraining
+        && std::all_of(m_groups.begin(), m_groups.end(), [](const auto &it) { return it.second->isIdle(); });
+}
+
+TimePoint FleetControl::now() const
+{
+    return m_member.now();
+}
+
+void FleetControl::describe(wire::Heartbeat &heartbeat)
+{
+    heartbeat.set_is_draining(m_isDraining);
+    for (const auto &[group, it] : m_groups)
+        toWire(it->load(now()), heartbeat.add_groups());
+}
+
+void FleetControl::received(const std::string &vm, const wire::Message &message)
+{
+    switch (message.body_case()) {
+    case wire::Message::kHeartbeat:
+        heartbeatReceived(vm, message.heartbeat());
+        break;
+    case wire::Message::kRunJob:
+    case wire::Message::kCancelJob:
+        jobReceived(vm, message);
+        break;
+    case wire::Message::kAnnouncement:
+        announcementReceived(vm, message.announcement());
+        break;
+    case wire::Message::kAnnouncementTaken:
+        announcementTaken(vm, message.announcement_taken().request());
+        break;
+    case wire::Message::kRegistryRequest:
+        sendRegistry(vm);
+        break;
+    default:
+        break;
+    }
+    carryOut();
+}
+
+void FleetControl::heartbeatReceived(const std::string &vm, const wire::Heartbeat &heartbeat)
+{
+    const auto *peer = m_member.directory().find(vm);
+    if (peer == nullptr)
+        return;
+    for (auto &[group, holders] : m_otherHolders)
+        holders.erase(vm);
+    for (const auto &it : heartbeat.groups())
+        m_otherHolders[it.group()][vm] = it.fence();
+    if (peer->peer.role != VmRole::Entry)
+        return;
+    for (const auto &[group, it] : m_groups)
+        it->endOthers(now(), vm, peer->peer.incarnation, heartbeat.lowest_open_job());
+}
+
+void FleetControl::announcementReceived(const std::string &vm, const wire::Announcement &message)
+{
+    const auto announcement = fromWire(message);
+    if (m_registry.take(announcement, now() - Duration(message.age_us())))
+        offer(m_registry.upstreams().at(announcement.upstream.name));
+    if (message.request() == 0)
+        return;
+    wire::Message reply;
+    reply.mutable_announcement_taken()->set_request(message.request());
+    m_member.send(vm, reply);
+}
+
+void FleetControl::announcementTaken(const std::string &vm, std::uint64_t request)
+{
+    const auto it = m_pending.find(request);
+    if (it == m_pending.end())
+        return;
+    it->second.missing.erase(vm);
+    if (!it->second.missing.empty())
+        return;
+    const auto taken = std::move(it->second.taken);
+    m_pending.erase(it);
+    taken(true);
+}
+
+void FleetControl::jobReceived(const std::string &vm, const wire::Message &message)
+{
+    JobOwner owner{vm, message.incarnation(), 0};
+    if (message.has_cancel_job()) {
+        owner.number = message.cancel_job().number();
+        for (const auto &[group, it] : m_groups)
+            it->cancel(now(), owner);
+        return;
+    }
+    auto job = fromWire(now(), message.run_job());
+    if (!job)
+        return;
+    owner.number = job->owner.number;
+    job->owner = owner;
+    const auto it = m_groups.find(message.run_job().group());
+    if (it != m_groups.end()) {
+        it->second->submit(now(), *job);
+        return;
+    }
+    Answer refused;
+    refused.outcome = Outcome::Refused;
+    refused.reason = Reason::ShuttingDown;
+    refused.detail = "dispatch: this VM does not hold the group";
+    carryOut(FinishedJob{owner, std::move(refused)});
+}
+
+void FleetControl::peerChanged(const PeerChange &change)
+{
+    const auto &name = change.peer.name;
+    if (!change.isAlive) {
+        m_aliveSince.erase(name);
+        for (auto &[group, holders] : m_otherHolders)
+            holders.erase(name);
+        for (const auto &[group, it] : m_groups)
+            it->ownerGone(now(), name);
+        std::vector<std::uint64_t> waiting;
+        for (const auto &[request, it] : m_pending) {
+            if (it.missing.contains(name))
+                waiting.push_back(request);
+        }
+        for (const auto it : waiting)
+            announcementTaken(name, it);
+        carryOut();
+        return;
+    }
+    m_aliveSince[name] = now();
+    if (change.peer.role != VmRole::Control)
+        return;
+    wire::Message message;
+    message.mutable_registry_request();
+    m_member.send(name, message);
+}
+
+void FleetControl::shown(const Configuration &configuration)
+{
+    const auto &document = configuration.document;
+    if (document.version > 0 && (!m_declaration || m_declaration->version < document.version)) {
+        if (auto declaration = m_hooks.parse(document)) {
+            m_declaration = std::move(declaration);
+            m_classes = classesOf(*m_declaration);
+            for (const auto &[group, it] : m_groups)
+                it->setClasses(m_classes);
+            logEvent(Event::DocumentInForce, {{"version", std::to_string(document.version)}});
+        } else {
+            logEvent(Event::DocumentUnreadable, {{"version", std::to_string(document.version)}});
+        }
+    }
+    updateGroups(configuration);
+}
+
+void FleetControl::changeAnswered(const AnswerChange &answer)
+{
+    const auto it = m_operators.find(answer.request);
+    if (it == m_operators.end())
+        return;
+    const auto answered = std::move(it->second);
+    m_operators.erase(it);
+    answered(answer.answer);
+}
+
+void FleetControl::ticked()
+{
+    takePending();
+    for (const auto &[group, it] : m_groups)
+        it->tick(now());
+    dropClosedGroups();
+    expireAnnouncements();
+    if (now() >= m_nextAssignment) {
+        m_nextAssignment = now() + assignmentPeriod;
+        assignGroups();
+        m_registry.expire(now());
+    }
+    carryOut();
+}
+
+void FleetControl::updateGroups(const Configuration &configuration)
+{
+    const auto previous = std::exchange(m_holders, configuration.holders);
+    for (const auto &it : m_holders) {
+        const bool isOwn =
+            it.vm == m_member.self().name && it.incarnation == m_member.self().incarnation && !m_isDraining;
+        const auto held = m_groups.find(it.group);
+        if (held != m_groups.end() && held->second->fence() < it.fence)
+            held->second->close(now());
+        if (!isOwn) {
+            m_takeovers.erase(it.group);
+            continue;
+        }
+        const bool isKnown = (held != m_groups.end() && held->second->fence() == it.fence)
+            || (m_takeovers.contains(it.group) && m_takeovers[it.group].fence == it.fence);
+        if (isKnown)
+            continue;
+        const auto before = std::find_if(previous.begin(), previous.end(),
+                                         [&](const auto &holder) { return holder.group == it.group; });
+        m_takeovers[it.group] = {it.fence, before == previous.end() ? std::string() : before->vm,
+                                 now() + handoverTime};
+    }
+}
+
+void FleetControl::takePending()
+{
+    for (auto it = m_takeovers.begin(); it != m_takeovers.end();) {
+        const auto &[group, takeover] = *it;
+        const auto &others = m_otherHolders[group];
+        const auto own = m_groups.find(group);
+        const bool isOwnDone = own == m_groups.end() || own->second->isIdle();
+        const bool isOtherDone = takeover.previous.empty() || !others.contains(takeover.previous)
+            || !m_member.directory().isAlive(takeover.previous);
+        if (!(isOtherDone && isOwnDone) && now() < takeover.latest) {
+            ++it;
+            continue;
+        }
+        takeGroup(group, takeover.fence);
+        it = m_takeovers.erase(it);
+    }
+}
+
+void FleetControl::takeGroup(const std::string &group, std::uint64_t fence)
+{
+    GroupDispatcherOptions options;
+    options.group = group;
+    options.runs.fence = fence;
+    options.runs.lease = std::min(options.runs.lease, m_settings.longestLease);
+    options.upstreamLease = m_settings.announcementPeriod * missedForLease;
+    options.nameTask = m_hooks.nameTask;
+    auto &it = m_groups[group];
+    it = std::make_unique<GroupDispatcher>(std::move(options));
+    it->setClasses(m_classes);
+    for (const auto &[name, upstream] : m_registry.upstreams())
+        offer(upstream);
+    logEvent(Event::GroupTaken, {{"group", group},
+                                 {"fence", std::to_string(fence)},
+                                 {"upstreams", std::to_string(it->upstreams())}});
+}
+
+void FleetControl::dropClosedGroups()
+{
+    std::erase_if(m_groups, [&](const auto &it) {
+        const auto holder = std::find_if(m_holders.begin(), m_holders.end(),
+                                         [&](const auto &known) { return known.group == it.first; });
+        const bool isReplaced = holder != m_holders.end() && holder->fence > it.second->fence();
+        if (!isReplaced || !it.second->isIdle())
+            return false;
+        logEvent(Event::GroupGivenUp,
+                 {{"group", it.first}, {"fence", std::to_string(it.second->fence())}});
+        return true;
+    });
+}
+
+void FleetControl::assignGroups()
+{
+    const auto &node = m_member.configuration();
+    if (node.role() != ConfigurationRole::Leader || node.shown().document.version == 0)
+        return;
+    std::vector<AssignmentVm> vms;
+    vms.push_back({m_member.self(), true, m_isDraining, now()});
+    for (const auto &[name, it] : m_member.directory().peers())
+        vms.push_back({it.peer, it.isAlive, it.isDraining, it.heardAt});
+    m_aliveSince.try_emplace(m_member.self().name, now());
+    const auto changes =
+        assignHolders(now(), {}, m_settings.domains, node.state().configuration().holders, vms, m_aliveSince);
+    for (const auto &it : changes) {
+        logEvent(Event::HolderAssigned,
+                 {{"group", it.group}, {"holder", it.vm}, {"replacedFence", std::to_string(it.fence)}});
+        m_member.assignHolder(it);
+    }
+}
+
+void FleetControl::expireAnnouncements()
+{
+    std::vector<std::uint64_t> late;
+    for (const auto &[request, it] : m_pending) {
+        if (it.deadline <= now())
+            late.push_back(request);
+    }
+    for (const auto request : late) {
+        const auto taken = std::move(m_pending.at(request).taken);
+        m_pending.erase(request);
+        taken(false);
+    }
+}
+
+void FleetControl::offer(const RegisteredUpstream &upstream)
+{
+    const auto it = m_groups.find(upstream.announcement.domain);
+    if (it == m_groups.end())
+        return;
+    auto announcement = upstream.announcement;
+    announcement.upstream.leaseDeadline = upstream.arrivedAt + m_settings.announcementPeriod * missedForLease;
+    it->second->announce(now(), announcement);
+}
+
+void FleetControl::sendRegistry(const std::string &vm)
+{
+    for (const auto &[name, it] : m_registry.upstreams()) {
+        wire::Message message;
+        toWire(now(), it.arrivedAt, it.announcement, message.mutable_announcement());
+        m_member.send(vm, message);
+    }
+}
+
+void FleetControl::carryOut()
+{
+    if (std::exchange(m_isCarryingOut, true))
+        return;
+    for (const auto &[group, it] : m_groups) {
+        for (auto actions = it->takeActions(); !actions.empty(); actions = it->takeActions()) {
+            for (const auto &action : actions) {
+                if (const auto *order = std::get_if<RunOrder>(&action))
+                    carryOut(group, *order);
+                else
+                    carryOut(std::get<FinishedJob>(action));
+            }
+        }
+    }
+    m_isCarryingOut = false;
+}
+
+void FleetControl::carryOut(const std::string &group, const RunOrder &order)
+{
+    m_hooks.sendOrder(order, [this, group, fence = order.fence, order](const OrderResult &result) {
+        if (result.verdict == OrderVerdict::NoAnswer && order.kind != OrderKind::Poll)
+            logEvent(Event::OrderUnanswered, {{"upstream", order.upstream},
+                                              {"order", std::string(nameIn(orderKindNames, order.kind))},
+                                              {"task", order.task},
+                                              {"run", std::to_string(order.run)},
+                                              {"group", group}});
+        if (result.verdict == OrderVerdict::StaleFence)
+            logEvent(Event::UpstreamTakenOver, {{"group", group},
+                                                {"fence", std::to_string(fence)},
+                                                {"upstream", order.upstream}});
+        const auto it = m_groups.find(group);
+        if (it == m_groups.end() || it->second->fence() != fence)
+            return;
+        it->second->orderEnded(now(), order.id, result);
+        carryOut();
+    });
+}
+
+void FleetControl::carryOut(const FinishedJob &finished)
+{
+    wire::Message message;
+    toWire(now(), finished, message.mutable_job_ended());
+    m_member.send(finished.owner.vm, message);
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/fleet/fleetentry.cpp
@@ -0,0 +1,155 @@
+#include "fleet/fleetentry.h"
+
+#include "fleet/fleetwire.h"
+#include "log/eventlog.h"
+
+#include "wire/fleet.pb.h"
+
+#include <utility>
+
+namespace Citronpitch {
+
+namespace wire = citronpitch::wire::fleet;
+
+FleetEntry::FleetEntry(boost::asio::io_context &io, const FleetSettings &settings, ParseDocument parse)
+    : m_parse(std::move(parse))
+    , m_relay({settings.domain})
+    , m_member(io, settings,
+               {[this](wire::Heartbeat &heartbeat) { describe(heartbeat); },
+                [this](const std::string &vm, const wire::Message &message) { received(vm, message); },
+                [this](const PeerChange &change) { peerChanged(change); },
+                [this](const Configuration &configuration) { shown(configuration); },
+                [](const AnswerChange &) {}, [this] { ticked(); }})
+{
+}
+
+void FleetEntry::start()
+{
+    m_member.start();
+}
+
+CallerId FleetEntry::submit(HeldJob job, JobAnswered answered)
+{
+    const auto caller = m_nextCaller++;
+    job.owner = {m_member.self().name, m_member.self().incarnation, 0};
+    m_callers.emplace(caller, std::move(answered));
+    m_relay.submit(now(), caller, std::move(job));
+    carryOut();
+    return caller;
+}
+
+void FleetEntry::leave(CallerId caller)
+{
+    if (m_callers.erase(caller) == 0)
+        return;
+    m_relay.callerGone(now(), caller);
+    carryOut();
+}
+
+const WorkDeclaration *FleetEntry::declaration() const
+{
+    return m_declaration ? &*m_declaration : nullptr;
+}
+
+bool FleetEntry::isReady() const
+{
+    return m_declaration && !m_isDraining && m_relay.canServe();
+}
+
+void FleetEntry::drain()
+{
+    m_isDraining = true;
+}
+
+bool FleetEntry::isDraining() const
+{
+    return m_isDraining;
+}
+
+std::size_t FleetEntry::waitingCallers() const
+{
+    return m_callers.size();
+}
+
+TimePoint FleetEntry::now() const
+{
+    return m_member.now();
+}
+
+void FleetEntry::describe(wire::Heartbeat &heartbeat) const
+{
+    heartbeat.set_is_draining(m_isDraining);
+    heartbeat.set_lowest_open_job(m_relay.lowestOpen());
+}
+
+void FleetEntry::received(const std::string &vm, const wire::Message &message)
+{
+    if (message.body_case() == wire::Message::kHeartbeat) {
+        const auto *peer = m_member.directory().find(vm);
+        if (peer == nullptr || !peer->isAlive || peer->peer.role != VmRole::Control)
+            return;
+        std::vector<GroupLoad> loads;
+        for (const auto &it : message.heartbeat().groups())
+            loads.push_back(fromWire(it));
+        m_relay.holderAlive(vm, peer->peer.incarnation, peer->isDraining);
+        m_relay.loadReported(vm, loads);
+    } else if (message.body_case() == wire::Message::kJobEnded) {
+        if (auto answer = fromWire(now(), message.job_ended()))
+            m_relay.ended(now(), vm, message.job_ended().number(), std::move(*answer));
+        carryOut();
+    }
+}
+
+void FleetEntry::peerChanged(const PeerChange &change)
+{
+    if (change.isAlive || change.peer.role != VmRole::Control)
+        return;
+    m_relay.holderGone(now(), change.peer.name);
+    carryOut();
+}
+
+void FleetEntry::shown(const Configuration &configuration)
+{
+    m_relay.setHolders(now(), configuration.holders);
+    const auto &document = configuration.document;
+    const bool isNew = document.version > 0 && (!m_declaration || m_declaration->version < document.version);
+    if (!isNew)
+        return;
+    auto declaration = m_parse(document);
+    if (!declaration) {
+        logEvent(Event::DocumentUnreadable, {{"version", std::to_string(document.version)}});
+        return;
+    }
+    m_declaration = std::move(declaration);
+    logEvent(Event::DocumentInForce, {{"version", std::to_string(document.version)}});
+}
+
+void FleetEntry::ticked()
+{
+    m_relay.tick(now());
+    carryOut();
+}
+
+void FleetEntry::carryOut()
+{
+    for (auto &action : m_relay.takeActions()) {
+        wire::Message message;
+        if (const auto *send = std::get_if<SendJob>(&action)) {
+            toWire(now(), send->job, send->group, message.mutable_run_job());
+            m_member.send(send->vm, message);
+        } else if (const auto *cancel = std::get_if<SendCancel>(&action)) {
+            message.mutable_cancel_job()->set_number(cancel->number);
+            m_member.send(cancel->vm, message);
+        } else {
+            const auto &answer = std::get<AnswerCaller>(action);
+            const auto it = m_callers.find(answer.caller);
+            if (it == m_callers.end())
+                continue;
+            const auto answered = std::move(it->second);
+            m_callers.erase(it);
+            answered(answer.answer);
+        }
+    }
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/fleet/fleetmember.cpp
@@ -0,0 +1,341 @@
+#include "fleet/fleetmember.h"
+
+#include "log/eventlog.h"
+
+#include "wire/fleet.pb.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace Citronpitch {
+
+namespace wire = citronpitch::wire::fleet;
+
+namespace {
+
+constexpr auto tickPeriod = std::chrono::milliseconds(10);
+constexpr Duration heartbeatPeriod = std::chrono::milliseconds(100);
+
+/// Entries kept after a snapshot of the configuration: documents may be large, and VMs have little memory.
+constexpr std::uint64_t keptLogEntries = 64;
+/// Voters of a fleet, as far as there are control VMs.
+constexpr std::size_t voters = 3;
+/// Within this time each VM in reach has what was committed.
+constexpr Duration learnerHeartbeat = std::chrono::milliseconds(200);
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    const auto high = static_cast<std::uint64_t>(device());
+    return (high << 32 | device()) | 1;
+}
+
+std::string linkName(const std::string &address, std::uint16_t port)
+{
+    return address + ":" + std::to_string(port);
+}
+
+Endpoint endpointOf(const std::string &name, std::uint16_t port)
+{
+    return {name.substr(0, name.rfind(':')), port};
+}
+
+FleetPeer selfOf(const FleetSettings &settings, TimePoint now)
+{
+    return {linkName(settings.peers.address, settings.peers.port), settings.role, settings.domain,
+            static_cast<std::uint64_t>(microsecondsOf(now))};
+}
+
+std::vector<std::string> seedsOf(const FleetSettings &settings)
+{
+    std::vector<std::string> names;
+    for (const auto &it : settings.seeds)
+        names.push_back(linkName(it, settings.peers.port));
+    return names;
+}
+
+ConfigurationNodeOptions nodeOptionsOf(const FleetSettings &settings, const FleetPeer &self)
+{
+    ConfigurationNodeOptions options;
+    options.self = self.name;
+    options.members = {{self.name, settings.role == VmRole::Control}};
+    options.freshStorage = randomNumber();
+    options.seed = randomNumber();
+    options.learnerHeartbeat = learnerHeartbeat;
+    options.keptEntries = keptLogEntries;
+    options.maximumVoters = voters;
+    if (settings.isFirstStart && settings.role == VmRole::Control)
+        options.founders = seedsOf(settings);
+    return options;
+}
+
+FleetPeer peerFromWire(const wire::Peer &from)
+{
+    const auto role = from.role() < vmRoleNames.size() ? static_cast<VmRole>(from.role()) : VmRole::Entry;
+    return {from.name(), role, from.domain(), from.incarnation()};
+}
+
+void toWire(const FleetPeer &from, wire::Peer *to)
+{
+    to->set_name(from.name);
+    to->set_role(static_cast<std::uint32_t>(from.role));
+    to->set_domain(from.domain);
+    to->set_incarnation(from.incarnation);
+}
+
+} // namespace
+
+FleetMember::FleetMember(boost::asio::io_context &io, const FleetSettings &settings, FleetMemberHooks hooks)
+    : m_hooks(std::move(hooks))
+    , m_self(selfOf(settings, m_clock.now()))
+    , m_peerPort(settings.peers.port)
+    , m_directory({m_self, seedsOf(settings)})
+    , m_store(
+          io, settings.dataFolder,
+          [this](std::uint64_t token) {
+              m_node.synced(now(), token);
+              carryOut();
+          },
+          [this](const StepError &error) {
+              logEvent(Event::ConfigurationStorageFailed, {{"error", error.text()}});
+              m_node.storageFailed();
+              carryOut();
+          })
+    , m_node(m_clock.now(), nodeOptionsOf(settings, m_self), m_store.takeRecovered())
+    , m_links(
+          io, m_self.name, settings.peers, {}, [this](std::string_view bytes) { received(bytes); },
+          [this](const std::string &vm, bool isUp) {
+              if (isUp)
+                  m_nextHeartbeat = {};
+              else
+                  m_directory.linkEnded(now(), vm);
+          })
+    , m_timer(io)
+{
+}
+
+FleetMember::~FleetMember() = default;
+
+void FleetMember::start()
+{
+    m_hooks.shown(m_node.shown());
+    carryOut();
+    updateLinks();
+    scheduleTick();
+}
+
+void FleetMember::send(const std::string &vm, wire::Message &message)
+{
+    message.set_sender(m_self.name);
+    message.set_incarnation(m_self.incarnation);
+    message.set_sent_at_us(microsecondsOf(now()));
+    if (const auto *peer = m_directory.find(vm)) {
+        message.set_receiver_incarnation(peer->peer.incarnation);
+        message.set_echoed_at_us(peer->sentAt);
+    }
+    m_links.send(vm, message.SerializeAsString());
+}
+
+void FleetMember::sendHeartbeats()
+{
+    m_nextHeartbeat = now() + heartbeatPeriod;
+    wire::Message message;
+    auto *heartbeat = message.mutable_heartbeat();
+    toWire(m_self, heartbeat->mutable_self());
+    for (const auto &it : m_directory.controlVms())
+        toWire(it, heartbeat->add_control_vms());
+    m_hooks.describe(*heartbeat);
+    for (const auto &it : m_directory.targets())
+        send(it, message);
+}
+
+void FleetMember::propose(ChangeRequestId request, const ConfigurationChange &change)
+{
+    m_node.propose(now(), request, change);
+    carryOut();
+}
+
+void FleetMember::assignHolder(const GroupHolder &wanted)
+{
+    m_node.assignHolder(now(), wanted);
+    carryOut();
+}
+
+TimePoint FleetMember::now() const
+{
+    return m_clock.now();
+}
+
+const FleetPeer &FleetMember::self() const
+{
+    return m_self;
+}
+
+const PeerDirectory &FleetMember::directory() const
+{
+    return m_directory;
+}
+
+const ConfigurationNode &FleetMember::configuration() const
+{
+    return m_node;
+}
+
+void FleetMember::received(std::string_view bytes)
+{
+    wire::Message message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        logEvent(Event::PeerMessageMalformed, {{"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    const bool isForThisLife = message.receiver_incarnation() == m_self.incarnation;
+    const auto echoedAt = isForThisLife ? timePointOf(message.echoed_at_us()) : TimePoint();
+    if (!m_directory.heard(now(), message.sender(), message.incarnation(), message.sent_at_us(), echoedAt))
+        return;
+    if (message.body_case() == wire::Message::kHeartbeat)
+        heartbeatReceived(message);
+    else if (!isForThisLife)
+        return;
+    if (message.body_case() == wire::Message::kConfiguration) {
+        m_node.receive(now(), message.sender(), message.configuration());
+        carryOut();
+    }
+    reportChanges();
+    m_hooks.received(message.sender(), message);
+}
+
+void FleetMember::heartbeatReceived(const wire::Message &message)
+{
+    const auto &heartbeat = message.heartbeat();
+    std::vector<FleetPeer> controlVms;
+    for (const auto &it : heartbeat.control_vms())
+        controlVms.push_back(peerFromWire(it));
+    auto peer = peerFromWire(heartbeat.self());
+    peer.name = message.sender();
+    peer.incarnation = message.incarnation();
+    m_directory.described(now(), peer, heartbeat.is_draining(), controlVms);
+    updateLinks();
+}
+
+void FleetMember::updateLinks()
+{
+    const auto targets = m_directory.targets();
+    const std::set<std::string> wanted(targets.begin(), targets.end());
+    for (const auto &it : wanted) {
+        if (!m_linked.insert(it).second)
+            continue;
+        VmSettings vm;
+        vm.identity.name = it;
+        vm.peers = endpointOf(it, m_peerPort);
+        m_links.add(vm);
+    }
+    std::erase_if(m_linked, [&](const auto &it) {
+        const bool isOver = !wanted.contains(it);
+        if (isOver)
+            m_links.remove(it);
+        return isOver;
+    });
+    updateMembers();
+}
+
+void FleetMember::updateMembers()
+{
+    std::vector<ConfigurationMember> members{{m_self.name, m_self.role == VmRole::Control}};
+    for (const auto &[name, it] : m_directory.peers()) {
+        if (!it.peer.domain.empty())
+            members.push_back({name, it.peer.role == VmRole::Control});
+    }
+    const bool isSame =
+        std::equal(members.begin(), members.end(), m_members.begin(), m_members.end(),
+                   [](const auto &left, const auto &right) {
+                       return left.name == right.name && left.isVoter == right.isVoter;
+                   });
+    if (isSame)
+        return;
+    m_members = members;
+    m_node.setMembers(now(), members);
+}
+
+void FleetMember::reportChanges()
+{
+    for (const auto &it : m_directory.takeChanges()) {
+        logEvent(it.isAlive ? Event::PeerAlive : Event::PeerSuspected,
+                 {{"peer", it.peer.name}, {"failureDomain", it.peer.domain}});
+        m_hooks.peerChanged(it);
+    }
+}
+
+void FleetMember::scheduleTick()
+{
+    m_timer.expires_after(tickPeriod);
+    m_timer.async_wait([this](boost::system::error_code ec) {
+        if (ec)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void FleetMember::tick()
+{
+    if (now() >= m_nextHeartbeat) {
+        sendHeartbeats();
+        updateLinks();
+    }
+    m_directory.tick(now());
+    reportChanges();
+    m_node.tick(now());
+    carryOut();
+    noteLeader();
+    m_hooks.ticked();
+}
+
+void FleetMember::carryOut()
+{
+    if (std::exchange(m_isCarryingOut, true))
+        return;
+    for (auto actions = m_node.takeActions(); !actions.empty(); actions = m_node.takeActions()) {
+        for (const auto &it : actions)
+            std::visit([this](const auto &action) { carryOut(action); }, it);
+    }
+    m_isCarryingOut = false;
+}
+
+void FleetMember::carryOut(const AppendRecords &action)
+{
+    m_store.write(action);
+}
+
+void FleetMember::carryOut(const ReplaceRecords &action)
+{
+    m_store.write(action);
+}
+
+void FleetMember::carryOut(const SendConfigurationMessage &action)
+{
+    wire::Message message;
+    message.set_configuration(action.bytes);
+    send(action.vm, message);
+}
+
+void FleetMember::carryOut(const ShowConfiguration &action)
+{
+    m_hooks.shown(action.configuration);
+}
+
+void FleetMember::carryOut(const AnswerChange &action)
+{
+    m_hooks.changeAnswered(action);
+}
+
+void FleetMember::noteLeader()
+{
+    if (m_notedLeader == m_node.leader())
+        return;
+    m_notedLeader = m_node.leader();
+    logEvent(Event::ConfigurationLeader,
+             {{"leader", m_notedLeader}, {"term", std::to_string(m_node.term())}});
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/fleet/fleetmember.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "citronpitch/configurationnode.h"
+#include "citronpitch/peerdirectory.h"
+#include "store/configurationstore.h"
+#include "fleet/bootclock.h"
+#include "fleet/fleetsettings.h"
+#include "net/peerlinks.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace citronpitch::wire::fleet {
+class Heartbeat;
+class Message;
+} // namespace citronpitch::wire::fleet
+
+namespace Citronpitch {
+
+/// What a FleetMember needs of the VM around it.
+struct FleetMemberHooks
+{
+    /// Adds what this VM says in its heartbeats beyond who it is.
+    std::function<void(citronpitch::wire::fleet::Heartbeat &)> describe;
+    /// A message of @p vm arrived, heartbeats included.
+    std::function<void(const std::string &vm, const citronpitch::wire::fleet::Message &)> received;
+    std::function<void(const PeerChange &)> peerChanged;
+    /// A configuration is in force from now on.
+    std::function<void(const Configuration &)> shown;
+    /// An operator's change was decided.
+    std::function<void(const AnswerChange &)> changeAnswered;
+    std::function<void()> ticked;
+};
+
+/**
+ * @brief Membership of one VM in a fleet: its links, who is in reach, and the replicated configuration.
+ *
+ * Used by FleetEntry and FleetControl on their event loop.
+ */
+class FleetMember
+{
+public:
+    /// Throws std::exception where a listener or the journal can't be had.
+    FleetMember(boost::asio::io_context &io, const FleetSettings &settings, FleetMemberHooks hooks);
+    ~FleetMember();
+    FleetMember(const FleetMember &) = delete;
+    FleetMember &operator=(const FleetMember &) = delete;
+
+    void start();
+
+    /// Sends @p message to @p vm; it is lost where no link stands.
+    void send(const std::string &vm, citronpitch::wire::fleet::Message &message);
+
+    /// Sends a heartbeat to every other VM at once.
+    void sendHeartbeats();
+
+    /// Proposes an operator's change; hooks.changeAnswered is told its answer.
+    void propose(ChangeRequestId request, const ConfigurationChange &change);
+
+    /// Gives a group to a holder; only on the leader.
+    void assignHolder(const GroupHolder &wanted);
+
+    TimePoint now() const;
+    const FleetPeer &self() const;
+    const PeerDirectory &directory() const;
+    const ConfigurationNode &configuration() const;
+
+private:
+    void received(std::string_view bytes);
+    void heartbeatReceived(const citronpitch::wire::fleet::Message &message);
+    void updateLinks();
+    void updateMembers();
+    void reportChanges();
+    void scheduleTick();
+    void tick();
+    void carryOut();
+    void carryOut(const AppendRecords &action);
+    void carryOut(const ReplaceRecords &action);
+    void carryOut(const SendConfigurationMessage &action);
+    void carryOut(const ShowConfiguration &action);
+    void carryOut(const AnswerChange &action);
+    void noteLeader();
+
+    FleetMemberHooks m_hooks;
+    BootClock m_clock;
+    FleetPeer m_self;
+    std::uint16_t m_peerPort;
+    PeerDirectory m_directory;
+    ConfigurationStore m_store;
+    ConfigurationNode m_node;
+    PeerLinks m_links;
+    boost::asio::steady_timer m_timer;
+    std::set<std::string> m_linked;
+    std::vector<ConfigurationMember> m_members;
+    TimePoint m_nextHeartbeat;
+    std::string m_notedLeader;
+    bool m_isCarryingOut = false;
+};
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/fleet/fleetsettings.cpp
@@ -0,0 +1,126 @@
+#include "fleet/fleetsettings.h"
+
+#include "settings/jsonfields.h"
+
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace Citronpitch {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t highestPort = 65535;
+constexpr std::uint64_t longestTimeMs = 3'600'000;
+constexpr std::uint64_t defaultDrainMs = 5'500;
+constexpr std::uint64_t defaultLeaseMs = 1'000;
+constexpr std::uint64_t defaultAnnouncementMs = 1'500;
+constexpr std::uint64_t defaultRetryMs = 1'300;
+
+leaf::result<Endpoint> parseEndpoint(const JsonFields &fields, const char *name, const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    const auto problem = [&] {
+        return fields.error(std::string("key \"") + name + "\": \"" + text + "\" is not of the form ADDRESS:PORT");
+    };
+    if (colon == std::string::npos || colon == 0)
+        return problem();
+    unsigned port = 0;
+    const auto *end = text.data() + text.size();
+    const auto [rest, ec] = std::from_chars(text.data() + colon + 1, end, port);
+    if (ec != std::errc() || rest != end || port == 0 || port > highestPort)
+        return problem();
+    return Endpoint{text.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+leaf::result<std::optional<Endpoint>> parseListener(const JsonFields &fields, const char *name)
+{
+    BOOST_LEAF_ASSIGN(const auto text, fields.optionalText(name));
+    if (text.empty())
+        return std::optional<Endpoint>();
+    BOOST_LEAF_ASSIGN(auto endpoint, parseEndpoint(fields, name, text));
+    return std::optional<Endpoint>(std::move(endpoint));
+}
+
+leaf::result<std::vector<std::string>> parseTexts(const JsonFields &fields, const char *name)
+{
+    std::vector<std::string> texts;
+    const auto *list = fields.find(name);
+    if (list == nullptr || !list->is_array())
+        return fields.error(std::string("key \"") + name + "\" must be a list of texts");
+    for (const auto &it : *list) {
+        if (!it.is_string())
+            return fields.error(std::string("key \"") + name + "\" must be a list of texts");
+        texts.push_back(it.get<std::string>());
+    }
+    return texts;
+}
+
+leaf::result<Duration> parseMilliseconds(const JsonFields &fields, const char *name, std::uint64_t fallback)
+{
+    BOOST_LEAF_ASSIGN(const auto n, fields.number(name, fallback, 1, longestTimeMs));
+    return std::chrono::milliseconds(n);
+}
+
+leaf::result<void> parseAddresses(const JsonFields &fields, FleetSettings &settings)
+{
+    BOOST_LEAF_ASSIGN(settings.peers.address, fields.text("address"));
+    BOOST_LEAF_ASSIGN(const auto port, fields.requiredNumber("peerPort", 1, highestPort));
+    settings.peers.port = static_cast<std::uint16_t>(port);
+    BOOST_LEAF_ASSIGN(settings.callers, parseListener(fields, "callers"));
+    BOOST_LEAF_ASSIGN(settings.readiness, parseListener(fields, "readiness"));
+    BOOST_LEAF_ASSIGN(settings.control, parseListener(fields, "control"));
+    BOOST_LEAF_ASSIGN(const auto seeds, parseTexts(fields, "seeds"));
+    for (const auto &it : seeds) {
+        BOOST_LEAF_ASSIGN(const auto seed, parseEndpoint(fields, "seeds", it));
+        settings.seeds.push_back(seed.address);
+    }
+    return {};
+}
+
+} // namespace
+
+leaf::result<FleetSettings> parseFleetSettings(const std::string &text)
+{
+    const auto json = Json::parse(text, nullptr, false, true);
+    if (json.is_discarded())
+        return leaf::new_error(StepError{"settings", "", "the file is not JSON with comments"});
+    const JsonFields fields(json, "settings", "");
+    FleetSettings settings;
+    BOOST_LEAF_ASSIGN(settings.vm, fields.text("vm"));
+    BOOST_LEAF_ASSIGN(const auto role, fields.text("role"));
+    const auto known = valueIn(vmRoleNames, role);
+    if (!known)
+        return fields.error("key \"role\": there is no role \"" + role + "\"");
+    settings.role = *known;
+    BOOST_LEAF_ASSIGN(settings.domain, fields.text("failureDomain"));
+    BOOST_LEAF_ASSIGN(settings.domains, parseTexts(fields, "failureDomains"));
+    BOOST_LEAF_CHECK(parseAddresses(fields, settings));
+    BOOST_LEAF_ASSIGN(settings.isFirstStart, fields.flag("firstStart"));
+    BOOST_LEAF_ASSIGN(settings.dataFolder, fields.optionalText("dataFolder"));
+    BOOST_LEAF_ASSIGN(settings.drainTimeout, parseMilliseconds(fields, "drainTimeoutMs", defaultDrainMs));
+    BOOST_LEAF_ASSIGN(settings.longestLease, parseMilliseconds(fields, "longestLeaseMs", defaultLeaseMs));
+    BOOST_LEAF_ASSIGN(settings.announcementPeriod,
+                      parseMilliseconds(fields, "announcementMs", defaultAnnouncementMs));
+    BOOST_LEAF_ASSIGN(settings.callerRetryTime, parseMilliseconds(fields, "callerRetryMs", defaultRetryMs));
+    const bool isComplete = settings.role == VmRole::Entry ? settings.callers && settings.readiness
+                                                           : settings.control.has_value();
+    if (!isComplete)
+        return fields.error("a VM with role \"" + role + "\" lacks a listener");
+    return settings;
+}
+
+leaf::result<FleetSettings> loadFleetSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return leaf::new_error(StepError{"settings", path, "the file can't be read"});
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseFleetSettings(text.str());
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/fleet/fleetwire.cpp
@@ -0,0 +1,133 @@
+#include "fleet/fleetwire.h"
+
+#include "wire/fleet.pb.h"
+
+#include <algorithm>
+
+namespace Citronpitch {
+
+namespace wire = citronpitch::wire::fleet;
+
+void toWire(TimePoint now, const HeldJob &from, const std::string &group, wire::RunJob *to)
+{
+    to->set_number(from.owner.number);
+    to->set_group(group);
+    to->set_key(from.submission.key);
+    to->set_class_name(from.submission.className);
+    to->set_pool(from.pool);
+    to->set_remaining_us((from.submission.deadline - now).count());
+    to->set_attempts(from.attempts);
+    const std::string *previous = nullptr;
+    for (const auto &it : from.submission.tasks) {
+        auto *task = to->add_tasks();
+        if (previous != nullptr && *previous == it.payload)
+            task->set_has_previous_payload(true);
+        else
+            task->set_payload(it.payload);
+        previous = &it.payload;
+        task->set_millicores(it.need.millicores);
+        task->set_memory_bytes(it.need.memoryBytes);
+        task->set_accelerators(it.need.accelerators);
+        task->set_declared_us(it.declaredTime.count());
+    }
+}
+
+void toWire(TimePoint now, const FinishedJob &from, wire::JobEnded *to)
+{
+    to->set_number(from.owner.number);
+    to->set_outcome(static_cast<std::uint32_t>(from.answer.outcome));
+    to->set_reason(static_cast<std::uint32_t>(from.answer.reason));
+    to->set_detail(from.answer.detail);
+    if (from.answer.retryAt)
+        to->set_return_after_us(std::max<std::int64_t>(1, (*from.answer.retryAt - now).count()));
+}
+
+void toWire(TimePoint now, TimePoint arrivedAt, const FleetAnnouncement &from, wire::Announcement *to)
+{
+    const auto &upstream = from.upstream;
+    to->set_name(upstream.name);
+    to->set_address(upstream.address);
+    to->set_port(upstream.port);
+    to->set_domain(from.domain);
+    to->set_pool(from.pool);
+    to->set_rack(upstream.rack);
+    to->set_incarnation(upstream.incarnation);
+    to->set_sequence(from.sequence);
+    to->set_millicores(upstream.capacity.millicores);
+    to->set_memory_bytes(upstream.capacity.memoryBytes);
+    to->set_accelerators(upstream.capacity.accelerators);
+    to->set_is_leaving(upstream.leaving);
+    to->set_is_gone(from.isGone);
+    to->set_clock_ms(from.clockMs);
+    to->set_age_us((now - arrivedAt).count());
+}
+
+void toWire(const GroupLoad &from, wire::GroupLoad *to)
+{
+    to->set_group(from.group);
+    to->set_fence(from.fence);
+    to->set_is_open(from.isOpen);
+    to->set_free_tasks(from.freeTasks);
+    to->set_parallel(from.parallel);
+    to->set_waiting_us(from.waiting.count());
+}
+
+std::optional<HeldJob> fromWire(TimePoint now, const wire::RunJob &from)
+{
+    if (from.tasks_size() == 0 || static_cast<std::size_t>(from.tasks_size()) > maximumTasksPerJob)
+        return std::nullopt;
+    HeldJob job;
+    job.owner.number = from.number();
+    job.pool = from.pool();
+    job.attempts = from.attempts();
+    job.submission.key = from.key();
+    job.submission.className = from.class_name();
+    job.submission.deadline = now + Duration(from.remaining_us());
+    auto &tasks = job.submission.tasks;
+    for (const auto &it : from.tasks()) {
+        const bool isRepeated = it.has_previous_payload() && !tasks.empty();
+        tasks.push_back({isRepeated ? tasks.back().payload : it.payload(), Duration(it.declared_us()),
+                         {it.millicores(), it.memory_bytes(), it.accelerators()}});
+    }
+    return job;
+}
+
+std::optional<Answer> fromWire(TimePoint now, const wire::JobEnded &from)
+{
+    if (from.outcome() >= outcomeNames.size() || from.reason() >= reasonNames.size())
+        return std::nullopt;
+    Answer answer;
+    answer.outcome = static_cast<Outcome>(from.outcome());
+    answer.reason = static_cast<Reason>(from.reason());
+    answer.detail = from.detail();
+    if (from.return_after_us() > 0)
+        answer.retryAt = now + Duration(from.return_after_us());
+    return answer;
+}
+
+FleetAnnouncement fromWire(const wire::Announcement &from)
+{
+    FleetAnnouncement announcement;
+    auto &upstream = announcement.upstream;
+    upstream.name = from.name();
+    upstream.address = from.address();
+    upstream.port = static_cast<std::uint16_t>(from.port());
+    upstream.capacity = {from.millicores(), from.memory_bytes(), from.accelerators()};
+    upstream.rack = from.rack();
+    upstream.incarnation = from.incarnation();
+    upstream.leaving = from.is_leaving();
+    announcement.domain = from.domain();
+    announcement.pool = from.pool();
+    announcement.sequence = from.sequence();
+    announcement.clockMs = from.clock_ms();
+    announcement.isGone = from.is_gone();
+    return announcement;
+}
+
+GroupLoad fromWire(const wire::GroupLoad &from)
+{
+    return {from.group(), from.fence(), from.is_open(), from.free_tasks(), from.parallel(),
+            Duration(from.waiting_us())};
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/fleet/upstreamregistry.cpp
@@ -0,0 +1,47 @@
+#include "fleet/upstreamregistry.h"
+
+#include <utility>
+
+namespace Citronpitch {
+
+UpstreamRegistry::UpstreamRegistry(Duration memory)
+    : m_memory(memory)
+{
+}
+
+bool UpstreamRegistry::take(const FleetAnnouncement &announcement, TimePoint arrivedAt)
+{
+    const auto [it, isNew] = m_upstreams.try_emplace(announcement.upstream.name);
+    auto &known = it->second;
+    if (!isNew) {
+        const auto order = [](const FleetAnnouncement &of) {
+            return std::pair(of.upstream.incarnation, of.sequence);
+        };
+        const bool isOlder = order(announcement) < order(known.announcement);
+        // An upstream that has left sends nothing more; what arrives later was sent before.
+        const bool hasLeft = known.announcement.isGone
+            && known.announcement.upstream.incarnation >= announcement.upstream.incarnation;
+        if (isOlder || hasLeft)
+            return false;
+        // Leaving is final for a life, also where the word of it was overtaken.
+        const bool wasLeaving = known.announcement.upstream.leaving
+            && known.announcement.upstream.incarnation == announcement.upstream.incarnation;
+        known = {announcement, arrivedAt};
+        known.announcement.upstream.leaving = known.announcement.upstream.leaving || wasLeaving;
+        return true;
+    }
+    known = {announcement, arrivedAt};
+    return true;
+}
+
+void UpstreamRegistry::expire(TimePoint now)
+{
+    std::erase_if(m_upstreams, [&](const auto &it) { return now - it.second.arrivedAt > m_memory; });
+}
+
+const std::map<std::string, RegisteredUpstream> &UpstreamRegistry::upstreams() const
+{
+    return m_upstreams;
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/fleet/upstreamregistry.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "citronpitch/fleetupstream.h"
+#include "citronpitch/timepoint.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Citronpitch {
+
+/// An upstream that announced itself, and when its announcement arrived at a control VM.
+struct RegisteredUpstream
+{
+    FleetAnnouncement announcement;
+    TimePoint arrivedAt;
+};
+
+/**
+ * @brief The upstreams of every failure domain, by the newest announcement of each.
+ *
+ * Used by FleetControl.
+ */
+class UpstreamRegistry
+{
+public:
+    /// Silence after which an upstream is forgotten.
+    explicit UpstreamRegistry(Duration memory);
+
+    /// Takes over @p announcement. Returns false for one that is older than what is known.
+    bool take(const FleetAnnouncement &announcement, TimePoint arrivedAt);
+
+    /// Forgets what was silent for long.
+    void expire(TimePoint now);
+
+    const std::map<std::string, RegisteredUpstream> &upstreams() const;
+
+private:
+    Duration m_memory;
+    std::map<std::string, RegisteredUpstream> m_upstreams;
+};
+
+} // namespace Citronpitch
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -34,6 +34,15 @@
     ClaimsRecovered = 450,
     ClaimStorageFailed = 451,
     CallerInputRefused = 500,
+    DocumentInForce = 600,
+    DocumentUnreadable = 601,
+    DocumentRefused = 602,
+    HolderAssigned = 610,
+    GroupTaken = 611,
+    GroupGivenUp = 612,
+    UpstreamTakenOver = 613,
+    JobNotServed = 620,
+    OrderUnanswered = 621,
 };
 
 /// Level, text and explanation of one event.
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -10,8 +10,10 @@
 namespace {
 
 constexpr int queueLimitMessages = 20000;
-constexpr int heartbeatMilliseconds = 500;
-constexpr int heartbeatTimeoutMilliseconds = 2000;
+/// A connection that has gone silent is given up well before the VM at its end would be missed.
+constexpr int heartbeatMilliseconds = 300;
+constexpr int heartbeatTimeoutMilliseconds = 1000;
+constexpr int connectMilliseconds = 500;
 /// How long closing a link waits until messages that were handed over are sent.
 constexpr int closingMilliseconds = 1000;
 constexpr int handshakeMilliseconds = 2000;
@@ -33,6 +35,7 @@
     socket.set(zmq::sockopt::heartbeat_ivl, heartbeatMilliseconds);
     socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMilliseconds);
     socket.set(zmq::sockopt::handshake_ivl, handshakeMilliseconds);
+    socket.set(zmq::sockopt::connect_timeout, connectMilliseconds);
 }
 
 /// The ZeroMQ sockets; apart, so that no other file sees their headers.
@@ -51,7 +54,8 @@
         m_outbound.set(zmq::sockopt::immediate, 1);
         m_outbound.set(zmq::sockopt::reconnect_ivl, reconnectMilliseconds);
         m_outbound.set(zmq::sockopt::reconnect_ivl_max, reconnectLimitMilliseconds);
-        watch("inproc://link-" + vm.identity.name);
+        static std::uint64_t links = 0;
+        watch("inproc://link-" + std::to_string(++links));
         m_outbound.connect(addressOf(vm.peers));
     }
 
--- a/src/net/peerlinks.cpp
+++ b/src/net/peerlinks.cpp
@@ -21,12 +21,14 @@
 class PeerLinks::Sockets
 {
 public:
-    Sockets(boost::asio::io_context &io, PeerReceived received)
+    Sockets(boost::asio::io_context &io, std::string name, PeerReceived received, PeerLinkChanged changed)
         : m_io(io)
+        , m_name(std::move(name))
         , m_context(1)
         , m_inbound(m_context, zmq::socket_type::router)
         , m_readable(io)
         , m_received(std::move(received))
+        , m_changed(std::move(changed))
     {
     }
 
@@ -45,16 +47,23 @@
         readTurn();
     }
 
-    void connect(const std::string &name, const VmSettings &vm, const PeerLinkChanged &changed)
+    void connect(const VmSettings &vm)
     {
         const auto other = vm.identity.name;
-        auto link = std::make_unique<PeerLink>(m_io, m_context, name, vm, [other, changed](LinkPhase phase) {
-            if (changed && phase != LinkPhase::Closed)
-                changed(other, phase == LinkPhase::Up);
+        if (other == m_name || m_links.contains(other))
+            return;
+        auto link = std::make_unique<PeerLink>(m_io, m_context, m_name, vm, [this, other](LinkPhase phase) {
+            if (m_changed && phase != LinkPhase::Closed)
+                m_changed(other, phase == LinkPhase::Up);
         });
         m_links.emplace(other, std::move(link));
     }
 
+    void disconnect(const std::string &vm)
+    {
+        m_links.erase(vm);
+    }
+
     bool send(const std::string &vm, std::string_view bytes)
     {
         const auto it = m_links.find(vm);
@@ -94,28 +103,38 @@
     }
 
     boost::asio::io_context &m_io;
+    std::string m_name;
     zmq::context_t m_context;
     zmq::socket_t m_inbound;
     std::map<std::string, std::unique_ptr<PeerLink>> m_links;
     boost::asio::posix::stream_descriptor m_readable;
     PeerReceived m_received;
+    PeerLinkChanged m_changed;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 PeerLinks::PeerLinks(boost::asio::io_context &io, const std::string &name, const Endpoint &own,
                      const std::vector<VmSettings> &vms, PeerReceived received,
                      const PeerLinkChanged &changed)
-    : m_sockets(std::make_unique<Sockets>(io, std::move(received)))
+    : m_sockets(std::make_unique<Sockets>(io, name, std::move(received), changed))
 {
     m_sockets->bind(own);
-    for (const auto &it : vms) {
-        if (it.identity.name != name)
-            m_sockets->connect(name, it, changed);
-    }
+    for (const auto &it : vms)
+        m_sockets->connect(it);
 }
 
 PeerLinks::~PeerLinks() = default;
 
+void PeerLinks::add(const VmSettings &vm)
+{
+    m_sockets->connect(vm);
+}
+
+void PeerLinks::remove(const std::string &vm)
+{
+    m_sockets->disconnect(vm);
+}
+
 bool PeerLinks::send(const std::string &vm, std::string_view bytes)
 {
     return m_sockets->send(vm, bytes);
--- a/src/net/peerlinks.h
+++ b/src/net/peerlinks.h
@@ -33,6 +33,11 @@
     PeerLinks(const PeerLinks &) = delete;
     PeerLinks &operator=(const PeerLinks &) = delete;
 
+    /// Opens a link to @p vm; nothing where there is one.
+    void add(const VmSettings &vm);
+    /// Closes the link to @p vm.
+    void remove(const std::string &vm);
+
     /// Sends @p bytes to @p vm. Returns false when the link does not stand and the message was dropped.
     bool send(const std::string &vm, std::string_view bytes);
 
--- a/src/daemon/jsonfields.cpp
+++ b/src/settings/jsonfields.cpp
@@ -1,4 +1,4 @@
-#include "daemon/jsonfields.h"
+#include "settings/jsonfields.h"
 
 #include <algorithm>
 
--- a/src/daemon/configurationstore.cpp
+++ b/src/store/configurationstore.cpp
@@ -1,4 +1,4 @@
-#include "daemon/configurationstore.h"
+#include "store/configurationstore.h"
 
 #include "store/journal.h"
 
