--- a/include/citronpitch/configurationchange.h
+++ b/include/citronpitch/configurationchange.h
@@ -42,8 +42,8 @@
     EnumName<ChangeKind>{ChangeKind::SetHolder, "setHolder"},
 };
 
-/// One change that an operator asks for. All kinds but Apply, Replace and SetHolder use exactly one class or one
-/// team.
+/// One change that an operator asks for. All kinds but Apply, Replace and SetHolder use exactly one class or
+/// one team.
 struct ConfigurationChange
 {
     /// Chosen by the operator, unique to the change; the same when the change is resent.
--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -217,8 +217,8 @@
     /**
      * How long ago it was certain that no newer configuration than the shown one was accepted.
      *
-     * Rests on answers to messages that this VM sent itself, so it holds after a freeze too. Nothing where it is
-     * not known in this life.
+     * Rests on answers to messages that this VM sent itself, so it holds after a freeze too. Nothing where it
+     * is not known in this life.
      */
     std::optional<Duration> confirmedAge(TimePoint now) const;
 
@@ -321,7 +321,8 @@
     void replyArrived(TimePoint now, const std::string &vm, const Message &message);
     /// Returns false where the entries can't be taken.
     bool takeEntries(const citronpitch::wire::configuration::Append &append);
-    void replyToLeader(TimePoint now, const std::string &vm, bool matched, std::uint64_t index, std::int64_t echoedAt);
+    void replyToLeader(TimePoint now, const std::string &vm, bool matched, std::uint64_t index,
+                       std::int64_t echoedAt);
     void followLeader(TimePoint now, const std::string &vm, std::uint64_t term);
     void advanceLeaderCommit(TimePoint now);
     void commitTo(TimePoint now, std::uint64_t index);
--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -91,6 +91,9 @@
     /// Adds an upstream, renews its lease, or notes that it is leaving. An older incarnation is ignored.
     void announce(TimePoint now, const UpstreamAnnouncement &announcement);
 
+    /// Whether @p upstream, which must be known, takes no starts for a while; its lease and incarnation stay.
+    void setPaused(TimePoint now, const std::string &upstream, bool isPaused);
+
     /// Why @p submission is refused at @p now, or nothing when it is taken.
     std::optional<Refusal> refusal(TimePoint now, const Submission &submission) const;
 
--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -162,7 +162,8 @@
     struct Upstream
     {
         std::unique_ptr<UpstreamRuns> runs;
-        bool isOffered = false;
+        /// Whether its Dispatcher lets no start pass.
+        bool isPaused = false;
         TimePoint leaseDeadline;
     };
 
@@ -182,7 +183,7 @@
     void answer(TimePoint now, JobId id, Outcome outcome, Reason reason, const std::string &detail);
     void end(TimePoint now, JobId id);
     void removeIfOver(TimePoint now, JobId id);
-    void offer(TimePoint now, Upstream &upstream);
+    void updatePause(TimePoint now, Upstream &upstream);
     void refuse(TimePoint now, const JobOwner &owner, const Refusal &refusal);
 
     GroupDispatcherOptions m_options;
--- a/include/citronpitch/holderassignment.h
+++ b/include/citronpitch/holderassignment.h
@@ -31,9 +31,9 @@
 /**
  * The holders that have to change, each with the fence that it replaces.
  *
- * There is one group for each failure domain in @p domains, held there where a VM of it can. A failure domain that is
- * out of reach as a whole keeps its holder, which goes on serving it. @p aliveSince tells since when each control VM
- * has been in reach, by name.
+ * There is one group for each failure domain in @p domains, held there where a VM of it can. A failure domain
+ * that is out of reach as a whole keeps its holder, which goes on serving it. @p aliveSince tells since when
+ * each control VM has been in reach, by name.
  */
 std::vector<GroupHolder> assignHolders(TimePoint now, const AssignmentPolicy &policy,
                                        const std::vector<std::string> &domains,
--- a/include/citronpitch/jobrelay.h
+++ b/include/citronpitch/jobrelay.h
@@ -42,8 +42,8 @@
 using RelayAction = std::variant<SendJob, SendCancel, AnswerCaller>;
 
 /**
- * @brief Owns the callers and the answers of an entry VM for jobs that need not be kept, and chooses the group
- * that runs each.
+ * @brief Owns the callers and the answers of an entry VM for jobs that need not be kept, and chooses the
+ * group that runs each.
  *
  * Does no I/O and reads no clock. Used by FleetEntry.
  */
--- a/include/citronpitch/peerdirectory.h
+++ b/include/citronpitch/peerdirectory.h
@@ -48,7 +48,8 @@
 /**
  * @brief Finds the other VMs of a fleet from a few seeds, and tells which of them are in reach.
  *
- * A VM is in reach when messages pass in both directions. Does no I/O and reads no clock. Used by FleetMember.
+ * A VM is in reach when messages pass in both directions. Does no I/O and reads no clock. Used by
+ * FleetMember.
  */
 class PeerDirectory
 {
@@ -58,8 +59,8 @@
     /**
      * A message of @p peer arrived that it sent at @p sentAt by its own clock.
      *
-     * @p echoedAt is when this VM sent the newest message that @p peer had seen then. Returns false for a message
-     * of an ended life, which must be dropped.
+     * @p echoedAt is when this VM sent the newest message that @p peer had seen then. Returns false for a
+     * message of an ended life, which must be dropped.
      */
     bool heard(TimePoint now, const std::string &name, std::uint64_t incarnation, std::int64_t sentAt,
                TimePoint echoedAt);
--- a/include/citronpitch/runorder.h
+++ b/include/citronpitch/runorder.h
@@ -42,7 +42,8 @@
     std::uint32_t run = 0;
     /// Start: what the task is to do.
     std::string payload;
-    /// Moment on the upstream's clock, in milliseconds, until which everything there may run; zero: as before.
+    /// Moment on the upstream's clock, in milliseconds, until which everything there may run; zero: as
+    /// before.
     std::int64_t leaseMs = 0;
     /// Poll: ends up to this number were seen.
     std::uint64_t seenEnds = 0;
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -16,8 +16,8 @@
 struct UpstreamRunsOptions
 {
     std::uint64_t fence = 0;
-    /// How long what runs on an upstream goes on without a renewal. Short enough that runs of a lost VM are over
-    /// before its callers send their jobs again.
+    /// How long what runs on an upstream goes on without a renewal. Short enough that runs of a lost VM are
+    /// over before its callers send their jobs again.
     Duration lease = std::chrono::milliseconds(600);
     /// How long an upstream may keep a poll while nothing ends there.
     Duration pollWait = std::chrono::milliseconds(100);
@@ -71,9 +71,9 @@
 /**
  * @brief What one holder runs on one upstream: orders, their answers, and the lease.
  *
- * An order without an answer may be carried out later; its run is over only once a stop of it was acknowledged, its
- * lease has ended on the upstream's clock, or the upstream started anew. Does no I/O and reads no clock. Used by
- * GroupDispatcher.
+ * An order without an answer may be carried out later; its run is over only once a stop of it was
+ * acknowledged, its lease has ended on the upstream's clock, or the upstream started anew. Does no I/O and
+ * reads no clock. Used by GroupDispatcher.
  */
 class UpstreamRuns
 {
@@ -102,8 +102,8 @@
 
     void tick(TimePoint now);
 
-    /// Whether runs may be started: the fencing token is known there, nothing of another holder runs, and the last
-    /// order was answered.
+    /// Whether runs may be started: the fencing token is known there, nothing of another holder runs, and the
+    /// last order was answered.
     bool isReady() const;
     bool isTakenOver() const;
     bool isIdle() const;
@@ -157,7 +157,8 @@
     RunOrder newOrder(OrderKind kind) const;
     OrderId send(TimePoint now, RunOrder order, OpenOrder open);
     void sendPoll(TimePoint now);
-    void sendStop(TimePoint now, const std::string &task, std::uint32_t run, OrderId &order, TimePoint &againAt);
+    void sendStop(TimePoint now, const std::string &task, std::uint32_t run, OrderId &order,
+                  TimePoint &againAt);
     void startEnded(TimePoint now, const OpenOrder &open, const OrderResult &result);
     void stopEnded(TimePoint now, const OpenOrder &open, OrderId id, const OrderResult &result);
     void pollEnded(TimePoint now, const OpenOrder &open, const OrderResult &result);
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -856,7 +856,8 @@
 bool ConfigurationNode::addOneVoter(TimePoint now)
 {
     const auto &voters = m_log.voters();
-    const auto present = std::count_if(voters.begin(), voters.end(), [&](const auto &it) { return !isAbsent(now, it); });
+    const auto present =
+        std::count_if(voters.begin(), voters.end(), [&](const auto &it) { return !isAbsent(now, it); });
     // One voter more than usual stands for the moment in which an absent one is replaced.
     const bool isFull = static_cast<std::size_t>(present) >= m_options.maximumVoters
         || voters.size() > m_options.maximumVoters;
--- a/src/core/config/configurationwire.cpp
+++ b/src/core/config/configurationwire.cpp
@@ -194,8 +194,7 @@
     const auto change = fromWire(from.change());
     if (from.kind() >= entryKinds || !change)
         return std::nullopt;
-    return LogEntry{from.index(), from.term(), static_cast<EntryKind>(from.kind()), *change,
-                    votersOf(from)};
+    return LogEntry{from.index(), from.term(), static_cast<EntryKind>(from.kind()), *change, votersOf(from)};
 }
 
 std::optional<ConfigurationSnapshot> fromWire(const wire::Snapshot &from)
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -80,6 +80,15 @@
     m_state->refresh(now, upstream);
 }
 
+void Dispatcher::setPaused(TimePoint now, const std::string &upstream, bool isPaused)
+{
+    const auto index = m_state->upstreams.find(upstream);
+    if (!index)
+        return;
+    m_state->upstreams.at(*index).isPaused = isPaused;
+    m_state->refresh(now, *index);
+}
+
 std::optional<Refusal> Dispatcher::refusal(TimePoint now, const Submission &submission) const
 {
     const auto *declared = m_state->configuration.findClass(submission.className);
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -125,7 +125,8 @@
 {
     for (const auto &it : submission.tasks) {
         const double millicores = it.need.millicores > 0 ? it.need.millicores : defaultMillicores;
-        meanMillicores = meanMillicores > 0 ? meanMillicores + needWeight * (millicores - meanMillicores) : millicores;
+        meanMillicores =
+            meanMillicores > 0 ? meanMillicores + needWeight * (millicores - meanMillicores) : millicores;
     }
     const double usual = usualMillicores;
     if (meanMillicores <= 0 || std::abs(meanMillicores - usual) <= needChange * usual)
@@ -144,7 +145,8 @@
 void Dispatcher::State::refresh(TimePoint now, UpstreamIndex upstream)
 {
     auto &entry = upstreams.at(upstream);
-    const bool isInService = !entry.announcement.leaving && entry.announcement.leaseDeadline > now;
+    const bool isInService =
+        !entry.announcement.leaving && !entry.isPaused && entry.announcement.leaseDeadline > now;
     const auto limit = isBaseline() ? std::nullopt : health.taskLimit(upstream);
     const auto own = isInService ? parallelOf(entry.own) : 0;
     const auto newParallel = limit ? std::min(own, *limit) : own;
--- a/src/core/dispatch/upstreamtable.cpp
+++ b/src/core/dispatch/upstreamtable.cpp
@@ -39,7 +39,9 @@
     if (isNewLife) {
         const bool wasFree = entry.isFree;
         const auto parallel = entry.parallel;
+        const auto isPaused = entry.isPaused;
         entry = {announcement};
+        entry.isPaused = isPaused;
         entry.isFree = wasFree;
         entry.parallel = parallel;
     } else {
--- a/src/core/dispatch/upstreamtable.h
+++ b/src/core/dispatch/upstreamtable.h
@@ -31,6 +31,8 @@
     std::uint32_t declines = 0;
     /// No start before this moment.
     TimePoint blockedUntil;
+    /// Whether its owner lets no start pass for a while.
+    bool isPaused = false;
     /// Whether a start is possible now; kept by Dispatcher.
     bool isFree = false;
     /// Tasks side by side that this entry VM counts on; zero while the upstream takes no work.
--- a/src/core/fleet/holderassignment.cpp
+++ b/src/core/fleet/holderassignment.cpp
@@ -8,7 +8,8 @@
 
 const AssignmentVm *findVm(const std::vector<AssignmentVm> &vms, const std::string &name)
 {
-    const auto it = std::find_if(vms.begin(), vms.end(), [&](const auto &vm) { return vm.peer.name == name; });
+    const auto it =
+        std::find_if(vms.begin(), vms.end(), [&](const auto &vm) { return vm.peer.name == name; });
     return it == vms.end() ? nullptr : &*it;
 }
 
@@ -73,7 +74,8 @@
             const bool isRestarted = current->peer.incarnation != it->incarnation;
             const auto since = aliveSince.find(wanted->peer.name);
             const bool isSettled = since != aliveSince.end() && now - since->second >= policy.returnTime;
-            const bool isReturning = current->peer.domain != domain && wanted->peer.domain == domain && isSettled;
+            const bool isReturning =
+                current->peer.domain != domain && wanted->peer.domain == domain && isSettled;
             isDue = isRestarted || current->isDraining || isReturning;
             if (isRestarted && canHold(*current))
                 wanted = current;
--- a/src/core/fleet/peerdirectory.cpp
+++ b/src/core/fleet/peerdirectory.cpp
@@ -63,7 +63,8 @@
     for (auto &[name, it] : m_peers)
         update(now, it);
     const auto isForgotten = [&](TimePoint heardAt) { return now - heardAt > m_options.memory; };
-    std::erase_if(m_peers, [&](const auto &it) { return !it.second.isAlive && isForgotten(it.second.heardAt); });
+    std::erase_if(m_peers,
+                  [&](const auto &it) { return !it.second.isAlive && isForgotten(it.second.heardAt); });
     std::erase_if(m_named, [&](const auto &it) { return isForgotten(it.second); });
 }
 
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -63,21 +63,27 @@
             m_upstreams.erase(name);
             return;
         }
-        it.runs = std::make_unique<UpstreamRuns>(now, m_options.runs, announcement, [this, name](RunOrder order) {
-            order.id = m_nextOrder++;
-            m_orders.emplace(order.id, name);
-            const auto id = order.id;
-            m_actions.emplace_back(std::move(order));
-            return id;
-        });
+        it.runs =
+            std::make_unique<UpstreamRuns>(now, m_options.runs, announcement, [this, name](RunOrder order) {
+                order.id = m_nextOrder++;
+                m_orders.emplace(order.id, name);
+                const auto id = order.id;
+                m_actions.emplace_back(std::move(order));
+                return id;
+            });
     } else {
         it.runs->announced(now, announcement);
     }
     it.leaseDeadline = announcement.upstream.leaseDeadline;
     if (announcement.isGone)
         it.runs->left();
-    it.isOffered = false;
-    offer(now, it);
+    auto offered = it.runs->announcement().upstream;
+    offered.leaving = announcement.upstream.leaving || announcement.isGone;
+    offered.leaseDeadline = it.leaseDeadline;
+    auto &dispatcher = pool(announcement.pool);
+    dispatcher.announce(now, offered);
+    it.isPaused = !it.runs->isReady();
+    dispatcher.setPaused(now, name, it.isPaused);
     settle(now);
 }
 
@@ -157,7 +163,7 @@
     if (it == m_upstreams.end())
         return;
     it->second.runs->orderEnded(now, id, result);
-    offer(now, it->second);
+    updatePause(now, it->second);
     settle(now);
 }
 
@@ -165,12 +171,12 @@
 {
     for (auto &[name, it] : m_upstreams) {
         it.runs->tick(now);
-        offer(now, it);
+        updatePause(now, it);
     }
-    // An upstream that fell silent is asked no more once nothing can run there; it comes back by announcing itself.
-    std::erase_if(m_upstreams, [&](const auto &it) {
-        return it.second.leaseDeadline <= now && it.second.runs->isIdle() && !it.second.isOffered;
-    });
+    // An upstream that fell silent is asked no more once nothing can run there; it comes back by announcing
+    // itself.
+    std::erase_if(m_upstreams,
+                  [&](const auto &it) { return it.second.leaseDeadline <= now && it.second.runs->isIdle(); });
     while (!m_keptAnswers.empty() && m_keptAnswers.front().forgetAt <= now) {
         m_answers.erase(m_keptAnswers.front().owner);
         m_keptAnswers.pop_front();
@@ -195,7 +201,8 @@
             waiting.push_back(id);
     }
     for (const auto id : waiting) {
-        refuse(now, m_jobs.at(id).held.owner, {Reason::ShuttingDown, "dispatch: the group changes its holder", now});
+        refuse(now, m_jobs.at(id).held.owner,
+               {Reason::ShuttingDown, "dispatch: the group changes its holder", now});
         end(now, id);
     }
     settle(now);
@@ -249,7 +256,8 @@
 void GroupDispatcher::add(TimePoint now, const HeldJob &held)
 {
     if (m_isClosed) {
-        refuse(now, held.owner, {Reason::ShuttingDown, "dispatch: the group changes its holder", now + closedReturn});
+        refuse(now, held.owner,
+               {Reason::ShuttingDown, "dispatch: the group changes its holder", now + closedReturn});
         return;
     }
     auto &dispatcher = pool(held.pool);
@@ -281,8 +289,8 @@
                 continue;
             }
             refuse(now, job->second.held.owner,
-                   {Reason::DeadlineOutOfReach, "dispatch: the deadline can't be met with the work that waits",
-                    now + closedReturn});
+                   {Reason::DeadlineOutOfReach,
+                    "dispatch: the deadline can't be met with the work that waits", now + closedReturn});
             end(now, id);
         }
     }
@@ -357,7 +365,8 @@
     pool(attempt.pool).requeue(now, attempt.job, job.held.submission, attempt.task);
 }
 
-void GroupDispatcher::answer(TimePoint now, JobId id, Outcome outcome, Reason reason, const std::string &detail)
+void GroupDispatcher::answer(TimePoint now, JobId id, Outcome outcome, Reason reason,
+                             const std::string &detail)
 {
     const auto &job = m_jobs.at(id);
     Answer answer;
@@ -396,17 +405,14 @@
         add(now, *successor);
 }
 
-void GroupDispatcher::offer(TimePoint now, Upstream &upstream)
+void GroupDispatcher::updatePause(TimePoint now, Upstream &upstream)
 {
-    const auto &known = upstream.runs->announcement();
-    const bool isOffered = upstream.runs->isReady() && !known.upstream.leaving && now < upstream.leaseDeadline;
-    if (isOffered == upstream.isOffered)
+    const bool isPaused = !upstream.runs->isReady();
+    if (isPaused == upstream.isPaused)
         return;
-    upstream.isOffered = isOffered;
-    auto announcement = known.upstream;
-    announcement.leaving = !isOffered;
-    announcement.leaseDeadline = upstream.leaseDeadline;
-    pool(known.pool).announce(now, announcement);
+    upstream.isPaused = isPaused;
+    const auto &known = upstream.runs->announcement();
+    pool(known.pool).setPaused(now, known.upstream.name, isPaused);
 }
 
 void GroupDispatcher::refuse(TimePoint now, const JobOwner &owner, const Refusal &refusal)
--- a/src/core/runs/jobrelay.cpp
+++ b/src/core/runs/jobrelay.cpp
@@ -182,8 +182,8 @@
         if (vm == m_vms.end() || vm->second.incarnation != it.incarnation || vm->second.isDraining)
             continue;
         const auto load = vm->second.loads.find(it.group);
-        const bool isOpen = load != vm->second.loads.end() && load->second.isOpen && load->second.fence == it.fence
-            && load->second.parallel > 0;
+        const bool isOpen = load != vm->second.loads.end() && load->second.isOpen
+            && load->second.fence == it.fence && load->second.parallel > 0;
         if (!isOpen || it.group == job.refusedBy)
             continue;
         const auto sent = vm->second.sent.find(it.group);
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -175,7 +175,8 @@
     if (result.verdict == OrderVerdict::NoAnswer || result.verdict == OrderVerdict::NotSent)
         return;
     m_answeredAt = now;
-    const bool isOfThisLife = result.incarnation == 0 || result.incarnation == m_announcement.upstream.incarnation;
+    const bool isOfThisLife =
+        result.incarnation == 0 || result.incarnation == m_announcement.upstream.incarnation;
     if (result.clockMs && isOfThisLife && result.verdict != OrderVerdict::OtherIncarnation)
         noteClock(now, *result.clockMs);
 }
@@ -369,7 +370,8 @@
 
 bool UpstreamRuns::hasWork() const
 {
-    return !m_isFenced || m_isSilent || !m_runs.empty() || !m_strangers.empty() || m_seenEnds > m_reportedEnds;
+    return !m_isFenced || m_isSilent || !m_runs.empty() || !m_strangers.empty()
+        || m_seenEnds > m_reportedEnds;
 }
 
 } // namespace Citronpitch
--- a/src/daemon/configurationservice.h
+++ b/src/daemon/configurationservice.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "citronpitch/configurationnode.h"
-#include "store/configurationstore.h"
 #include "net/httptypes.h"
 #include "settings/settings.h"
+#include "store/configurationstore.h"
 
 #include <functional>
 #include <map>
--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -31,7 +31,8 @@
 
 } // namespace
 
-FleetControl::FleetControl(boost::asio::io_context &io, const FleetSettings &settings, FleetControlHooks hooks)
+FleetControl::FleetControl(boost::asio::io_context &io, const FleetSettings &settings,
+                           FleetControlHooks hooks)
     : m_hooks(std::move(hooks))
     , m_settings(settings)
     , m_registry(settings.announcementPeriod * missedForMemory)
@@ -91,9 +92,19 @@
     announce(std::move(announcement), std::move(taken));
 }
 
-void FleetControl::replaceDocument(const DeclaredDocument &document,
+void FleetControl::replaceDocument(const WorkDeclaration &declaration, const std::string &text,
                                    std::function<void(const ChangeAnswer &)> answered)
 {
+    if (const auto error = checkDeclaration(declaration); !error.empty()) {
+        logEvent(Event::DocumentRefused,
+                 {{"version", std::to_string(declaration.version)}, {"error", error}});
+        ChangeAnswer answer;
+        answer.outcome = ChangeOutcome::Invalid;
+        answer.detail = "configuration: " + error;
+        answered(answer);
+        return;
+    }
+    const DeclaredDocument document{declaration.version, text};
     ConfigurationChange change;
     change.kind = ChangeKind::Replace;
     change.document = document;
@@ -351,9 +362,9 @@
     it->setClasses(m_classes);
     for (const auto &[name, upstream] : m_registry.upstreams())
         offer(upstream);
-    logEvent(Event::GroupTaken, {{"group", group},
-                                 {"fence", std::to_string(fence)},
-                                 {"upstreams", std::to_string(it->upstreams())}});
+    logEvent(
+        Event::GroupTaken,
+        {{"group", group}, {"fence", std::to_string(fence)}, {"upstreams", std::to_string(it->upstreams())}});
 }
 
 void FleetControl::dropClosedGroups()
@@ -364,8 +375,7 @@
         const bool isReplaced = holder != m_holders.end() && holder->fence > it.second->fence();
         if (!isReplaced || !it.second->isIdle())
             return false;
-        logEvent(Event::GroupGivenUp,
-                 {{"group", it.first}, {"fence", std::to_string(it.second->fence())}});
+        logEvent(Event::GroupGivenUp, {{"group", it.first}, {"fence", std::to_string(it.second->fence())}});
         return true;
     });
 }
@@ -443,15 +453,15 @@
 {
     m_hooks.sendOrder(order, [this, group, fence = order.fence, order](const OrderResult &result) {
         if (result.verdict == OrderVerdict::NoAnswer && order.kind != OrderKind::Poll)
-            logEvent(Event::OrderUnanswered, {{"upstream", order.upstream},
-                                              {"order", std::string(nameIn(orderKindNames, order.kind))},
-                                              {"task", order.task},
-                                              {"run", std::to_string(order.run)},
-                                              {"group", group}});
+            logEvent(Event::OrderUnanswered,
+                     {{"upstream", order.upstream},
+                      {"order", std::string(nameIn(orderKindNames, order.kind))},
+                      {"task", order.task},
+                      {"run", std::to_string(order.run)},
+                      {"group", group}});
         if (result.verdict == OrderVerdict::StaleFence)
-            logEvent(Event::UpstreamTakenOver, {{"group", group},
-                                                {"fence", std::to_string(fence)},
-                                                {"upstream", order.upstream}});
+            logEvent(Event::UpstreamTakenOver,
+                     {{"group", group}, {"fence", std::to_string(fence)}, {"upstream", order.upstream}});
         const auto it = m_groups.find(group);
         if (it == m_groups.end() || it->second->fence() != fence)
             return;
--- a/src/fleet/fleetcontrol.h
+++ b/src/fleet/fleetcontrol.h
@@ -31,8 +31,8 @@
 };
 
 /**
- * @brief A control VM of a fleet: votes, takes the announcements of upstreams, and dispatches for the groups that it
- * holds.
+ * @brief A control VM of a fleet: votes, takes the announcements of upstreams, and dispatches for the groups
+ * that it holds.
  */
 class FleetControl
 {
@@ -52,8 +52,9 @@
     /// The upstream @p name has left in its life @p incarnation; zero: in the one that is known.
     void left(const std::string &name, std::uint64_t incarnation, std::function<void(bool)> taken);
 
-    /// An operator replaces the declared document.
-    void replaceDocument(const DeclaredDocument &document, std::function<void(const ChangeAnswer &)> answered);
+    /// An operator replaces the declared document by @p text, which says @p declaration.
+    void replaceDocument(const WorkDeclaration &declaration, const std::string &text,
+                         std::function<void(const ChangeAnswer &)> answered);
 
     /// The newest declared document; nothing while it is not certain which one that is.
     std::optional<DeclaredDocument> readDocument() const;
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -32,7 +32,7 @@
 {
     const auto caller = m_nextCaller++;
     job.owner = {m_member.self().name, m_member.self().incarnation, 0};
-    m_callers.emplace(caller, std::move(answered));
+    m_callers[caller] = {std::move(answered), job.submission.key, now()};
     m_relay.submit(now(), caller, std::move(job));
     carryOut();
     return caller;
@@ -130,6 +130,20 @@
     carryOut();
 }
 
+void FleetEntry::answer(const WaitingCaller &caller, const Answer &answer) const
+{
+    if (answer.outcome != Outcome::Complete) {
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now() - caller.arrivedAt);
+        logEvent(Event::JobNotServed,
+                 {{"key", caller.key},
+                  {"outcome", std::string(nameIn(outcomeNames, answer.outcome))},
+                  {"reason", std::string(nameIn(reasonNames, answer.reason))},
+                  {"detail", answer.detail},
+                  {"waitedMs", std::to_string(waited.count())}});
+    }
+    caller.answered(answer);
+}
+
 void FleetEntry::carryOut()
 {
     for (auto &action : m_relay.takeActions()) {
@@ -145,9 +159,9 @@
             const auto it = m_callers.find(answer.caller);
             if (it == m_callers.end())
                 continue;
-            const auto answered = std::move(it->second);
+            const auto caller = std::move(it->second);
             m_callers.erase(it);
-            answered(answer.answer);
+            this->answer(caller, answer.answer);
         }
     }
 }
--- a/src/fleet/fleetentry.h
+++ b/src/fleet/fleetentry.h
@@ -53,11 +53,21 @@
     void ticked();
     void carryOut();
 
+    /// A caller that waits for its answer.
+    struct WaitingCaller
+    {
+        JobAnswered answered;
+        std::string key;
+        TimePoint arrivedAt;
+    };
+
+    void answer(const WaitingCaller &caller, const Answer &answer) const;
+
     ParseDocument m_parse;
     JobRelay m_relay;
     FleetMember m_member;
     std::optional<WorkDeclaration> m_declaration;
-    std::map<CallerId, JobAnswered> m_callers;
+    std::map<CallerId, WaitingCaller> m_callers;
     CallerId m_nextCaller = 1;
     bool m_isDraining = false;
 };
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -246,11 +246,10 @@
         if (!it.peer.domain.empty())
             members.push_back({name, it.peer.role == VmRole::Control});
     }
-    const bool isSame =
-        std::equal(members.begin(), members.end(), m_members.begin(), m_members.end(),
-                   [](const auto &left, const auto &right) {
-                       return left.name == right.name && left.isVoter == right.isVoter;
-                   });
+    const bool isSame = std::equal(members.begin(), members.end(), m_members.begin(), m_members.end(),
+                                   [](const auto &left, const auto &right) {
+                                       return left.name == right.name && left.isVoter == right.isVoter;
+                                   });
     if (isSame)
         return;
     m_members = members;
--- a/src/fleet/fleetmember.h
+++ b/src/fleet/fleetmember.h
@@ -2,10 +2,10 @@
 
 #include "citronpitch/configurationnode.h"
 #include "citronpitch/peerdirectory.h"
-#include "store/configurationstore.h"
 #include "fleet/bootclock.h"
 #include "fleet/fleetsettings.h"
 #include "net/peerlinks.h"
+#include "store/configurationstore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -24,7 +24,8 @@
 {
     const auto colon = text.rfind(':');
     const auto problem = [&] {
-        return fields.error(std::string("key \"") + name + "\": \"" + text + "\" is not of the form ADDRESS:PORT");
+        return fields.error(std::string("key \"") + name + "\": \"" + text
+                            + "\" is not of the form ADDRESS:PORT");
     };
     if (colon == std::string::npos || colon == 0)
         return problem();
--- a/src/fleet/fleetwire.cpp
+++ b/src/fleet/fleetwire.cpp
@@ -86,7 +86,8 @@
     auto &tasks = job.submission.tasks;
     for (const auto &it : from.tasks()) {
         const bool isRepeated = it.has_previous_payload() && !tasks.empty();
-        tasks.push_back({isRepeated ? tasks.back().payload : it.payload(), Duration(it.declared_us()),
+        tasks.push_back({isRepeated ? tasks.back().payload : it.payload(),
+                         Duration(it.declared_us()),
                          {it.millicores(), it.memory_bytes(), it.accelerators()}});
     }
     return job;
@@ -126,8 +127,8 @@
 
 GroupLoad fromWire(const wire::GroupLoad &from)
 {
-    return {from.group(), from.fence(), from.is_open(), from.free_tasks(), from.parallel(),
-            Duration(from.waiting_us())};
+    return {from.group(),      from.fence(),    from.is_open(),
+            from.free_tasks(), from.parallel(), Duration(from.waiting_us())};
 }
 
 } // namespace Citronpitch
