Placing: work leaves fast upstreams to work that needs them

Change: once half of the places are busy, a task takes the slowest upstream that meets the target of its job and, for nine in ten, its deadline. A declared target may stretch with the job's own time. Ruled out: declared sizes, which are off by a factor of 1.5 either way and are not followed.

--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -21,6 +21,12 @@
 /// Unit of ClassDeclaration::targetStretch.
 constexpr int stretchUnit = 1000;
 
+/// From one busy place in this many on, work leaves the fast upstreams to work that needs them.
+constexpr std::size_t busyDivisor = 2;
+/// Part of the time to the target that a task may be expected to take.
+constexpr int marginNumerator = 9;
+constexpr int marginDenominator = 10;
+
 /// How often estimates are taken over into a ranking.
 constexpr Duration rankingPeriod = std::chrono::milliseconds(20);
 constexpr Duration advancePeriod = std::chrono::milliseconds(100);
@@ -90,15 +96,19 @@
     const auto &entry = classes.at(job.of);
     if (!entry.hasTarget())
         return job.deadline;
-    const auto &declared = entry.declaration;
-    const auto stretch = job.alone * declared.targetStretch / stretchUnit;
-    const auto target = job.arrival + declared.targetTime + stretch;
+    const auto target = targetTime(job);
     const auto alone =
         times.isLearned(job.of) ? job.alone : std::min(job.alone, entry.declaration.targetTime);
     const auto latest = std::max(target, job.deadline - alone);
     return std::min({target + aloneFactor * alone, latest, job.deadline});
 }
 
+TimePoint Dispatcher::State::targetTime(const QueuedJob &job) const
+{
+    const auto &declared = classes.at(job.of).declaration;
+    return job.arrival + declared.targetTime + job.alone * declared.targetStretch / stretchUnit;
+}
+
 TimePoint Dispatcher::State::lateDueTime(const QueuedJob &job) const
 {
     const auto &entry = classes.at(job.of);
@@ -348,6 +358,10 @@
         return upstream ? std::optional(start(now, head, *upstream)) : std::nullopt;
     }
     const auto &ranking = rankingOf(now, head.lane.of);
+    if (const auto longest = sufficientTime(now, head)) {
+        if (const auto upstream = placer.chooseSufficient(ranking, head.need, jobs.at(head.job), *longest))
+            return start(now, head, *upstream);
+    }
     const auto choice = placer.choose(ranking, head.need, jobs.at(head.job), 1);
     if (choice.verdict == PlacerVerdict::Start)
         return start(now, head, choice.upstream);
@@ -361,6 +375,21 @@
                                                  : std::nullopt;
 }
 
+std::optional<Duration> Dispatcher::State::sufficientTime(TimePoint now, const LaneHead &head) const
+{
+    const auto of = head.lane.of;
+    const auto &declared = classes.at(of).declaration;
+    const bool isBusy = attempts.size() * busyDivisor >= parallel;
+    if (declared.targetStretch == 0 || !isBusy || !times.isLearned(of))
+        return std::nullopt;
+    const auto &job = *queue.findJob(head.job);
+    const auto usual = times.expected(of, {});
+    const auto target = job.arrival + declared.targetTime + usual * declared.targetStretch / stretchUnit;
+    const auto forTarget = (target - now) * marginNumerator / marginDenominator;
+    const auto forDeadline = (job.deadline - now).count() / times.upperFactor(of);
+    return std::min(forTarget, Duration(static_cast<std::int64_t>(forDeadline)));
+}
+
 std::optional<UpstreamIndex> Dispatcher::State::chooseForBaseline(const Resources &need) const
 {
     std::vector<BaselineCandidate> candidates;
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -30,6 +30,9 @@
     /// Moment at which a job is due: its target or its deadline, whichever is earlier.
     TimePoint dueTime(const QueuedJob &job) const;
 
+    /// Moment at which a job meets its target.
+    TimePoint targetTime(const QueuedJob &job) const;
+
     /// Moment at which a job is due that has missed its target.
     TimePoint lateDueTime(const QueuedJob &job) const;
 
@@ -83,6 +86,9 @@
 
     /// Starts the task that @p head names, or another one of its lane; nothing when the lane has to wait.
     std::optional<Placement> startFrom(TimePoint now, const LaneHead &head);
+    /// Time that a task of a job may take on an upstream that is just fast enough; nothing where the fastest one is
+    /// to be taken.
+    std::optional<Duration> sufficientTime(TimePoint now, const LaneHead &head) const;
     std::optional<UpstreamIndex> chooseForBaseline(const Resources &need) const;
     Placement start(TimePoint now, const LaneHead &head, UpstreamIndex upstream);
 
--- a/src/core/dispatch/placer.cpp
+++ b/src/core/dispatch/placer.cpp
@@ -57,6 +57,20 @@
     return {};
 }
 
+std::optional<UpstreamIndex> Placer::chooseSufficient(const UpstreamRanking &ranking, const Resources &need,
+                                                      const JobTrace &job, Duration longest) const
+{
+    std::size_t looked = 0;
+    auto rank = ranking.previousFree(ranking.fasterThan(longest));
+    for (; rank && ++looked <= comparedUpstreams; rank = ranking.previousFree(*rank)) {
+        const auto &it = ranking.at(*rank);
+        const bool isOpen = !it.isForSingles || job.tasks == 1;
+        if (isOpen && fits(it.upstream, need) && !isAvoided(it.upstream, job))
+            return it.upstream;
+    }
+    return std::nullopt;
+}
+
 bool Placer::fits(UpstreamIndex upstream, const Resources &need) const
 {
     const auto &entry = m_upstreams.at(upstream);
--- a/src/core/dispatch/placer.h
+++ b/src/core/dispatch/placer.h
@@ -57,6 +57,14 @@
     PlacerChoice choose(const UpstreamRanking &ranking, const Resources &need, const JobTrace &job,
                         std::uint32_t ahead) const;
 
+    /**
+     * The slowest upstream on which a task is expected to take no more than @p longest, or nothing.
+     *
+     * Leaves the fast upstreams to work that needs them. Looks at a few candidates only.
+     */
+    std::optional<UpstreamIndex> chooseSufficient(const UpstreamRanking &ranking, const Resources &need,
+                                                  const JobTrace &job, Duration longest) const;
+
 private:
     bool fits(UpstreamIndex upstream, const Resources &need) const;
     bool isAvoided(UpstreamIndex upstream, const JobTrace &job) const;
--- a/src/core/dispatch/servicetimes.cpp
+++ b/src/core/dispatch/servicetimes.cpp
@@ -34,6 +34,10 @@
 /// A speed that is not confirmed is forgotten over this time, so that a slow upstream is tried again.
 constexpr Duration speedMemory = std::chrono::seconds(60);
 
+/// Deviations of the logarithm below which nine in ten times stay, and the factor while the spread is not known.
+constexpr double upperDeviations = 1.28;
+constexpr double assumedUpperFactor = 1.7;
+
 /// Slack of a stuck task over the expected time.
 constexpr Duration stuckSlack = std::chrono::milliseconds(500);
 constexpr double stuckFactor = 2;
@@ -119,6 +123,13 @@
     return of < m_classes.size() && m_classes[of].plain.samples >= samplesForSpread;
 }
 
+double ServiceTimes::upperFactor(ClassIndex of) const
+{
+    if (!isLearned(of))
+        return assumedUpperFactor;
+    return std::exp(upperDeviations * std::sqrt(m_classes[of].plain.variance));
+}
+
 Duration ServiceTimes::stuckAfter(TimePoint now, ClassIndex of, UpstreamIndex upstream,
                                   Duration declared) const
 {
--- a/src/core/dispatch/servicetimes.h
+++ b/src/core/dispatch/servicetimes.h
@@ -49,6 +49,9 @@
     /// Whether the times of class @p of are learned rather than declared or assumed.
     bool isLearned(ClassIndex of) const;
 
+    /// Factor by which nine in ten tasks of class @p of stay below their expected time.
+    double upperFactor(ClassIndex of) const;
+
     /// Time after which a task that has not ended is taken for stuck.
     Duration stuckAfter(TimePoint now, ClassIndex of, UpstreamIndex upstream, Duration declared) const;
 
--- a/src/core/dispatch/upstreamranking.cpp
+++ b/src/core/dispatch/upstreamranking.cpp
@@ -91,6 +91,22 @@
     return index * bitsPerWord + static_cast<std::size_t>(std::countr_zero(word));
 }
 
+std::optional<std::size_t> UpstreamRanking::previousFree(std::size_t rank) const
+{
+    rank = std::min(rank, m_ranked.size());
+    if (rank == 0)
+        return std::nullopt;
+    auto index = (rank - 1) / bitsPerWord;
+    const auto unused = bitsPerWord - 1 - (rank - 1) % bitsPerWord;
+    auto word = m_free[index] & (~std::uint64_t{0} >> unused);
+    while (word == 0) {
+        if (index-- == 0)
+            return std::nullopt;
+        word = m_free[index];
+    }
+    return index * bitsPerWord + bitsPerWord - 1 - static_cast<std::size_t>(std::countl_zero(word));
+}
+
 const RankedUpstream &UpstreamRanking::at(std::size_t rank) const
 {
     return m_ranked[rank];
--- a/src/core/dispatch/upstreamranking.h
+++ b/src/core/dispatch/upstreamranking.h
@@ -41,6 +41,9 @@
     /// First free rank from @p rank on.
     std::optional<std::size_t> nextFree(std::size_t rank) const;
 
+    /// Last free rank before @p rank.
+    std::optional<std::size_t> previousFree(std::size_t rank) const;
+
     const RankedUpstream &at(std::size_t rank) const;
     std::size_t size() const;
 
