A job that no group can start at once is split over groups

Cause: a group has 9 fast places of 28, and jobs of up to 16 long tasks were given to one group. Change: the relay gives each group as many tasks as it has free places fast enough for the class (reported by holders), and the rest to the one that is soonest; the job is complete when all its parts are.

--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -54,6 +54,13 @@
     std::uint32_t queuedTasks = 0;
 };
 
+/// Places that are fast enough for a class.
+struct SufficientPlaces
+{
+    std::string className;
+    std::uint32_t tasks = 0;
+};
+
 /// How a Dispatcher decides.
 struct DispatcherOptions
 {
@@ -150,6 +157,8 @@
     std::uint32_t queuedTasks() const;
     /// Tasks of the usual need that run side by side.
     std::uint32_t parallelTasks() const;
+    /// For each class with a learned time: tasks that would start at once on upstreams fast enough for it.
+    std::vector<SufficientPlaces> sufficientTasks(TimePoint now) const;
     /// Expected run time of the waiting tasks.
     Duration waitingWork() const;
 
--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -46,6 +46,8 @@
     std::string pool;
     /// Runs of one task that may fail before the job does.
     std::uint32_t attempts = 1;
+    /// Number of the first task within the caller's job, of which this may be a part.
+    std::uint32_t firstTask = 0;
     Submission submission;
 };
 
@@ -56,6 +58,14 @@
     Answer answer;
 };
 
+/// Places of a group for the work of one class.
+struct ClassLoad
+{
+    std::string className;
+    /// Tasks that would start at once on upstreams fast enough for the target and the usual deadline.
+    std::uint32_t freeTasks = 0;
+};
+
 /// How much a group has to do, for choosing among groups.
 struct GroupLoad
 {
@@ -69,6 +79,8 @@
     std::uint32_t parallel = 0;
     /// Expected run time of the waiting tasks.
     Duration waiting{};
+    /// Classes of which jobs came lately.
+    std::vector<ClassLoad> classes;
 };
 
 /// What the process around a GroupDispatcher has to do, in order.
--- a/include/citronpitch/jobrelay.h
+++ b/include/citronpitch/jobrelay.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -84,19 +85,30 @@
     bool canServe() const;
 
 private:
-    struct OpenJob
+    /// A range of a job's tasks that one group runs.
+    struct Part
     {
-        HeldJob job;
-        std::vector<CallerId> callers;
+        std::uint64_t job = 0;
+        /// What the holder was sent.
+        HeldJob held;
         std::string vm;
-        std::uint64_t vmIncarnation = 0;
         std::string group;
         TimePoint resendAt;
-        bool isCancelled = false;
         /// Group that has refused it; it is tried in another one at most once.
         std::string refusedBy;
     };
 
+    struct OpenJob
+    {
+        std::string key;
+        std::vector<CallerId> callers;
+        TimePoint deadline;
+        /// Parts without an answer, by their numbers.
+        std::set<std::uint64_t> parts;
+        /// Whether some part was taken by its group, so that the job may have run.
+        bool mayHaveRun = false;
+    };
+
     struct Holder
     {
         std::uint64_t incarnation = 0;
@@ -106,21 +118,41 @@
         std::map<std::string, std::uint32_t> sent;
     };
 
-    struct Choice
+    /// A group that takes jobs, and what it can start at once.
+    struct Candidate
     {
         std::string group;
         std::string vm;
+        std::uint32_t parallel = 0;
+        std::uint32_t free = 0;
+        /// Free places that are fast enough for the class in question.
+        std::uint32_t sufficient = 0;
+        Duration waiting{};
+    };
+
+    /// Tasks that a group is to run.
+    struct Share
+    {
+        const Candidate *of = nullptr;
+        std::uint32_t tasks = 0;
     };
 
-    std::optional<Choice> choose(const OpenJob &job) const;
-    Duration expectedWait(const GroupLoad &load, std::uint32_t sent, std::uint32_t tasks) const;
-    bool pass(TimePoint now, std::uint64_t number, OpenJob &job);
+    std::vector<Candidate> candidates(const std::string &className) const;
+    Duration expectedWait(const Candidate &of, std::uint32_t tasks) const;
+    std::vector<Share> split(const std::vector<Candidate> &groups, std::uint32_t tasks) const;
+    const Candidate *soonest(const std::vector<Candidate> &groups, std::uint32_t tasks) const;
+    void passPart(TimePoint now, std::uint64_t job, HeldJob held, const Candidate &to, const std::string &refusedBy);
+    bool passAgain(TimePoint now, Part part);
+    void dropParts(std::uint64_t job, bool tellsHolders);
     void answer(std::uint64_t number, const Answer &answer);
 
     JobRelayOptions m_options;
     std::vector<GroupHolder> m_holders;
     std::map<std::string, Holder> m_vms;
     std::map<std::uint64_t, OpenJob> m_jobs;
+    std::map<std::uint64_t, Part> m_parts;
+    /// Parts that nobody waits for, until their holders have said so or the jobs' deadlines pass.
+    std::map<std::uint64_t, Part> m_cancelled;
     std::map<std::string, std::uint64_t> m_byKey;
     std::map<CallerId, std::uint64_t> m_byCaller;
     std::vector<RelayAction> m_actions;
--- a/src/core/dispatch/classtable.h
+++ b/src/core/dispatch/classtable.h
@@ -19,6 +19,8 @@
     /// Whether the configuration still names it.
     bool isDeclared = false;
     TargetBurn burn;
+    /// Time to the deadline of the job that came last.
+    Duration usualPatience{};
     UpstreamRanking ranking;
     TimePoint rankedAt;
     /// Estimates have changed since the ranking was built.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -135,6 +135,7 @@
     m_state->noteNeeds(now, submission);
     const auto of = m_state->classes.numberOf(submission.className);
     const auto alone = m_state->aloneTime(of, submission);
+    m_state->classes.at(of).usualPatience = submission.deadline - now;
     JobTrace trace;
     trace.tasks = static_cast<std::uint32_t>(submission.tasks.size());
     for (const auto &it : submission.tasks)
@@ -326,6 +327,17 @@
     return m_state->parallel;
 }
 
+std::vector<SufficientPlaces> Dispatcher::sufficientTasks(TimePoint now) const
+{
+    std::vector<SufficientPlaces> list;
+    for (ClassIndex of = 0; of < m_state->classes.size(); ++of) {
+        const auto &entry = m_state->classes.at(of);
+        if (entry.isDeclared && m_state->times.isLearned(of))
+            list.push_back({entry.declaration.name, m_state->sufficientPlaces(now, of)});
+    }
+    return list;
+}
+
 Duration Dispatcher::waitingWork() const
 {
     return m_state->queue.workBefore(TimePoint::max());
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -385,9 +385,30 @@
     const auto &job = *queue.findJob(head.job);
     const auto usual = times.expected(of, {});
     const auto target = job.arrival + declared.targetTime + usual * declared.targetStretch / stretchUnit;
-    const auto forTarget = (target - now) * marginNumerator / marginDenominator;
-    const auto forDeadline = (job.deadline - now).count() / times.upperFactor(of);
-    return std::min(forTarget, Duration(static_cast<std::int64_t>(forDeadline)));
+    return longestTime(of, target - now, job.deadline - now);
+}
+
+Duration Dispatcher::State::longestTime(ClassIndex of, Duration toTarget, Duration toDeadline) const
+{
+    const auto forTarget = toTarget * marginNumerator / marginDenominator;
+    const auto forDeadline =
+        Duration(static_cast<std::int64_t>(static_cast<double>(toDeadline.count()) / times.upperFactor(of)));
+    return std::min(forTarget, forDeadline);
+}
+
+std::uint32_t Dispatcher::State::sufficientPlaces(TimePoint now, ClassIndex of) const
+{
+    const auto &entry = classes.at(of);
+    const auto toTarget =
+        entry.declaration.targetTime + times.expected(of, {}) * entry.declaration.targetStretch / stretchUnit;
+    const auto longest = longestTime(of, toTarget, entry.usualPatience);
+    std::uint32_t places = 0;
+    for (const auto &[name, upstream] : upstreams.byName()) {
+        const auto &it = upstreams.at(upstream);
+        if (it.isFree && it.parallel > it.busy && times.expected(now, of, upstream, {}) <= longest)
+            places += it.parallel - it.busy;
+    }
+    return places;
 }
 
 std::optional<UpstreamIndex> Dispatcher::State::chooseForBaseline(const Resources &need) const
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -86,6 +86,10 @@
 
     /// Starts the task that @p head names, or another one of its lane; nothing when the lane has to wait.
     std::optional<Placement> startFrom(TimePoint now, const LaneHead &head);
+    /// Tasks of class @p of that would start at once on upstreams fast enough for a job that comes now.
+    std::uint32_t sufficientPlaces(TimePoint now, ClassIndex of) const;
+    /// Time that a task of class @p of may take for its target and deadline, which are @p toTarget and @p toDeadline away.
+    Duration longestTime(ClassIndex of, Duration toTarget, Duration toDeadline) const;
     /// Time that a task of a job may take on an upstream that is just fast enough; nothing where the fastest one is
     /// to be taken.
     std::optional<Duration> sufficientTime(TimePoint now, const LaneHead &head) const;
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -220,6 +220,8 @@
         load.freeTasks += it.freeSlots(now);
         load.parallel += it.parallelTasks();
         load.waiting += it.waitingWork();
+        for (auto &of : it.sufficientTasks(now))
+            load.classes.push_back({std::move(of.className), of.tasks});
     }
     return load;
 }
@@ -308,7 +310,7 @@
     job.hasStarted = true;
     const auto &key = job.held.submission.key;
     m_upstreams.at(placement.upstream)
-        .runs->start(now, attempt, m_options.nameTask(key, placement.task), task.lastRun,
+        .runs->start(now, attempt, m_options.nameTask(key, job.held.firstTask + placement.task), task.lastRun,
                      job.held.submission.tasks[placement.task].payload);
 }
 
--- a/src/core/runs/jobrelay.cpp
+++ b/src/core/runs/jobrelay.cpp
@@ -56,11 +56,12 @@
 void JobRelay::holderGone(TimePoint, const std::string &vm)
 {
     m_vms.erase(vm);
-    std::vector<std::uint64_t> lost;
-    for (const auto &[number, job] : m_jobs) {
-        if (job.vm == vm)
-            lost.push_back(number);
+    std::set<std::uint64_t> lost;
+    for (const auto &[number, part] : m_parts) {
+        if (part.vm == vm)
+            lost.insert(part.job);
     }
+    std::erase_if(m_cancelled, [&](const auto &it) { return it.second.vm == vm; });
     for (const auto it : lost)
         answer(it, unknownAfterLossOf(vm));
 }
@@ -79,23 +80,34 @@
 void JobRelay::submit(TimePoint now, CallerId caller, HeldJob job)
 {
     const auto known = m_byKey.find(job.submission.key);
-    if (known != m_byKey.end() && !m_jobs.at(known->second).isCancelled) {
+    if (known != m_byKey.end()) {
         m_jobs.at(known->second).callers.push_back(caller);
         m_byCaller[caller] = known->second;
         return;
     }
     const auto number = m_nextNumber++;
-    job.owner.number = number;
     auto &open = m_jobs[number];
-    open.job = std::move(job);
+    open.key = job.submission.key;
+    open.deadline = job.submission.deadline;
     open.callers.push_back(caller);
-    m_byKey[open.job.submission.key] = number;
+    m_byKey[open.key] = number;
     m_byCaller[caller] = number;
-    if (!pass(now, number, open))
+    const auto groups = candidates(job.submission.className);
+    if (groups.empty()) {
         answer(number, refusalWithoutGroup(now));
+        return;
+    }
+    auto first = job.submission.tasks.begin();
+    for (const auto &it : split(groups, static_cast<std::uint32_t>(job.submission.tasks.size()))) {
+        auto part = job;
+        part.firstTask = static_cast<std::uint32_t>(first - job.submission.tasks.begin());
+        part.submission.tasks.assign(first, first + it.tasks);
+        first += it.tasks;
+        passPart(now, number, std::move(part), *it.of, {});
+    }
 }
 
-void JobRelay::callerGone(TimePoint now, CallerId caller)
+void JobRelay::callerGone(TimePoint, CallerId caller)
 {
     const auto it = m_byCaller.find(caller);
     if (it == m_byCaller.end())
@@ -106,50 +118,67 @@
     std::erase(job.callers, caller);
     if (!job.callers.empty())
         return;
-    job.isCancelled = true;
-    job.resendAt = now + m_options.cancelPeriod;
-    m_actions.emplace_back(SendCancel{job.vm, number});
+    dropParts(number, true);
+    m_byKey.erase(job.key);
+    m_jobs.erase(number);
 }
 
 void JobRelay::ended(TimePoint now, const std::string &vm, std::uint64_t number, Answer answer)
 {
-    const auto it = m_jobs.find(number);
-    if (it == m_jobs.end() || it->second.vm != vm)
+    m_cancelled.erase(number);
+    const auto it = m_parts.find(number);
+    if (it == m_parts.end() || it->second.vm != vm)
+        return;
+    const auto part = std::move(it->second);
+    m_parts.erase(it);
+    auto &job = m_jobs.at(part.job);
+    job.parts.erase(number);
+    const bool isRefused = answer.outcome == Outcome::Refused;
+    if (isRefused && part.refusedBy.empty() && passAgain(now, part))
+        return;
+    const bool isAlone = job.parts.empty() && !job.mayHaveRun;
+    if (answer.outcome == Outcome::Complete) {
+        job.mayHaveRun = true;
+        if (job.parts.empty())
+            this->answer(part.job, answer);
         return;
-    auto &job = it->second;
-    const bool isRefused = answer.outcome == Outcome::Refused && !job.isCancelled;
-    if (isRefused && job.refusedBy.empty()) {
-        job.refusedBy = job.group;
-        if (pass(now, number, job))
-            return;
     }
-    this->answer(number, answer);
+    if (isRefused && !isAlone) {
+        // Other parts may have run, so the job can't be refused as a whole.
+        answer.outcome = Outcome::Failed;
+        answer.reason = Reason::DeadlineOutOfReach;
+        answer.retryAt.reset();
+    }
+    this->answer(part.job, answer);
 }
 
 void JobRelay::tick(TimePoint now)
 {
     std::vector<std::uint64_t> late;
-    for (auto &[number, job] : m_jobs) {
-        if (job.job.submission.deadline <= now) {
+    for (const auto &[number, job] : m_jobs) {
+        if (job.deadline <= now)
             late.push_back(number);
-            continue;
-        }
-        if (now < job.resendAt)
-            continue;
-        job.resendAt = now + (job.isCancelled ? m_options.cancelPeriod : m_options.resendPeriod);
-        if (job.isCancelled)
-            m_actions.emplace_back(SendCancel{job.vm, number});
-        else
-            m_actions.emplace_back(SendJob{job.vm, job.group, job.job});
     }
     for (const auto number : late) {
-        m_actions.emplace_back(SendCancel{m_jobs.at(number).vm, number});
         Answer failed;
         failed.outcome = Outcome::Failed;
         failed.reason = Reason::DeadlinePassed;
         failed.detail = "relay: the deadline passed";
         answer(number, failed);
     }
+    for (auto &[number, part] : m_parts) {
+        if (now < part.resendAt)
+            continue;
+        part.resendAt = now + m_options.resendPeriod;
+        m_actions.emplace_back(SendJob{part.vm, part.group, part.held});
+    }
+    std::erase_if(m_cancelled, [&](const auto &it) { return it.second.held.submission.deadline <= now; });
+    for (auto &[number, part] : m_cancelled) {
+        if (now < part.resendAt)
+            continue;
+        part.resendAt = now + m_options.cancelPeriod;
+        m_actions.emplace_back(SendCancel{part.vm, number});
+    }
 }
 
 std::vector<RelayAction> JobRelay::takeActions()
@@ -159,24 +188,22 @@
 
 std::uint64_t JobRelay::lowestOpen() const
 {
-    return m_jobs.empty() ? m_nextNumber : m_jobs.begin()->first;
+    return m_parts.empty() ? m_nextNumber : m_parts.begin()->first;
 }
 
 std::size_t JobRelay::openJobs() const
 {
-    return m_byCaller.size();
+    return m_jobs.size();
 }
 
 bool JobRelay::canServe() const
 {
-    return choose({}).has_value();
+    return !candidates({}).empty();
 }
 
-std::optional<JobRelay::Choice> JobRelay::choose(const OpenJob &job) const
+std::vector<JobRelay::Candidate> JobRelay::candidates(const std::string &className) const
 {
-    const auto tasks = static_cast<std::uint32_t>(job.job.submission.tasks.size());
-    std::optional<Choice> best;
-    Duration bestCost{};
+    std::vector<Candidate> list;
     for (const auto &it : m_holders) {
         const auto vm = m_vms.find(it.vm);
         if (vm == m_vms.end() || vm->second.incarnation != it.incarnation || vm->second.isDraining)
@@ -184,53 +211,122 @@
         const auto load = vm->second.loads.find(it.group);
         const bool isOpen = load != vm->second.loads.end() && load->second.isOpen
             && load->second.fence == it.fence && load->second.parallel > 0;
-        if (!isOpen || it.group == job.refusedBy)
+        if (!isOpen)
             continue;
         const auto sent = vm->second.sent.find(it.group);
-        auto cost = expectedWait(load->second, sent == vm->second.sent.end() ? 0 : sent->second, tasks);
-        if (it.group != m_options.domain)
-            cost += m_options.remoteCost;
-        if (best && cost >= bestCost)
-            continue;
-        best = Choice{it.group, it.vm};
-        bestCost = cost;
+        const auto taken = sent == vm->second.sent.end() ? 0 : sent->second;
+        const auto left = [taken](std::uint32_t places) { return places - std::min(places, taken); };
+        Candidate candidate{it.group, it.vm, load->second.parallel, left(load->second.freeTasks), 0,
+                            load->second.waiting};
+        candidate.sufficient = candidate.free;
+        for (const auto &of : load->second.classes) {
+            if (of.className == className)
+                candidate.sufficient = left(of.freeTasks);
+        }
+        list.push_back(std::move(candidate));
     }
-    return best;
+    return list;
 }
 
-Duration JobRelay::expectedWait(const GroupLoad &load, std::uint32_t sent, std::uint32_t tasks) const
+Duration JobRelay::expectedWait(const Candidate &of, std::uint32_t tasks) const
 {
-    if (load.freeTasks >= sent + tasks)
-        return Duration::zero();
-    const auto missing = sent + tasks - load.freeTasks;
-    return (load.waiting + assumedTaskTime * missing) / load.parallel;
+    auto wait = of.group == m_options.domain ? Duration::zero() : m_options.remoteCost;
+    if (of.sufficient >= tasks)
+        return wait;
+    const auto missing = tasks - of.sufficient;
+    return wait + (of.waiting + assumedTaskTime * missing) / of.parallel;
 }
 
-bool JobRelay::pass(TimePoint now, std::uint64_t, OpenJob &job)
+const JobRelay::Candidate *JobRelay::soonest(const std::vector<Candidate> &groups, std::uint32_t tasks) const
 {
-    const auto choice = choose(job);
-    if (!choice)
+    const auto it = std::min_element(groups.begin(), groups.end(), [&](const auto &left, const auto &right) {
+        return expectedWait(left, tasks) < expectedWait(right, tasks);
+    });
+    return &*it;
+}
+
+std::vector<JobRelay::Share> JobRelay::split(const std::vector<Candidate> &groups, std::uint32_t tasks) const
+{
+    const auto *whole = soonest(groups, tasks);
+    if (whole->sufficient >= tasks)
+        return {{whole, tasks}};
+    // No group can start all of it at once: each takes what it has places for, and the soonest the rest.
+    std::vector<const Candidate *> byRoom;
+    for (const auto &it : groups)
+        byRoom.push_back(&it);
+    std::stable_sort(byRoom.begin(), byRoom.end(), [](const auto *left, const auto *right) {
+        return left->sufficient > right->sufficient;
+    });
+    std::vector<Share> shares;
+    for (const auto *it : byRoom) {
+        const auto n = std::min(it->sufficient, tasks);
+        if (n == 0)
+            break;
+        shares.push_back({it, n});
+        tasks -= n;
+    }
+    if (tasks == 0)
+        return shares;
+    const auto known =
+        std::find_if(shares.begin(), shares.end(), [&](const auto &it) { return it.of == whole; });
+    if (known == shares.end())
+        shares.push_back({whole, tasks});
+    else
+        known->tasks += tasks;
+    return shares;
+}
+
+void JobRelay::passPart(TimePoint now, std::uint64_t job, HeldJob held, const Candidate &to,
+                        const std::string &refusedBy)
+{
+    const auto number = m_nextNumber++;
+    held.owner.number = number;
+    m_vms.at(to.vm).sent[to.group] += static_cast<std::uint32_t>(held.submission.tasks.size());
+    m_jobs.at(job).parts.insert(number);
+    m_actions.emplace_back(SendJob{to.vm, to.group, held});
+    m_parts[number] = {job, std::move(held), to.vm, to.group, now + m_options.resendPeriod, refusedBy};
+}
+
+bool JobRelay::passAgain(TimePoint now, Part part)
+{
+    auto groups = candidates(part.held.submission.className);
+    const auto &job = m_jobs.at(part.job);
+    // A group keeps one part of a job.
+    std::erase_if(groups, [&](const auto &it) {
+        return it.group == part.group || std::any_of(job.parts.begin(), job.parts.end(), [&](const auto number) {
+                   return m_parts.at(number).group == it.group;
+               });
+    });
+    if (groups.empty())
         return false;
-    auto &vm = m_vms.at(choice->vm);
-    vm.sent[choice->group] += static_cast<std::uint32_t>(job.job.submission.tasks.size());
-    job.vm = choice->vm;
-    job.vmIncarnation = vm.incarnation;
-    job.group = choice->group;
-    job.resendAt = now + m_options.resendPeriod;
-    m_actions.emplace_back(SendJob{job.vm, job.group, job.job});
+    const auto tasks = static_cast<std::uint32_t>(part.held.submission.tasks.size());
+    passPart(now, part.job, std::move(part.held), *soonest(groups, tasks), part.group);
     return true;
 }
 
+void JobRelay::dropParts(std::uint64_t job, bool tellsHolders)
+{
+    for (const auto number : std::exchange(m_jobs.at(job).parts, {})) {
+        const auto it = m_parts.find(number);
+        if (tellsHolders) {
+            m_actions.emplace_back(SendCancel{it->second.vm, number});
+            it->second.resendAt = {};
+            m_cancelled.insert(m_parts.extract(it));
+        } else {
+            m_parts.erase(it);
+        }
+    }
+}
+
 void JobRelay::answer(std::uint64_t number, const Answer &answer)
 {
+    dropParts(number, true);
     const auto it = m_jobs.find(number);
     for (const auto caller : it->second.callers) {
         m_byCaller.erase(caller);
         m_actions.emplace_back(AnswerCaller{caller, answer});
     }
-    const auto byKey = m_byKey.find(it->second.job.submission.key);
-    if (byKey != m_byKey.end() && byKey->second == number)
-        m_byKey.erase(byKey);
+    m_byKey.erase(it->second.key);
     m_jobs.erase(it);
 }
 
--- a/src/fleet/fleetwire.cpp
+++ b/src/fleet/fleetwire.cpp
@@ -17,6 +17,7 @@
     to->set_pool(from.pool);
     to->set_remaining_us((from.submission.deadline - now).count());
     to->set_attempts(from.attempts);
+    to->set_first_task(from.firstTask);
     const std::string *previous = nullptr;
     for (const auto &it : from.submission.tasks) {
         auto *task = to->add_tasks();
@@ -70,6 +71,11 @@
     to->set_free_tasks(from.freeTasks);
     to->set_parallel(from.parallel);
     to->set_waiting_us(from.waiting.count());
+    for (const auto &it : from.classes) {
+        auto *of = to->add_classes();
+        of->set_class_name(it.className);
+        of->set_free_tasks(it.freeTasks);
+    }
 }
 
 std::optional<HeldJob> fromWire(TimePoint now, const wire::RunJob &from)
@@ -80,6 +86,7 @@
     job.owner.number = from.number();
     job.pool = from.pool();
     job.attempts = from.attempts();
+    job.firstTask = from.first_task();
     job.submission.key = from.key();
     job.submission.className = from.class_name();
     job.submission.deadline = now + Duration(from.remaining_us());
@@ -127,8 +134,11 @@
 
 GroupLoad fromWire(const wire::GroupLoad &from)
 {
-    return {from.group(),      from.fence(),    from.is_open(),
-            from.free_tasks(), from.parallel(), Duration(from.waiting_us())};
+    GroupLoad load{from.group(),    from.fence(), from.is_open(), from.free_tasks(),
+                   from.parallel(), Duration(from.waiting_us())};
+    for (const auto &it : from.classes())
+        load.classes.push_back({it.class_name(), it.free_tasks()});
+    return load;
 }
 
 } // namespace Citronpitch
