Under load a job that can't end within three times its target is refused, or given up unstarted

Cause: in bursts the queue grew to the patience of callers (4.8 s at p99 for targets of 0.4 s), so most places did work that came late. Change: admission and giving up look at three times the target as well as at the deadline, for classes whose target grows with the job.

--- a/src/core/dispatch/admission.cpp
+++ b/src/core/dispatch/admission.cpp
@@ -40,10 +40,10 @@
                             "admission: the queue of class " + submission.className + " is full", wait);
     if (load.queued + tasks > largestQueue)
         return refusalUntil(now, submission, Reason::Overloaded, "admission: the queue is full", wait);
-    const auto late = now + wait + load.alone - submission.deadline;
+    const auto late = now + wait + load.alone - std::min(submission.deadline, load.latestEnd);
     if (load.workAhead > Duration() && late > Duration())
         return refusalUntil(now, submission, Reason::Overloaded,
-                            "admission: the deadline can't be met with the work that waits", late);
+                            "admission: the job can't end in time with the work that waits", late);
     return std::nullopt;
 }
 
--- a/src/core/dispatch/admission.h
+++ b/src/core/dispatch/admission.h
@@ -13,6 +13,8 @@
     std::uint32_t parallel = 0;
     /// Expected time of the job if nothing else waited.
     Duration alone{};
+    /// Moment after which an answer is of little use.
+    TimePoint latestEnd = TimePoint::max();
     std::uint32_t queuedOfClass = 0;
     std::uint32_t queuedOfTeam = 0;
     std::uint32_t queued = 0;
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -117,6 +117,7 @@
     }
     const auto of = classes.find(submission.className).value_or(0);
     AdmissionLoad load;
+    load.latestEnd = usefulUntil({of, {}, now, submission.deadline, aloneTime(of, submission)});
     const auto alone = aloneTime(of, submission);
     if (times.isLearned(of)) {
         load.alone = alone;
@@ -141,7 +142,9 @@
     for (const auto &it : submission.tasks)
         trace.declared.push_back(it.declaredTime);
     m_state->jobs.insert_or_assign(job, std::move(trace));
-    m_state->queue.addJob(job, {of, submission.team, now, submission.deadline, alone});
+    QueuedJob queued{of, submission.team, now, submission.deadline, alone};
+    queued.usefulUntil = m_state->usefulUntil(queued);
+    m_state->queue.addJob(job, queued);
     for (auto i = static_cast<std::uint32_t>(submission.tasks.size()); i > 0; --i)
         requeue(now, job, submission, i - 1);
 }
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -21,6 +21,9 @@
 /// Unit of ClassDeclaration::targetStretch.
 constexpr int stretchUnit = 1000;
 
+/// An answer that takes this many times the target is of little use; under load, places go to other work.
+constexpr int usefulFactor = 3;
+
 /// From one busy place in this many on, work leaves the fast upstreams to work that needs them.
 constexpr std::size_t busyDivisor = 2;
 /// Part of the time to the target that a task may be expected to take.
@@ -119,6 +122,14 @@
     return std::min({due + lateFactor * entry.declaration.targetTime, latest, job.deadline});
 }
 
+TimePoint Dispatcher::State::usefulUntil(const QueuedJob &job) const
+{
+    // Classes whose target grows with the job say how late is late for each job.
+    if (classes.at(job.of).declaration.targetStretch == 0)
+        return job.deadline;
+    return std::min(job.deadline, job.arrival + usefulFactor * (targetTime(job) - job.arrival));
+}
+
 Duration Dispatcher::State::aloneTime(ClassIndex of, const Submission &submission) const
 {
     Duration work{};
@@ -344,11 +355,12 @@
 {
     if (head.deadline <= now)
         return true;
+    const auto usefulUntil = std::min(head.deadline, queue.findJob(head.job)->usefulUntil);
     if (isBaseline() || !isContended(head.job) || !times.isLearned(head.lane.of)
         || !jobs.at(head.job).perRack.empty())
         return false;
     const auto one = times.expected(head.lane.of, {});
-    return now + one * hopelessNumerator / hopelessDenominator > head.deadline;
+    return now + one * hopelessNumerator / hopelessDenominator > usefulUntil;
 }
 
 std::optional<Placement> Dispatcher::State::startFrom(TimePoint now, const LaneHead &head)
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -36,6 +36,9 @@
     /// Moment at which a job is due that has missed its target.
     TimePoint lateDueTime(const QueuedJob &job) const;
 
+    /// Moment after which an answer is of little use: several times the target, or the deadline.
+    TimePoint usefulUntil(const QueuedJob &job) const;
+
     /// Work of a job if nothing else waited.
     Duration aloneTime(ClassIndex of, const Submission &submission) const;
 
--- a/src/core/dispatch/taskqueue.h
+++ b/src/core/dispatch/taskqueue.h
@@ -26,6 +26,8 @@
     TimePoint deadline;
     /// Expected time of the job if nothing else waited.
     Duration alone{};
+    /// Under load the job is given up when it can't end before this moment and nothing of it was started.
+    TimePoint usefulUntil = TimePoint::max();
 };
 
 /// A waiting task and what it needs.
