--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -82,6 +82,9 @@
     Duration learnerHeartbeat = std::chrono::milliseconds(1000);
     /// Shortest election timeout; the longest is twice as long.
     Duration electionTimeout = std::chrono::milliseconds(600);
+    /// Shortest time from the start of a process to its first election; the longest is three times as long. A
+    /// leader that goes on makes it harmless, since candidates ask before they disturb.
+    Duration firstElection = std::chrono::milliseconds(600);
     Duration proposalResend = std::chrono::milliseconds(300);
     /// How long an operator's call waits.
     Duration proposalTimeout = std::chrono::seconds(5);
@@ -300,6 +303,7 @@
 
     // Elections.
     void setElectionDeadline(TimePoint now);
+    void setFirstElection(TimePoint now);
     void startElection(TimePoint now, bool isPre);
     void becomeFollower(TimePoint now, std::uint64_t term, const std::string &leader);
     void becomeLeader(TimePoint now);
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -60,7 +60,7 @@
     , m_startedAt(now)
 {
     recover(records);
-    setElectionDeadline(now);
+    setFirstElection(now);
 }
 
 ConfigurationNode::~ConfigurationNode() = default;
@@ -374,6 +374,13 @@
     m_electionDeadline = now + m_options.electionTimeout + Duration(static_cast<std::int64_t>(draw));
 }
 
+void ConfigurationNode::setFirstElection(TimePoint now)
+{
+    const auto spread = static_cast<std::uint64_t>(2 * m_options.firstElection.count());
+    const auto draw = mix(m_options.seed + mix(++m_draws)) % spread;
+    m_electionDeadline = now + m_options.firstElection + Duration(static_cast<std::int64_t>(draw));
+}
+
 void ConfigurationNode::startElection(TimePoint now, bool isPre)
 {
     m_role = isPre ? ConfigurationRole::PreCandidate : ConfigurationRole::Candidate;
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -21,6 +21,10 @@
 constexpr std::uint64_t keptLogEntries = 64;
 /// Voters of a fleet, as far as there are control VMs.
 constexpr std::size_t voters = 3;
+/// A process that starts finds the links of the others within this time, where they are up.
+constexpr Duration firstElection = std::chrono::milliseconds(150);
+constexpr Duration voterHeartbeat = std::chrono::milliseconds(100);
+constexpr Duration electionTimeout = std::chrono::milliseconds(500);
 /// Within this time each VM in reach has what was committed.
 constexpr Duration learnerHeartbeat = std::chrono::milliseconds(200);
 
@@ -63,6 +67,9 @@
     options.freshStorage = randomNumber();
     options.seed = randomNumber();
     options.learnerHeartbeat = learnerHeartbeat;
+    options.firstElection = firstElection;
+    options.voterHeartbeat = voterHeartbeat;
+    options.electionTimeout = electionTimeout;
     options.keptEntries = keptLogEntries;
     options.maximumVoters = voters;
     if (settings.isFirstStart && settings.role == VmRole::Control)
