Fuzzing of an open membership: voters that come and go, fences, certain reads

The cluster of the configuration fuzzer gains a mode in which three of four VMs vote, the leader replaces absent voters, groups change holders, and every claim of certainty is checked against what was accepted by then.

--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -64,6 +64,8 @@
     bool forgetsCommit = false;
     /// Never sends what a learner lacks.
     bool neverCatchesUp = false;
+    /// Takes the arrival of a message for the moment at which it was sent, also after a freeze.
+    bool trustsArrivals = false;
 };
 
 /// What a ConfigurationNode is told at its start.
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -624,7 +624,8 @@
         return;
     m_freshAt = std::max(m_freshAt.value_or(TimePoint()), now - Duration(append.quorum_age_us()));
     if (const auto sentAt = unstamp(append.echoed_at())) {
-        const auto confirmedAt = *sentAt - Duration(append.confirmed_age_us());
+        const auto latest = m_options.faults.trustsArrivals ? now : *sentAt;
+        const auto confirmedAt = latest - Duration(append.confirmed_age_us());
         m_confirmedAt = std::max(m_confirmedAt.value_or(confirmedAt), confirmedAt);
     }
 }
--- a/tests/fuzz/configurationcluster.h
+++ b/tests/fuzz/configurationcluster.h
@@ -31,6 +31,8 @@
     std::size_t voters = 5;
     std::size_t learners = 2;
     std::uint64_t keptEntries = 20;
+    /// Whether members come and go: three of the voters named here vote, the first ones at the start.
+    bool isOpen = false;
     ConfigurationTestFaults faults;
 };
 
@@ -63,6 +65,8 @@
 
     /// An operator at @p vm makes a change based on what that VM shows, less @p staleness versions.
     void propose(std::size_t vm, std::uint64_t staleness);
+    /// The leader gives group @p group to @p vm.
+    void assignHolder(std::size_t group, std::size_t vm);
     /// The operator resends the change that was made @p back changes ago, at @p vm.
     void resend(std::size_t vm, std::size_t back);
 
@@ -97,6 +101,7 @@
         std::deque<DiskWrite> writes;
         bool isUp = false;
         bool isWiped = false;
+        bool hasStarted = false;
         TimePoint frozenUntil;
         std::uint64_t shownVersion = 0;
     };
@@ -127,6 +132,10 @@
     static void writeTo(std::vector<std::string> &disk, const DiskWrite &write);
     void ask(std::size_t vm, std::size_t asked);
     void checkShown(std::size_t vm, const Configuration &configuration);
+    /// A fencing token belongs to one holder for ever.
+    void checkFences(const Configuration &configuration);
+    /// What a VM says to be certain of must be as new as what was accepted by then.
+    void checkCertainty(const Vm &vm);
     void checkLeaders();
     /// A new leader must hold every accepted change.
     void checkLeaderHolds(const Vm &vm);
@@ -153,6 +162,8 @@
     ChangeRequestId m_nextRequest = 1;
     std::map<std::uint64_t, std::string> m_acceptedIds;
     std::map<std::uint64_t, Configuration> m_shownVersions;
+    std::map<std::uint64_t, TimePoint> m_acceptedAt;
+    std::map<std::uint64_t, GroupHolder> m_fences;
     std::map<std::uint64_t, std::string> m_leaders;
     ClusterCounts m_counts;
     std::string m_failure;
