--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -129,6 +129,8 @@
     m_progress.clear();
     m_heldMessages.clear();
     m_heldShows.clear();
+    // What was committed may not be shown any more.
+    m_confirmedAt.reset();
 }
 
 void ConfigurationNode::tick(TimePoint now)
@@ -866,7 +868,7 @@
     const auto &voters = m_log.voters();
     const auto present =
         std::count_if(voters.begin(), voters.end(), [&](const auto &it) { return !isAbsent(now, it); });
-    // One voter more than usual stands for the moment in which an absent one is replaced.
+    // One voter more than usual stands while an absent one is replaced: a group of two could lose no disk.
     const bool isFull = static_cast<std::size_t>(present) >= m_options.maximumVoters
         || voters.size() > m_options.maximumVoters;
     if (isMembershipOpen() && isFull)
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -25,6 +25,8 @@
 constexpr Duration firstElection = std::chrono::milliseconds(150);
 constexpr Duration voterHeartbeat = std::chrono::milliseconds(100);
 constexpr Duration electionTimeout = std::chrono::milliseconds(500);
+/// Pause before a journal is opened again that could not be written, as when its disk was full.
+constexpr Duration reopenPause = std::chrono::milliseconds(500);
 /// Within this time each VM in reach has what was committed.
 constexpr Duration learnerHeartbeat = std::chrono::milliseconds(200);
 
@@ -94,22 +96,12 @@
 } // namespace
 
 FleetMember::FleetMember(boost::asio::io_context &io, const FleetSettings &settings, FleetMemberHooks hooks)
-    : m_hooks(std::move(hooks))
+    : m_io(io)
+    , m_settings(settings)
+    , m_hooks(std::move(hooks))
     , m_self(selfOf(settings, m_clock.now()))
     , m_peerPort(settings.peers.port)
     , m_directory({m_self, seedsOf(settings)})
-    , m_store(
-          io, settings.dataFolder,
-          [this](std::uint64_t token) {
-              m_node.synced(now(), token);
-              carryOut();
-          },
-          [this](const StepError &error) {
-              logEvent(Event::ConfigurationStorageFailed, {{"error", error.text()}});
-              m_node.storageFailed();
-              carryOut();
-          })
-    , m_node(m_clock.now(), nodeOptionsOf(settings, m_self), m_store.takeRecovered())
     , m_links(
           io, m_self.name, settings.peers, {}, [this](std::string_view bytes) { received(bytes); },
           [this](const std::string &vm, bool isUp) {
@@ -120,13 +112,47 @@
           })
     , m_timer(io)
 {
+    openConfiguration();
 }
 
 FleetMember::~FleetMember() = default;
 
+void FleetMember::openConfiguration()
+{
+    m_store = std::make_unique<ConfigurationStore>(
+        m_io, m_settings.dataFolder,
+        [this](std::uint64_t token) {
+            m_node->synced(now(), token);
+            carryOut();
+        },
+        [this](const StepError &error) {
+            logEvent(Event::ConfigurationStorageFailed, {{"error", error.text()}});
+            m_node->storageFailed();
+            m_reopenAt = now() + reopenPause;
+            carryOut();
+        });
+    m_node = std::make_unique<ConfigurationNode>(now(), nodeOptionsOf(m_settings, m_self),
+                                                 m_store->takeRecovered());
+}
+
+void FleetMember::reopenConfiguration()
+{
+    m_reopenAt = now() + reopenPause;
+    try {
+        openConfiguration();
+    } catch (const std::exception &e) {
+        logEvent(Event::ConfigurationStorageFailed, {{"error", e.what()}});
+        return;
+    }
+    m_members.clear();
+    updateMembers();
+    m_hooks.shown(m_node->shown());
+    carryOut();
+}
+
 void FleetMember::start()
 {
-    m_hooks.shown(m_node.shown());
+    m_hooks.shown(m_node->shown());
     carryOut();
     updateLinks();
     scheduleTick();
@@ -159,13 +185,13 @@
 
 void FleetMember::propose(ChangeRequestId request, const ConfigurationChange &change)
 {
-    m_node.propose(now(), request, change);
+    m_node->propose(now(), request, change);
     carryOut();
 }
 
 void FleetMember::assignHolder(const GroupHolder &wanted)
 {
-    m_node.assignHolder(now(), wanted);
+    m_node->assignHolder(now(), wanted);
     carryOut();
 }
 
@@ -186,7 +212,7 @@
 
 const ConfigurationNode &FleetMember::configuration() const
 {
-    return m_node;
+    return *m_node;
 }
 
 void FleetMember::received(std::string_view bytes)
@@ -205,7 +231,7 @@
     else if (!isForThisLife)
         return;
     if (message.body_case() == wire::Message::kConfiguration) {
-        m_node.receive(now(), message.sender(), message.configuration());
+        m_node->receive(now(), message.sender(), message.configuration());
         carryOut();
     }
     reportChanges();
@@ -260,7 +286,7 @@
     if (isSame)
         return;
     m_members = members;
-    m_node.setMembers(now(), members);
+    m_node->setMembers(now(), members);
 }
 
 void FleetMember::reportChanges()
@@ -291,7 +317,9 @@
     }
     m_directory.tick(now());
     reportChanges();
-    m_node.tick(now());
+    if (m_node->hasStorageFailed() && now() >= m_reopenAt)
+        reopenConfiguration();
+    m_node->tick(now());
     carryOut();
     noteLeader();
     m_hooks.ticked();
@@ -301,7 +329,7 @@
 {
     if (std::exchange(m_isCarryingOut, true))
         return;
-    for (auto actions = m_node.takeActions(); !actions.empty(); actions = m_node.takeActions()) {
+    for (auto actions = m_node->takeActions(); !actions.empty(); actions = m_node->takeActions()) {
         for (const auto &it : actions)
             std::visit([this](const auto &action) { carryOut(action); }, it);
     }
@@ -310,12 +338,12 @@
 
 void FleetMember::carryOut(const AppendRecords &action)
 {
-    m_store.write(action);
+    m_store->write(action);
 }
 
 void FleetMember::carryOut(const ReplaceRecords &action)
 {
-    m_store.write(action);
+    m_store->write(action);
 }
 
 void FleetMember::carryOut(const SendConfigurationMessage &action)
@@ -337,11 +365,11 @@
 
 void FleetMember::noteLeader()
 {
-    if (m_notedLeader == m_node.leader())
+    if (m_notedLeader == m_node->leader())
         return;
-    m_notedLeader = m_node.leader();
+    m_notedLeader = m_node->leader();
     logEvent(Event::ConfigurationLeader,
-             {{"leader", m_notedLeader}, {"term", std::to_string(m_node.term())}});
+             {{"leader", m_notedLeader}, {"term", std::to_string(m_node->term())}});
 }
 
 } // namespace Citronpitch
--- a/src/fleet/fleetmember.h
+++ b/src/fleet/fleetmember.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 
@@ -71,6 +72,10 @@
     const ConfigurationNode &configuration() const;
 
 private:
+    /// Opens the journal and starts from what it holds; throws std::exception where it can't be had.
+    void openConfiguration();
+    /// Tries again after the journal could not be written.
+    void reopenConfiguration();
     void received(std::string_view bytes);
     void heartbeatReceived(const citronpitch::wire::fleet::Message &message);
     void updateLinks();
@@ -86,18 +91,21 @@
     void carryOut(const AnswerChange &action);
     void noteLeader();
 
+    boost::asio::io_context &m_io;
+    FleetSettings m_settings;
     FleetMemberHooks m_hooks;
     BootClock m_clock;
     FleetPeer m_self;
     std::uint16_t m_peerPort;
     PeerDirectory m_directory;
-    ConfigurationStore m_store;
-    ConfigurationNode m_node;
+    std::unique_ptr<ConfigurationStore> m_store;
+    std::unique_ptr<ConfigurationNode> m_node;
     PeerLinks m_links;
     boost::asio::steady_timer m_timer;
     std::set<std::string> m_linked;
     std::vector<ConfigurationMember> m_members;
     TimePoint m_nextHeartbeat;
+    TimePoint m_reopenAt;
     std::string m_notedLeader;
     bool m_isCarryingOut = false;
 };
--- a/tests/fuzz/configurationcluster.h
+++ b/tests/fuzz/configurationcluster.h
@@ -54,6 +54,9 @@
     /// Faults. @p vm and the others are reduced modulo the number of VMs.
     void kill(std::size_t vm);
     void restart(std::size_t vm);
+    /// The disk of @p vm refuses to write; the VM learns it at once.
+    void refuseWrites(std::size_t vm);
+    bool isOpen() const;
     /// Kills and wipes the disk, where a majority of the voters keeps its own. Returns whether it did.
     bool loseDisk(std::size_t vm);
     void freeze(std::size_t vm, Duration time);
@@ -102,6 +105,8 @@
         bool isUp = false;
         bool isWiped = false;
         bool hasStarted = false;
+        /// When it was started after its disk was lost; the earliest moment where it never was.
+        TimePoint repairedFrom;
         TimePoint frozenUntil;
         std::uint64_t shownVersion = 0;
     };
@@ -143,6 +148,8 @@
     void checkEnd();
     bool isSettled() const;
     bool keepsMajorityWithout(std::size_t vm) const;
+    /// Whether the last lost disk was made up for: a fleet bears one at a time.
+    bool isRepaired() const;
     bool isFrozen(const Vm &vm) const;
     void fail(const std::string &text);
     /// What each VM thinks, for the text of a failure.
--- a/tests/fuzz/configurationmodel.cpp
+++ b/tests/fuzz/configurationmodel.cpp
@@ -116,7 +116,10 @@
             cluster.resend(m_vm, m_amount % 5);
             break;
         case StepKind::Kill:
-            cluster.kill(m_vm);
+            if (cluster.isOpen() && m_other % 2 == 0)
+                cluster.refuseWrites(m_vm);
+            else
+                cluster.kill(m_vm);
             break;
         case StepKind::KillLeader:
             if (const auto leader = cluster.leader())
@@ -211,6 +214,8 @@
             *rc::state::gen::commands(NoModel(), rc::state::gen::execOneOfWithArgs<FuzzStep>());
         rc::state::runAll(commands, NoModel(), cluster);
         result.steps += commands.size();
+        for (std::size_t i = 0; isOpen && i < cluster.size(); ++i)
+            cluster.kill(i);
         cluster.settle();
         add(cluster);
         if (!cluster.failure().empty())
--- a/tests/unit/configurationnodetest.cpp
+++ b/tests/unit/configurationnodetest.cpp
@@ -169,3 +169,41 @@
     }
     EXPECT_EQ(node.shown().version, 0U);
 }
+
+TEST(ConfigurationNodeTest, vmWhoseDiskRefusesWritesIsCertainOfNothingThatItCouldNotShow)
+{
+    constexpr std::size_t rounds = 40;
+    constexpr int longestWait = 400;
+    constexpr auto turn = std::chrono::milliseconds(5);
+    auto plan = planOf(4, 0);
+    plan.isOpen = true;
+    ConfigurationCluster cluster(plan);
+    cluster.advance(aWhile);
+    std::size_t refusals = 0;
+    for (std::size_t i = 0; i < rounds; ++i) {
+        const auto vm = i % cluster.size();
+        cluster.kill(vm);
+        cluster.advance(aWhile);
+        cluster.propose(vm + 1, 0);
+        cluster.advance(aWhile);
+        cluster.restart(vm);
+        // The disk fails when the VM has caught up, before it could show what it learned.
+        for (int n = 0; n < longestWait; ++n) {
+            cluster.advance(turn);
+            const auto leads = cluster.leader();
+            const bool isCaughtUp =
+                leads && cluster.node(vm).commitIndex() == cluster.node(*leads).commitIndex();
+            if (!isCaughtUp || cluster.node(vm).shown() == cluster.node(vm).state().configuration())
+                continue;
+            ++refusals;
+            cluster.refuseWrites(vm);
+            break;
+        }
+        cluster.advance(std::chrono::milliseconds(100));
+        cluster.kill(vm);
+        cluster.restart(vm);
+        cluster.advance(aWhile);
+    }
+    EXPECT_EQ(cluster.failure(), "");
+    EXPECT_GT(refusals, 0U);
+}
