--- a/tests/unit/dispatchertest.cpp
+++ b/tests/unit/dispatchertest.cpp
@@ -489,3 +489,92 @@
     EXPECT_TRUE(dispatcher.takeGivenUp().empty());
     EXPECT_EQ(dispatcher.queuedTasks(), 0U);
 }
+
+namespace {
+
+/// Upstreams "slow" and "fast" with four places each, of which the times for both classes are known.
+class SpeedsTest : public DispatcherTest
+{
+protected:
+    SpeedsTest()
+    {
+        auto configuration = twoClasses();
+        for (auto &it : configuration.classes) {
+            it.targetTime = 60ms;
+            it.targetStretch = 1600;
+        }
+        dispatcher.setConfiguration(configuration);
+        dispatcher.announce(start, upstream("slow", 4));
+        dispatcher.announce(start, upstream("fast", 4));
+        for (int i = 0; i < 30; ++i) {
+            run("short", 50ms);
+            run("long", 800ms);
+        }
+    }
+
+    /// Runs eight tasks; on the slow upstream each takes one and a half times as long.
+    void run(const std::string &className, Duration time)
+    {
+        ++job;
+        dispatcher.add(now, job, submission(8, className));
+        const auto placed = dispatcher.place(now);
+        for (const auto *name : {"fast", "slow"}) {
+            now += time / 2;
+            for (const auto &it : placed) {
+                if (it.upstream == name)
+                    dispatcher.finish(now, it.attempt, success);
+            }
+            now += name == std::string("fast") ? time / 4 : Duration();
+        }
+        dispatcher.remove(now, job);
+        now += 10ms;
+    }
+
+    /// Upstreams of the tasks of a new job that starts now.
+    std::vector<std::string> placesOf(const std::string &className, std::uint32_t tasks, Duration patience)
+    {
+        auto wanted = submission(tasks, className);
+        wanted.deadline = now + patience;
+        dispatcher.add(now, ++job, wanted);
+        std::vector<std::string> places;
+        for (const auto &it : dispatcher.place(now))
+            places.push_back(it.upstream);
+        return places;
+    }
+
+    TimePoint now = start;
+    JobId job = 0;
+};
+
+} // namespace
+
+TEST_F(SpeedsTest, idleDeploymentGivesShortWorkTheFastUpstream)
+{
+    EXPECT_EQ(placesOf("short", 1, 2s), std::vector<std::string>{"fast"});
+}
+
+TEST_F(SpeedsTest, underLoadShortWorkLeavesTheFastUpstreamToLongWork)
+{
+    // Half of the places are busy from here on.
+    ASSERT_EQ(placesOf("long", 4, 3s), (std::vector<std::string>(4, "fast")));
+    EXPECT_EQ(placesOf("short", 2, 2s), (std::vector<std::string>(2, "slow")));
+}
+
+TEST_F(SpeedsTest, longWorkTakesTheFastUpstreamThatItsDeadlineNeeds)
+{
+    ASSERT_EQ(placesOf("short", 4, 2s).size(), 4U);
+    const auto places = placesOf("long", 1, 900ms);
+    EXPECT_TRUE(places.empty() || places == std::vector<std::string>{"fast"});
+}
+
+TEST_F(SpeedsTest, underLoadAJobThatCannotEndWithinThreeTimesItsTargetIsRefused)
+{
+    for (int i = 0; i < 40; ++i)
+        placesOf("long", 8, 30s);
+    auto late = submission(1, "long");
+    late.deadline = now + 30s;
+    const auto refusal = dispatcher.refusal(now, late);
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->reason, Reason::Overloaded);
+    EXPECT_TRUE(refusal->retryAt);
+}
--- /dev/null
+++ b/tests/unit/peerdirectorytest.cpp
@@ -0,0 +1,112 @@
+#include "citronpitch/peerdirectory.h"
+
+#include <gtest/gtest.h>
+
+using namespace Citronpitch;
+
+namespace {
+
+constexpr TimePoint start{std::chrono::seconds(1000)};
+constexpr auto second = std::chrono::seconds(1);
+
+PeerDirectory directoryOf(VmRole role)
+{
+    return PeerDirectory({{"self:1", role, "a", 1}, {"seed:1"}});
+}
+
+/// A heartbeat of @p name that has just seen this VM's last message.
+void hear(PeerDirectory &directory, TimePoint now, const std::string &name, VmRole role,
+          std::uint64_t incarnation = 1, const std::vector<FleetPeer> &controlVms = {})
+{
+    if (directory.heard(now, name, incarnation, 1, now))
+        directory.described(now, {name, role, "b", incarnation}, false, controlVms);
+}
+
+} // namespace
+
+TEST(PeerDirectoryTest, controlVmsAreFoundThroughASeed)
+{
+    auto directory = directoryOf(VmRole::Entry);
+    EXPECT_EQ(directory.targets(), std::vector<std::string>{"seed:1"});
+    hear(directory, start, "seed:1", VmRole::Control, 1, {{"other:1", VmRole::Control, "c", 1}});
+    EXPECT_EQ(directory.targets(), (std::vector<std::string>{"other:1", "seed:1"}));
+}
+
+TEST(PeerDirectoryTest, entryVmsKeepNoLinksWithEachOther)
+{
+    auto directory = directoryOf(VmRole::Entry);
+    hear(directory, start, "entry:1", VmRole::Entry);
+    EXPECT_EQ(directory.targets(), std::vector<std::string>{"seed:1"});
+}
+
+TEST(PeerDirectoryTest, vmIsInReachOnlyWhenMessagesPassBothWays)
+{
+    auto directory = directoryOf(VmRole::Control);
+    ASSERT_TRUE(directory.heard(start, "x:1", 1, 1, TimePoint()));
+    directory.described(start, {"x:1", VmRole::Control, "b", 1}, false, {});
+    EXPECT_FALSE(directory.isAlive("x:1"));
+    hear(directory, start, "x:1", VmRole::Control);
+    EXPECT_TRUE(directory.isAlive("x:1"));
+}
+
+TEST(PeerDirectoryTest, messagesThatWaitedThroughAFreezeDoNotBringAVmIntoReach)
+{
+    auto directory = directoryOf(VmRole::Control);
+    hear(directory, start, "x:1", VmRole::Control);
+    const auto afterFreeze = start + 5 * second;
+    ASSERT_TRUE(directory.heard(afterFreeze, "x:1", 1, 2, start));
+    EXPECT_FALSE(directory.isAlive("x:1"));
+}
+
+TEST(PeerDirectoryTest, silentVmIsOutOfReachAndItsReturnIsTold)
+{
+    auto directory = directoryOf(VmRole::Control);
+    hear(directory, start, "x:1", VmRole::Control);
+    directory.takeChanges();
+    directory.tick(start + second);
+    auto changes = directory.takeChanges();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_FALSE(changes[0].isAlive);
+    hear(directory, start + second, "x:1", VmRole::Control);
+    changes = directory.takeChanges();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_TRUE(changes[0].isAlive);
+}
+
+TEST(PeerDirectoryTest, newLifeEndsTheOneBefore)
+{
+    auto directory = directoryOf(VmRole::Control);
+    hear(directory, start, "x:1", VmRole::Control, 5);
+    directory.takeChanges();
+    hear(directory, start, "x:1", VmRole::Control, 6);
+    const auto changes = directory.takeChanges();
+    ASSERT_EQ(changes.size(), 2U);
+    EXPECT_EQ(changes[0].peer.incarnation, 5U);
+    EXPECT_FALSE(changes[0].isAlive);
+    EXPECT_EQ(changes[1].peer.incarnation, 6U);
+}
+
+TEST(PeerDirectoryTest, messageOfAnEndedLifeIsDropped)
+{
+    auto directory = directoryOf(VmRole::Control);
+    hear(directory, start, "x:1", VmRole::Control, 6);
+    EXPECT_FALSE(directory.heard(start, "x:1", 5, 1, start));
+}
+
+TEST(PeerDirectoryTest, newLifeWithASteppedBackClockIsTakenOnceTheOneBeforeIsGone)
+{
+    auto directory = directoryOf(VmRole::Control);
+    hear(directory, start, "x:1", VmRole::Control, 6);
+    directory.tick(start + second);
+    hear(directory, start + second, "x:1", VmRole::Control, 5);
+    EXPECT_TRUE(directory.isAlive("x:1"));
+}
+
+TEST(PeerDirectoryTest, endedConnectionShortensTheWait)
+{
+    auto directory = directoryOf(VmRole::Control);
+    hear(directory, start, "x:1", VmRole::Control);
+    directory.linkEnded(start, "x:1");
+    directory.tick(start + std::chrono::milliseconds(250));
+    EXPECT_FALSE(directory.isAlive("x:1"));
+}
