--- a/include/citronpitch/jobrelay.h
+++ b/include/citronpitch/jobrelay.h
@@ -54,13 +54,13 @@
     explicit JobRelay(JobRelayOptions options);
 
     /// The holders in force.
-    void setHolders(TimePoint now, const std::vector<GroupHolder> &holders);
+    void setHolders(const std::vector<GroupHolder> &holders);
 
     /// A control VM came into reach.
     void holderAlive(const std::string &vm, std::uint64_t incarnation, bool isDraining);
 
     /// A control VM is out of reach: what it runs may go on for a while, so its jobs are answered as unknown.
-    void holderGone(TimePoint now, const std::string &vm);
+    void holderGone(const std::string &vm);
 
     /// What the holder on @p vm says of its groups.
     void loadReported(const std::string &vm, const std::vector<GroupLoad> &loads);
@@ -69,7 +69,7 @@
     void submit(TimePoint now, CallerId caller, HeldJob job);
 
     /// The connection of @p caller is gone.
-    void callerGone(TimePoint now, CallerId caller);
+    void callerGone(CallerId caller);
 
     /// The holder on @p vm has answered job @p number.
     void ended(TimePoint now, const std::string &vm, std::uint64_t number, Answer answer);
--- a/include/citronpitch/upstream.h
+++ b/include/citronpitch/upstream.h
@@ -51,6 +51,14 @@
     EnumName<AttemptEnd>{AttemptEnd::Stopped, "stopped"},
 };
 
+/// Whether an upstream's HTTP status says that the task succeeded.
+constexpr bool isSuccess(int status)
+{
+    constexpr int firstSuccess = 200;
+    constexpr int firstRedirect = 300;
+    return status >= firstSuccess && status < firstRedirect;
+}
+
 /// Result of one attempt, as the connection to the upstream saw it.
 struct AttemptResult
 {
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -155,7 +155,7 @@
     void noteClock(TimePoint now, std::int64_t clockMs);
     void noteAnswer(TimePoint now, const OrderResult &result);
     RunOrder newOrder(OrderKind kind) const;
-    OrderId send(TimePoint now, RunOrder order, OpenOrder open);
+    OrderId send(RunOrder order, OpenOrder open);
     void sendPoll(TimePoint now);
     void sendStop(TimePoint now, const std::string &task, std::uint32_t run, OrderId &order,
                   TimePoint &againAt);
@@ -166,7 +166,7 @@
     void finish(std::map<std::string, Run>::iterator it, RunOutcome outcome,
                 OrderVerdict verdict = OrderVerdict::Accepted);
     void finishAll(RunOutcome outcome);
-    void startAnew(std::uint64_t incarnation);
+    void startAnew();
     bool hasWork() const;
 
     UpstreamRunsOptions m_options;
--- a/src/core/claims/jobrun.cpp
+++ b/src/core/claims/jobrun.cpp
@@ -10,14 +10,6 @@
 /// Attempts of an idempotent task that may have run without an answer, in all.
 constexpr std::uint32_t maximumBrokenAttempts = 3;
 
-constexpr int firstSuccess = 200;
-constexpr int firstRedirect = 300;
-
-bool isSuccess(int status)
-{
-    return status >= firstSuccess && status < firstRedirect;
-}
-
 } // namespace
 
 JobRun::JobRun(Submission submission, const TestFaults &faults)
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -58,9 +58,6 @@
 /// Change of the mean need, in parts of it, from which parallel work is counted anew.
 constexpr double needChange = 0.1;
 
-constexpr int firstSuccess = 200;
-constexpr int firstRedirect = 300;
-
 /// Whether any task could fit into what is left.
 bool hasRoom(const UpstreamEntry &entry)
 {
@@ -512,15 +509,15 @@
 void Dispatcher::State::learnFromAnswer(TimePoint now, const InFlight &attempt, int status)
 {
     upstreams.at(attempt.upstream).declines = 0;
-    const bool isSuccess = status >= firstSuccess && status < firstRedirect;
-    if (isSuccess) {
+    const bool hasSucceeded = isSuccess(status);
+    if (hasSucceeded) {
         times.succeeded(now, attempt.of, attempt.upstream, attempt.declared, now - attempt.startedAt);
         classes.at(attempt.of).isRankingOld = true;
         const auto job = jobs.find(attempt.job);
         if (job != jobs.end())
             ++job->second.succeeded;
     }
-    observe(now, attempt, isSuccess ? HealthSign::Succeeded : HealthSign::TaskFailed);
+    observe(now, attempt, hasSucceeded ? HealthSign::Succeeded : HealthSign::TaskFailed);
 }
 
 void Dispatcher::State::observe(TimePoint now, const InFlight &attempt, HealthSign sign)
--- a/src/core/runs/jobrelay.cpp
+++ b/src/core/runs/jobrelay.cpp
@@ -39,7 +39,7 @@
 {
 }
 
-void JobRelay::setHolders(TimePoint, const std::vector<GroupHolder> &holders)
+void JobRelay::setHolders(const std::vector<GroupHolder> &holders)
 {
     m_holders = holders;
 }
@@ -53,7 +53,7 @@
     it.isDraining = isDraining;
 }
 
-void JobRelay::holderGone(TimePoint, const std::string &vm)
+void JobRelay::holderGone(const std::string &vm)
 {
     m_vms.erase(vm);
     std::set<std::uint64_t> lost;
@@ -107,7 +107,7 @@
     }
 }
 
-void JobRelay::callerGone(TimePoint, CallerId caller)
+void JobRelay::callerGone(CallerId caller)
 {
     const auto it = m_byCaller.find(caller);
     if (it == m_byCaller.end())
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -42,7 +42,7 @@
     const bool isNewLife = announcement.upstream.incarnation > known;
     m_announcement = announcement;
     if (isNewLife)
-        startAnew(announcement.upstream.incarnation);
+        startAnew();
     noteClock(now, announcement.clockMs);
 }
 
@@ -65,7 +65,7 @@
     order.run = run;
     order.payload = payload;
     order.leaseMs = clockFloor(now) + millisecondsOf(m_options.lease);
-    send(now, std::move(order), {OrderKind::Start, task, run, 0});
+    send(std::move(order), {OrderKind::Start, task, run, 0});
     if (!m_isPolling)
         sendPoll(now);
 }
@@ -193,7 +193,7 @@
     return order;
 }
 
-OrderId UpstreamRuns::send(TimePoint, RunOrder order, OpenOrder open)
+OrderId UpstreamRuns::send(RunOrder order, OpenOrder open)
 {
     m_leaseMs = std::max(m_leaseMs, order.leaseMs);
     const auto id = m_send(std::move(order));
@@ -215,7 +215,7 @@
         order.wait = m_options.pollWait;
     order.timeout = m_options.orderTimeout + order.wait;
     m_isPolling = true;
-    send(now, std::move(order), {OrderKind::Poll, {}, 0, m_nextPoll++});
+    send(std::move(order), {OrderKind::Poll, {}, 0, m_nextPoll++});
 }
 
 void UpstreamRuns::sendStop(TimePoint now, const std::string &task, std::uint32_t run, OrderId &order,
@@ -225,7 +225,7 @@
     stop.task = task;
     stop.run = run;
     againAt = now + m_options.retryPause;
-    order = send(now, std::move(stop), {OrderKind::Stop, task, run, 0});
+    order = send(std::move(stop), {OrderKind::Stop, task, run, 0});
 }
 
 void UpstreamRuns::startEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
@@ -285,7 +285,7 @@
     }
     if (result.incarnation > known) {
         m_announcement.upstream.incarnation = result.incarnation;
-        startAnew(result.incarnation);
+        startAnew();
         return;
     }
     m_isFenced = true;
@@ -348,7 +348,7 @@
         finish(m_runs.begin(), outcome);
 }
 
-void UpstreamRuns::startAnew(std::uint64_t)
+void UpstreamRuns::startAnew()
 {
     m_clockReadAt.reset();
     m_clockMs = 0;
--- a/src/daemon/configurationservice.cpp
+++ b/src/daemon/configurationservice.cpp
@@ -3,10 +3,10 @@
 #include "daemon/callerapi.h"
 #include "daemon/configurationapi.h"
 #include "log/eventlog.h"
+#include "store/randomnumber.h"
 
 #include <algorithm>
 #include <charconv>
-#include <random>
 
 namespace Citronpitch {
 
@@ -17,13 +17,6 @@
 constexpr std::string_view resource = "/v1/configuration";
 constexpr std::size_t defaultHistory = 100;
 
-std::uint64_t randomNumber()
-{
-    std::random_device device;
-    const auto high = static_cast<std::uint64_t>(device());
-    return (high << 32 | device()) | 1;
-}
-
 ConfigurationNodeOptions optionsOf(const Settings &settings)
 {
     ConfigurationNodeOptions options;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,6 +5,7 @@
 #include "daemon/callerapi.h"
 #include "daemon/controlapi.h"
 #include "log/eventlog.h"
+#include "log/wallclock.h"
 
 #include "wire/peer.pb.h"
 
@@ -28,11 +29,6 @@
 /// How long connections are still taken after readiness has fallen, so that the balancer can notice.
 constexpr Duration listenAfterDrain = std::chrono::seconds(1);
 
-TimePoint wallClock()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
-}
-
 /// A life's incarnation is its start, or one more than the last one's where the clock was set back.
 std::uint64_t nextIncarnation(TimePoint start, std::uint64_t last)
 {
--- a/src/fleet/bootclock.cpp
+++ b/src/fleet/bootclock.cpp
@@ -1,5 +1,7 @@
 #include "fleet/bootclock.h"
 
+#include "log/wallclock.h"
+
 #include <ctime>
 
 namespace Citronpitch {
@@ -17,7 +19,7 @@
 } // namespace
 
 BootClock::BootClock()
-    : m_wallStart(std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now()))
+    : m_wallStart(wallClock())
     , m_bootStart(sinceBoot())
 {
 }
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -42,7 +42,7 @@
 {
     if (m_callers.erase(caller) == 0)
         return;
-    m_relay.callerGone(now(), caller);
+    m_relay.callerGone(caller);
     carryOut();
 }
 
@@ -104,13 +104,13 @@
 {
     if (change.isAlive || change.peer.role != VmRole::Control)
         return;
-    m_relay.holderGone(now(), change.peer.name);
+    m_relay.holderGone(change.peer.name);
     carryOut();
 }
 
 void FleetEntry::shown(const Configuration &configuration)
 {
-    m_relay.setHolders(now(), configuration.holders);
+    m_relay.setHolders(configuration.holders);
     const auto &document = configuration.document;
     const bool isNew = document.version > 0 && (!m_declaration || m_declaration->version < document.version);
     if (!isNew)
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -1,11 +1,11 @@
 #include "fleet/fleetmember.h"
 
 #include "log/eventlog.h"
+#include "store/randomnumber.h"
 
 #include "wire/fleet.pb.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace Citronpitch {
@@ -30,13 +30,6 @@
 /// Within this time each VM in reach has what was committed.
 constexpr Duration learnerHeartbeat = std::chrono::milliseconds(200);
 
-std::uint64_t randomNumber()
-{
-    std::random_device device;
-    const auto high = static_cast<std::uint64_t>(device());
-    return (high << 32 | device()) | 1;
-}
-
 std::string linkName(const std::string &address, std::uint16_t port)
 {
     return address + ":" + std::to_string(port);
--- a/src/log/eventlog.cpp
+++ b/src/log/eventlog.cpp
@@ -1,6 +1,7 @@
 #include "log/eventlog.h"
 
 #include "log/repeatlimiter.h"
+#include "log/wallclock.h"
 
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
@@ -28,11 +29,6 @@
     return state;
 }
 
-TimePoint wallClock()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
-}
-
 std::string numberText(Event event)
 {
     return "E" + std::to_string(static_cast<unsigned>(event));
--- /dev/null
+++ b/src/store/randomnumber.cpp
@@ -0,0 +1,14 @@
+#include "store/randomnumber.h"
+
+#include <random>
+
+namespace Citronpitch {
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    const auto high = static_cast<std::uint64_t>(device());
+    return (high << 32 | device()) | 1;
+}
+
+} // namespace Citronpitch
--- /dev/null
+++ b/src/store/randomnumber.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Citronpitch {
+
+/// A random number above zero, for identities and seeds.
+std::uint64_t randomNumber();
+
+} // namespace Citronpitch
