--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -90,7 +90,7 @@
  * @brief Dispatches jobs that need not be kept to the upstreams of one group, as their only holder.
  *
  * Which task runs next and where is decided by a Dispatcher for each pool; what is known of the runs by an
- * UpstreamRuns for each upstream. Does no I/O and reads no clock. Used by ControlVm.
+ * UpstreamRuns for each upstream. Does no I/O and reads no clock. Used by FleetControl.
  */
 class GroupDispatcher
 {
--- a/include/citronpitch/peerdirectory.h
+++ b/include/citronpitch/peerdirectory.h
@@ -10,6 +10,9 @@
 
 namespace Citronpitch {
 
+/// Several heartbeats, and more than one retransmission of a lost packet.
+constexpr Duration defaultSuspicionTime = std::chrono::milliseconds(600);
+
 /// What a PeerDirectory is told at its start.
 struct PeerDirectoryOptions
 {
@@ -17,7 +20,7 @@
     /// Links of VMs that may know the others; none of them has to be up.
     std::vector<std::string> seeds;
     /// Silence after which a VM counts as out of reach.
-    Duration suspicionTime = std::chrono::milliseconds(600);
+    Duration suspicionTime = defaultSuspicionTime;
     /// A VM whose connection has ended counts as out of reach after this time, unless it is heard again.
     Duration endedLinkTime = std::chrono::milliseconds(200);
     /// Silence after which a VM is forgotten.
--- a/src/core/fleet/peerdirectory.cpp
+++ b/src/core/fleet/peerdirectory.cpp
@@ -18,7 +18,8 @@
         return false;
     auto &it = m_peers[name];
     const bool isNew = it.peer.incarnation != incarnation;
-    // Incarnations are start times of clocks that may step back: an ended life is told by a live successor.
+    // Incarnations are start times, and clocks may step back: a lower one is stale only while a higher one is
+    // alive.
     if (isNew && incarnation < it.peer.incarnation && it.isAlive)
         return false;
     if (isNew) {
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -185,8 +185,7 @@
     for (const auto id : late)
         answer(now, id, Outcome::Failed, Reason::DeadlinePassed, "dispatch: the deadline passed");
     settle(now);
-    // An upstream that fell silent is asked no more once nothing can run there; it comes back by announcing
-    // itself.
+    // A silent upstream is no longer polled once nothing can run there; its next announcement adds it again.
     std::erase_if(m_upstreams,
                   [&](const auto &it) { return it.second.leaseDeadline <= now && it.second.runs->isIdle(); });
 }
--- a/src/core/runs/jobrelay.cpp
+++ b/src/core/runs/jobrelay.cpp
@@ -250,7 +250,8 @@
     const auto *whole = soonest(groups, tasks);
     if (whole->sufficient >= tasks)
         return {{whole, tasks}};
-    // No group can start all of it at once: each takes what it has places for, and the soonest the rest.
+    // No group can start the whole job at once: each takes as many tasks as it has free places, and the one
+    // with the shortest wait takes the rest.
     std::vector<const Candidate *> byRoom;
     for (const auto &it : groups)
         byRoom.push_back(&it);
--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -29,6 +29,16 @@
 /// A read of the document fails when it is not certain that it was the newest this long ago.
 constexpr Duration readAge = std::chrono::milliseconds(1000);
 
+/// Slack for a slow upstream clock and the delay of the last renewal.
+constexpr Duration leaseSlack = std::chrono::milliseconds(80);
+constexpr Duration shortestLease = std::chrono::milliseconds(100);
+
+/// Longest lease with which the runs of a lost entry VM are over before its callers send their jobs again.
+Duration leaseBeforeRetry(const FleetSettings &settings)
+{
+    return std::max(shortestLease, settings.callerRetryTime - defaultSuspicionTime - leaseSlack);
+}
+
 } // namespace
 
 FleetControl::FleetControl(boost::asio::io_context &io, const FleetSettings &settings,
@@ -354,7 +364,8 @@
     GroupDispatcherOptions options;
     options.group = group;
     options.runs.fence = fence;
-    options.runs.lease = std::min(options.runs.lease, m_settings.longestLease);
+    options.runs.lease =
+        std::min({options.runs.lease, m_settings.longestLease, leaseBeforeRetry(m_settings)});
     options.upstreamLease = m_settings.announcementPeriod * missedForLease;
     options.nameTask = m_hooks.nameTask;
     auto &it = m_groups[group];
--- a/src/fleet/upstreamregistry.cpp
+++ b/src/fleet/upstreamregistry.cpp
@@ -18,12 +18,12 @@
             return std::pair(of.upstream.incarnation, of.sequence);
         };
         const bool isOlder = order(announcement) < order(known.announcement);
-        // An upstream that has left sends nothing more; what arrives later was sent before.
+        // Announcements of an upstream that has left can only be delayed ones.
         const bool hasLeft = known.announcement.isGone
             && known.announcement.upstream.incarnation >= announcement.upstream.incarnation;
         if (isOlder || hasLeft)
             return false;
-        // Leaving is final for a life, also where the word of it was overtaken.
+        // An upstream that is leaving never returns to service in the same incarnation.
         const bool wasLeaving = known.announcement.upstream.leaving
             && known.announcement.upstream.incarnation == announcement.upstream.incarnation;
         known = {announcement, arrivedAt};
