Test model of an upstream copies the name of a run that it ends

Cause: the sanitizer found the name used after its entry was erased (GroupDispatcherTest.runsOfALostEntryVm..., in the model, not in the product). Change: the name is passed by value. The test passes under the sanitizer.

--- a/tests/support/upstreammodel.cpp
+++ b/tests/support/upstreammodel.cpp
@@ -1,6 +1,7 @@
 #include "support/upstreammodel.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Citronpitch {
 
@@ -87,15 +88,15 @@
     if (clockMs(now) <= m_leaseMs)
         return;
     while (!m_runs.empty())
-        end(m_runs.begin()->first, RunEndKind::Lapsed);
+        end(std::string(m_runs.begin()->first), RunEndKind::Lapsed);
 }
 
-void UpstreamModel::end(const std::string &task, RunEndKind how)
+void UpstreamModel::end(std::string task, RunEndKind how)
 {
     const auto run = m_runs.at(task).run;
     m_runs.erase(task);
     m_highestEnded[task] = std::max(m_highestEnded[task], run);
-    m_ended.push_back({++m_ends, task, run, how});
+    m_ended.push_back({++m_ends, std::move(task), run, how});
 }
 
 void UpstreamModel::restart(TimePoint now)
--- a/tests/support/upstreammodel.h
+++ b/tests/support/upstreammodel.h
@@ -61,7 +61,7 @@
     };
 
     void start(TimePoint now, const RunOrder &order, OrderResult &result);
-    void end(const std::string &task, RunEndKind how);
+    void end(std::string task, RunEndKind how);
 
     UpstreamModelPlan m_plan;
     TimePoint m_startedAt;
