As many control VMs vote as the losses to be borne need, spread over the failure domains

Cause: a fleet kept three voters whatever its settings said.

Change: toleratedLosses in the settings; twice as many and one more vote, and a failure domain that holds more voters than that gives one to another domain. The domain of a member is known to the node.

Test: two of eight VMs lose their disks right after a change was accepted, then all lose power; with three voters the second loss takes the majority (seen failing). The fuzzer plays two losses at once.

--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -35,6 +35,10 @@
     std::string name;
     /// Whether the settings let it vote.
     bool isVoter = true;
+    /// Failure domain; empty where it is not known.
+    std::string domain;
+
+    bool operator==(const ConfigurationMember &) const = default;
 };
 
 /**
@@ -92,8 +96,9 @@
     Duration proposalTimeout = std::chrono::seconds(5);
     /// Entries kept after a snapshot; one is taken when there are twice as many.
     std::uint64_t keptEntries = 1000;
-    /// Most voters of a fleet whose members come and go. Zero: the voters are those that the members name.
-    std::size_t maximumVoters = 0;
+    /// Fleet whose members come and go: how many of its VMs may be lost at once, with their disks. Zero: the
+    /// voters are those that the members name.
+    std::size_t toleratedLosses = 0;
     /// Fleet that comes and goes: the voters of its first start. Set only in the first life of its VMs.
     std::vector<std::string> founders;
     /// Fleet that comes and goes: silence after which another VM takes the place of a voter.
@@ -339,6 +344,12 @@
     void manageVoters(TimePoint now);
     bool isCaughtUp(TimePoint now, const std::string &vm) const;
     bool isMembershipOpen() const;
+    /// Voters of a fleet whose members come and go: a majority outlives the tolerated losses.
+    std::size_t wantedVoters() const;
+    /// How many voters there are in the failure domain of @p vm; zero where that is not known.
+    std::size_t votersBeside(std::string_view vm) const;
+    /// Whether the loss of the failure domain of @p vm would take the majority.
+    bool isDomainCrowded(std::string_view vm) const;
     bool isAbsent(TimePoint now, const Voter &voter) const;
     bool removeOneVoter(TimePoint now);
     bool addOneVoter(TimePoint now);
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -41,7 +41,7 @@
     std::vector<Voter> founders;
     for (const auto &it : options.founders)
         founders.push_back({it, foundingStorage});
-    if (options.maximumVoters > 0)
+    if (options.toleratedLosses > 0)
         return founders;
     for (const auto &it : options.members) {
         if (it.isVoter)
@@ -807,7 +807,32 @@
 
 bool ConfigurationNode::isMembershipOpen() const
 {
-    return m_options.maximumVoters > 0;
+    return m_options.toleratedLosses > 0;
+}
+
+std::size_t ConfigurationNode::wantedVoters() const
+{
+    return 2 * m_options.toleratedLosses + 1;
+}
+
+std::size_t ConfigurationNode::votersBeside(std::string_view vm) const
+{
+    const auto domainOf = [this](std::string_view name) {
+        const auto it = std::find_if(m_options.members.begin(), m_options.members.end(),
+                                     [&](const auto &member) { return member.name == name; });
+        return it == m_options.members.end() ? std::string_view() : std::string_view(it->domain);
+    };
+    const auto domain = domainOf(vm);
+    const auto &voters = m_log.voters();
+    return domain.empty()
+        ? 0
+        : static_cast<std::size_t>(std::count_if(
+            voters.begin(), voters.end(), [&](const auto &it) { return domainOf(it.name) == domain; }));
+}
+
+bool ConfigurationNode::isDomainCrowded(std::string_view vm) const
+{
+    return votersBeside(vm) > m_options.toleratedLosses;
 }
 
 bool ConfigurationNode::isAbsent(TimePoint now, const Voter &voter) const
@@ -845,10 +870,12 @@
         return voter.name == m_options.self
             || (isCaughtUp(now, voter.name) && m_progress[voter.name].voter == voter.storage);
     };
+    const bool isOneAbsent =
+        std::any_of(voters.begin(), voters.end(), [&](const auto &it) { return isAbsent(now, it); });
     for (const auto &it : voters) {
         const bool isReplaced = isCaughtUp(now, it.name) && m_progress[it.name].voter != it.storage;
         const bool isSurplus = isMembershipOpen()
-            ? voters.size() > m_options.maximumVoters && isAbsent(now, it)
+            ? voters.size() > wantedVoters() && (isOneAbsent ? isAbsent(now, it) : isDomainCrowded(it.name))
             : !isNamedVoter(it.name);
         if (it.name == m_options.self || (!isReplaced && !isSurplus))
             continue;
@@ -868,20 +895,27 @@
     const auto &voters = m_log.voters();
     const auto present =
         std::count_if(voters.begin(), voters.end(), [&](const auto &it) { return !isAbsent(now, it); });
-    // One voter more than usual stands while an absent one is replaced: a group of two could lose no disk.
-    const bool isFull = static_cast<std::size_t>(present) >= m_options.maximumVoters
-        || voters.size() > m_options.maximumVoters;
-    if (isMembershipOpen() && isFull)
+    const bool isCrowded =
+        std::any_of(voters.begin(), voters.end(), [&](const auto &it) { return isDomainCrowded(it.name); });
+    const bool isComplete = static_cast<std::size_t>(present) >= wantedVoters();
+    // One voter more than usual stands while another one is replaced: a group of two could lose no disk.
+    if (isMembershipOpen() && (voters.size() > wantedVoters() || (isComplete && !isCrowded)))
         return false;
+    const ConfigurationMember *best = nullptr;
     for (const auto &it : m_options.members) {
         if (!it.isVoter || it.name == m_options.self || hasVoterNamed(it.name) || !isCaughtUp(now, it.name))
             continue;
-        auto more = m_log.voters();
-        more.push_back({it.name, *m_progress[it.name].voter});
-        proposeVoters(std::move(more));
-        return true;
+        if (best == nullptr || votersBeside(it.name) < votersBeside(best->name))
+            best = &it;
     }
-    return false;
+    // A complete group takes another voter only where that leads to a better spread over the domains.
+    if (best == nullptr
+        || (isMembershipOpen() && isComplete && votersBeside(best->name) >= m_options.toleratedLosses))
+        return false;
+    auto more = m_log.voters();
+    more.push_back({best->name, *m_progress[best->name].voter});
+    proposeVoters(std::move(more));
+    return true;
 }
 
 void ConfigurationNode::proposeVoters(std::vector<Voter> voters)
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -19,8 +19,6 @@
 
 /// Entries kept after a snapshot of the configuration: documents may be large, and VMs have little memory.
 constexpr std::uint64_t keptLogEntries = 64;
-/// Voters of a fleet, as far as there are control VMs.
-constexpr std::size_t voters = 3;
 /// A process that starts finds the links of the others within this time, where they are up.
 constexpr Duration firstElection = std::chrono::milliseconds(150);
 constexpr Duration voterHeartbeat = std::chrono::milliseconds(100);
@@ -58,7 +56,7 @@
 {
     ConfigurationNodeOptions options;
     options.self = self.name;
-    options.members = {{self.name, settings.role == VmRole::Control}};
+    options.members = {{self.name, settings.role == VmRole::Control, self.domain}};
     options.freshStorage = randomNumber();
     options.seed = randomNumber();
     options.learnerHeartbeat = learnerHeartbeat;
@@ -66,7 +64,8 @@
     options.voterHeartbeat = voterHeartbeat;
     options.electionTimeout = electionTimeout;
     options.keptEntries = keptLogEntries;
-    options.maximumVoters = voters;
+    // A single voter could not be replaced, so one loss is always borne.
+    options.toleratedLosses = std::max<std::size_t>(1, settings.toleratedLosses);
     if (settings.isFirstStart && settings.role == VmRole::Control)
         options.founders = seedsOf(settings);
     return options;
@@ -267,16 +266,12 @@
 
 void FleetMember::updateMembers()
 {
-    std::vector<ConfigurationMember> members{{m_self.name, m_self.role == VmRole::Control}};
+    std::vector<ConfigurationMember> members{{m_self.name, m_self.role == VmRole::Control, m_self.domain}};
     for (const auto &[name, it] : m_directory.peers()) {
         if (!it.peer.domain.empty())
-            members.push_back({name, it.peer.role == VmRole::Control});
+            members.push_back({name, it.peer.role == VmRole::Control, it.peer.domain});
     }
-    const bool isSame = std::equal(members.begin(), members.end(), m_members.begin(), m_members.end(),
-                                   [](const auto &left, const auto &right) {
-                                       return left.name == right.name && left.isVoter == right.isVoter;
-                                   });
-    if (isSame)
+    if (members == m_members)
         return;
     m_members = members;
     m_node->setMembers(now(), members);
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t defaultLeaseMs = 1'000;
 constexpr std::uint64_t defaultAnnouncementMs = 1'500;
 constexpr std::uint64_t defaultRetryMs = 1'300;
+/// Far above what any deployment states; each loss costs two more voters.
+constexpr std::uint64_t mostToleratedLosses = 1000;
 
 leaf::result<Endpoint> parseEndpoint(const JsonFields &fields, const char *name, const std::string &text)
 {
@@ -101,6 +103,7 @@
     BOOST_LEAF_ASSIGN(settings.domains, parseTexts(fields, "failureDomains"));
     BOOST_LEAF_CHECK(parseAddresses(fields, settings));
     BOOST_LEAF_ASSIGN(settings.isFirstStart, fields.flag("firstStart"));
+    BOOST_LEAF_ASSIGN(settings.toleratedLosses, fields.number("toleratedLosses", 1, 0, mostToleratedLosses));
     BOOST_LEAF_ASSIGN(settings.dataFolder, fields.optionalText("dataFolder"));
     BOOST_LEAF_ASSIGN(settings.drainTimeout, parseMilliseconds(fields, "drainTimeoutMs", defaultDrainMs));
     BOOST_LEAF_ASSIGN(settings.longestLease, parseMilliseconds(fields, "longestLeaseMs", defaultLeaseMs));
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -27,6 +27,8 @@
     std::vector<std::string> seeds;
     /// Whether the fleet starts for the first time; the seeds are its first voters then.
     bool isFirstStart = false;
+    /// How many control VMs may be lost at once, with their disks; twice as many and one more vote.
+    std::size_t toleratedLosses = 1;
     /// Empty: the VM keeps nothing.
     std::string dataFolder;
     /// Listeners that the role has; nothing where it has not.
--- a/tests/fuzz/configurationcluster.cpp
+++ b/tests/fuzz/configurationcluster.cpp
@@ -9,7 +9,8 @@
 constexpr Duration turn = std::chrono::milliseconds(5);
 constexpr Duration settleTime = std::chrono::seconds(30);
 constexpr std::uint64_t longestSyncMs = 8;
-constexpr std::size_t openVoters = 3;
+constexpr std::size_t founders = 3;
+constexpr std::size_t groups = 3;
 /// Time that a VM with a new disk has to catch up until the loss of another disk has to be borne.
 constexpr Duration repairTime = std::chrono::seconds(4);
 
@@ -69,13 +70,13 @@
 
 bool ConfigurationCluster::isOpen() const
 {
-    return m_plan.isOpen;
+    return m_plan.toleratedLosses > 0;
 }
 
 bool ConfigurationCluster::loseDisk(std::size_t vm)
 {
     vm %= m_vms.size();
-    if (!keepsMajorityWithout(vm) || (m_plan.isOpen && !isRepaired()))
+    if (!keepsMajorityWithout(vm) || (isOpen() && !bearsAnotherLoss()))
         return false;
     ++m_counts.faults;
     kill(vm);
@@ -145,7 +146,7 @@
     if (!leads || isFrozen(m_vms[*leads]))
         return;
     auto &node = *m_vms[*leads].node;
-    const auto name = "group" + std::to_string(group % openVoters);
+    const auto name = "group" + std::to_string(group % groups);
     const auto *holder = node.shown().findHolder(name);
     node.assignHolder(m_now,
                       {name, m_vms[vm % m_vms.size()].name, vm, holder == nullptr ? 0 : holder->fence});
@@ -230,14 +231,16 @@
     ConfigurationNodeOptions options;
     options.self = it.name;
     for (std::size_t i = 0; i < m_vms.size(); ++i)
-        options.members.push_back({m_vms[i].name, i < m_plan.voters});
+        options.members.push_back(
+            {m_vms[i].name, i < m_plan.voters,
+             i < m_plan.domainOf.size() ? "domain" + std::to_string(m_plan.domainOf[i]) : ""});
     options.freshStorage = ++m_nextStorage;
     options.seed = m_random();
     options.initial.teams = {{"founding", 1}};
     options.keptEntries = m_plan.keptEntries;
     options.faults = m_plan.faults;
-    options.maximumVoters = m_plan.isOpen ? openVoters : 0;
-    for (std::size_t i = 0; m_plan.isOpen && !it.hasStarted && i < openVoters && vm < m_plan.voters; ++i)
+    options.toleratedLosses = m_plan.toleratedLosses;
+    for (std::size_t i = 0; isOpen() && !it.hasStarted && i < founders && vm < m_plan.voters; ++i)
         options.founders.push_back(m_vms[i].name);
     it.hasStarted = true;
     if (it.isWiped)
@@ -479,10 +482,12 @@
     return true;
 }
 
-bool ConfigurationCluster::isRepaired() const
+bool ConfigurationCluster::bearsAnotherLoss() const
 {
-    return std::none_of(m_vms.begin(), m_vms.end(),
-                        [&](const Vm &it) { return it.isWiped || m_now - it.repairedFrom < repairTime; });
+    const auto lost = std::count_if(m_vms.begin(), m_vms.end(), [&](const Vm &it) {
+        return it.isWiped || m_now - it.repairedFrom < repairTime;
+    });
+    return static_cast<std::size_t>(lost) < m_plan.toleratedLosses;
 }
 
 bool ConfigurationCluster::isFrozen(const Vm &vm) const
--- a/tests/fuzz/configurationcluster.h
+++ b/tests/fuzz/configurationcluster.h
@@ -31,8 +31,11 @@
     std::size_t voters = 5;
     std::size_t learners = 2;
     std::uint64_t keptEntries = 20;
-    /// Whether members come and go: three of the voters named here vote, the first ones at the start.
-    bool isOpen = false;
+    /// Members come and go, and this many may lose their disks at once: twice as many and one more of the
+    /// voters named here vote, the first three at the start. Zero: the members are fixed.
+    std::size_t toleratedLosses = 0;
+    /// Failure domain of each VM; empty: none is known.
+    std::vector<std::size_t> domainOf;
     ConfigurationTestFaults faults;
 };
 
@@ -148,8 +151,8 @@
     void checkEnd();
     bool isSettled() const;
     bool keepsMajorityWithout(std::size_t vm) const;
-    /// Whether the last lost disk was made up for: a fleet bears one at a time.
-    bool isRepaired() const;
+    /// Whether one more lost disk has to be borne, on top of those that were not made up for yet.
+    bool bearsAnotherLoss() const;
     bool isFrozen(const Vm &vm) const;
     void fail(const std::string &text);
     /// What each VM thinks, for the text of a failure.
--- a/tests/fuzz/configurationfuzztest.cpp
+++ b/tests/fuzz/configurationfuzztest.cpp
@@ -24,7 +24,15 @@
 
 TEST_P(ConfigurationFuzzTest, promisesHoldWhileVotersComeAndGo)
 {
-    const auto result = fuzzConfiguration(GetParam(), 3000, {}, false, true);
+    const auto result = fuzzConfiguration(GetParam(), 3000, {}, false, 1);
+    EXPECT_TRUE(result.hasPassed) << result.failure;
+    EXPECT_GT(result.faults, 0U);
+    EXPECT_GT(result.changesAccepted, 0U);
+}
+
+TEST_P(ConfigurationFuzzTest, promisesHoldWhileTwoDisksAreLostAtOnce)
+{
+    const auto result = fuzzConfiguration(GetParam(), 1500, {}, false, 2);
     EXPECT_TRUE(result.hasPassed) << result.failure;
     EXPECT_GT(result.faults, 0U);
     EXPECT_GT(result.changesAccepted, 0U);
@@ -38,7 +46,7 @@
     /// Start of the failure's text.
     std::string promise;
     std::uint64_t seed = 1;
-    bool isOpen = false;
+    std::size_t toleratedLosses = 0;
 };
 
 std::ostream &operator<<(std::ostream &os, const BrokenVariant &variant)
@@ -55,7 +63,7 @@
     constexpr std::uint64_t steps = 60'000;
     ConfigurationTestFaults faults;
     faults.*GetParam().fault = true;
-    const auto result = fuzzConfiguration(GetParam().seed, steps, faults, false, GetParam().isOpen);
+    const auto result = fuzzConfiguration(GetParam().seed, steps, faults, false, GetParam().toleratedLosses);
     EXPECT_FALSE(result.hasPassed);
     EXPECT_NE(result.failure.find(GetParam().promise), std::string::npos) << result.failure;
 }
@@ -73,5 +81,5 @@
         BrokenVariant{"noMajority", &ConfigurationTestFaults::commitsWithoutMajority, "lost", 3},
         BrokenVariant{"forgottenCommit", &ConfigurationTestFaults::forgetsCommit, "revert", 3},
         BrokenVariant{"noCatchUp", &ConfigurationTestFaults::neverCatchesUp, "liveness", 3},
-        BrokenVariant{"trustedArrivals", &ConfigurationTestFaults::trustsArrivals, "stale", 3, true}),
+        BrokenVariant{"trustedArrivals", &ConfigurationTestFaults::trustsArrivals, "stale", 3, 1}),
     [](const auto &variant) { return variant.param.name; });
--- a/tests/fuzz/configurationmodel.cpp
+++ b/tests/fuzz/configurationmodel.cpp
@@ -191,7 +191,7 @@
 } // namespace
 
 FuzzResult fuzzConfiguration(std::uint64_t seed, std::uint64_t steps, const ConfigurationTestFaults &faults,
-                             bool shrinks, bool isOpen)
+                             bool shrinks, std::size_t toleratedLosses)
 {
     FuzzResult result;
     const auto add = [&](const ConfigurationCluster &cluster) {
@@ -204,9 +204,11 @@
         ClusterPlan plan;
         plan.seed = clusterSeed;
         plan.voters = clusterSeed % 2 == 0 ? 3 : 5;
-        if (isOpen)
-            plan.voters = 4;
-        plan.isOpen = isOpen;
+        if (toleratedLosses > 0)
+            plan.voters = 3 * toleratedLosses + 1;
+        plan.toleratedLosses = toleratedLosses;
+        for (std::size_t i = 0; toleratedLosses > 0 && i < plan.voters; ++i)
+            plan.domainOf.push_back(i % (2 * toleratedLosses + 1));
         plan.faults = faults;
         ConfigurationCluster cluster(plan);
         cluster.advance(std::chrono::seconds(3));
@@ -214,7 +216,7 @@
             *rc::state::gen::commands(NoModel(), rc::state::gen::execOneOfWithArgs<FuzzStep>());
         rc::state::runAll(commands, NoModel(), cluster);
         result.steps += commands.size();
-        for (std::size_t i = 0; isOpen && i < cluster.size(); ++i)
+        for (std::size_t i = 0; toleratedLosses > 0 && i < cluster.size(); ++i)
             cluster.kill(i);
         cluster.settle();
         add(cluster);
--- a/tests/fuzz/fuzzmain.cpp
+++ b/tests/fuzz/fuzzmain.cpp
@@ -35,12 +35,20 @@
 
 Citronpitch::FuzzReport runOpenMembership(std::uint64_t seed, std::uint64_t steps)
 {
-    return reportOf(Citronpitch::fuzzConfiguration(seed, steps, {}, true, true));
+    return reportOf(Citronpitch::fuzzConfiguration(seed, steps, {}, true, 1));
+}
+
+Citronpitch::FuzzReport runTwoLosses(std::uint64_t seed, std::uint64_t steps)
+{
+    return reportOf(Citronpitch::fuzzConfiguration(seed, steps, {}, true, 2));
 }
 
 std::vector<Citronpitch::FuzzModel> models()
 {
-    return {{"claims", runClaims}, {"configuration", runConfiguration}, {"membership", runOpenMembership}};
+    return {{"claims", runClaims},
+            {"configuration", runConfiguration},
+            {"membership", runOpenMembership},
+            {"losses", runTwoLosses}};
 }
 
 /// Prints one line on success; the seed, the breach and the shrunk trace on failure.
--- a/tests/unit/configurationnodetest.cpp
+++ b/tests/unit/configurationnodetest.cpp
@@ -176,7 +176,7 @@
     constexpr int longestWait = 400;
     constexpr auto turn = std::chrono::milliseconds(5);
     auto plan = planOf(4, 0);
-    plan.isOpen = true;
+    plan.toleratedLosses = 1;
     ConfigurationCluster cluster(plan);
     cluster.advance(aWhile);
     std::size_t refusals = 0;
@@ -207,3 +207,44 @@
     EXPECT_EQ(cluster.failure(), "");
     EXPECT_GT(refusals, 0U);
 }
+
+TEST(ConfigurationNodeTest, fleetBearsTheLossOfAsManyDisksAtOnceAsItsSettingsSay)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto plan = planOf(8, 0);
+        plan.seed = seed;
+        plan.toleratedLosses = 2;
+        plan.domainOf = {0, 1, 2, 3, 0, 1, 2, 3};
+        ConfigurationCluster cluster(plan);
+        cluster.advance(aWhile);
+        change(cluster, 0, 2);
+        // The two that follow closest hold what was accepted last.
+        const auto leader = *cluster.leader();
+        ASSERT_TRUE(cluster.loseDisk(leader)) << seed;
+        ASSERT_TRUE(cluster.loseDisk(leader == 0 ? 1 : 0)) << seed;
+        for (std::size_t i = 0; i < cluster.size(); ++i)
+            cluster.kill(i);
+        cluster.settle();
+        EXPECT_EQ(cluster.failure(), "") << seed;
+        EXPECT_EQ(cluster.node(0).shown().version, 2U) << seed;
+    }
+}
+
+TEST(ConfigurationNodeTest, votersAreSpreadSoThatNoDomainHoldsAMajority)
+{
+    // The three VMs that found the group are all in the first domain.
+    ClusterPlan plan = planOf(6, 0);
+    plan.toleratedLosses = 1;
+    plan.domainOf = {0, 0, 0, 1, 1, 2};
+    ConfigurationCluster cluster(plan);
+    cluster.advance(2 * aWhile);
+    ASSERT_TRUE(cluster.leader());
+    const auto &voters = cluster.node(*cluster.leader()).log().voters();
+    std::map<std::size_t, int> perDomain;
+    for (const auto &it : voters)
+        ++perDomain[plan.domainOf[std::stoul(it.name.substr(2))]];
+    EXPECT_EQ(voters.size(), 3U);
+    for (const auto &[domain, n] : perDomain)
+        EXPECT_LE(n, 1) << domain;
+    EXPECT_EQ(cluster.failure(), "");
+}
