A domain that comes back from a cut keeps its holder

Cause: when a cut ends, entry VMs of the domain may be heard before its holder; the leader took that for a holder that is lost while its domain is in reach, gave the group away and back again 2 s later.

Change: the VMs that show that a domain is in reach must have been so for as long as its holder has to be silent.

Test: an entry VM heard for 100 ms proves nothing, one heard for 5 s does (failed before).

--- a/src/core/fleet/holderassignment.cpp
+++ b/src/core/fleet/holderassignment.cpp
@@ -18,16 +18,21 @@
     return vm.isAlive && !vm.isDraining && vm.peer.role == VmRole::Control;
 }
 
-/// Whether something of @p domain was heard well after @p holder fell silent.
+/// Whether a VM of @p domain is in reach while @p holder stays silent. Right after a cut has ended the others
+/// may be heard first, so each must have been in reach for as long as the holder has to be silent.
 bool isReachableWithout(TimePoint now, const AssignmentPolicy &policy, const std::string &domain,
-                        const AssignmentVm *holder, const std::vector<AssignmentVm> &vms)
+                        const AssignmentVm *holder, const std::vector<AssignmentVm> &vms,
+                        const std::map<std::string, TimePoint> &aliveSince)
 {
     if (holder == nullptr)
         return true;
     if (now - holder->heardAt < policy.holderSilence)
         return false;
     return std::any_of(vms.begin(), vms.end(), [&](const auto &it) {
-        return it.peer.domain == domain && it.peer.name != holder->peer.name && it.isAlive;
+        if (it.peer.domain != domain || it.peer.name == holder->peer.name || !it.isAlive)
+            return false;
+        const auto since = aliveSince.find(it.peer.name);
+        return since == aliveSince.end() || now - since->second >= policy.holderSilence;
     });
 }
 
@@ -80,7 +85,7 @@
             if (isRestarted && canHold(*current))
                 wanted = current;
         } else if (isHeld) {
-            isDue = isReachableWithout(now, policy, domain, current, vms);
+            isDue = isReachableWithout(now, policy, domain, current, vms, aliveSince);
         }
         if (!isDue || (isHeld && wanted->peer.name == it->vm && wanted->peer.incarnation == it->incarnation))
             continue;
