Metrics of a fleet's VMs, and logs that lead from a failed job's id to its cause

Cause: on-call had logs alone; of the lines about single jobs ten in ten seconds were kept, so that most failed jobs had none.

Change: counters, gauges and histograms (Boost.Histogram) by class, outcome, reason, order, verdict and group, ages of what a VM believes, term, voters and log, served in the text format of Prometheus on the settings' metrics address; a VM whose listener can't be had goes on without it and says so (E110). Lines about single requests have twenty times the limit on repeats. docs/OPERATIONS.md (was OPERATING.md) lists the metrics; a test holds the two equal.

Tests: three tests follow the page from a failed job's id to the injected cause, in logs of real processes: control VMs out of reach, an upstream that stood still, a control VM lost with the job in flight. The fleet of these tests is a class of its own, with proxies before links (peerListener) and executors.

Ruled out: a page that also counts by upstream; 350 of them make each fetch a burst of work.

--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -52,6 +52,7 @@
                 [this](const PeerChange &change) { peerChanged(change); },
                 [this](const Configuration &configuration) { shown(configuration); },
                 [this](const AnswerChange &answer) { changeAnswered(answer); }, [this] { ticked(); }})
+    , m_page(io, settings.metrics, [this](Metrics &metrics) { collect(metrics); })
 {
 }
 
@@ -245,7 +246,7 @@
     refused.outcome = Outcome::Refused;
     refused.reason = Reason::ShuttingDown;
     refused.detail = "dispatch: this VM does not hold the group";
-    carryOut(FinishedJob{owner, std::move(refused)});
+    carryOut(message.run_job().group(), FinishedJob{owner, std::move(refused)});
 }
 
 void FleetControl::peerChanged(const PeerChange &change)
@@ -453,7 +454,7 @@
                 if (const auto *order = std::get_if<RunOrder>(&action))
                     carryOut(group, *order);
                 else
-                    carryOut(std::get<FinishedJob>(action));
+                    carryOut(group, std::get<FinishedJob>(action));
             }
         }
     }
@@ -462,27 +463,57 @@
 
 void FleetControl::carryOut(const std::string &group, const RunOrder &order)
 {
-    m_hooks.sendOrder(order, [this, group, fence = order.fence, order](const OrderResult &result) {
-        if (result.verdict == OrderVerdict::NoAnswer && order.kind != OrderKind::Poll)
-            logEvent(Event::OrderUnanswered,
-                     {{"upstream", order.upstream},
-                      {"order", std::string(nameIn(orderKindNames, order.kind))},
-                      {"task", order.task},
-                      {"run", std::to_string(order.run)},
-                      {"group", group}});
-        if (result.verdict == OrderVerdict::StaleFence)
-            logEvent(Event::UpstreamTakenOver,
-                     {{"group", group}, {"fence", std::to_string(fence)}, {"upstream", order.upstream}});
-        const auto it = m_groups.find(group);
-        if (it == m_groups.end() || it->second->fence() != fence)
-            return;
-        it->second->orderEnded(now(), order.id, result);
-        carryOut();
-    });
+    m_hooks.sendOrder(order,
+                      [this, group, fence = order.fence, order, sentAt = now()](const OrderResult &result) {
+                          noteOrder(group, order, result, sentAt);
+                          const auto it = m_groups.find(group);
+                          if (it == m_groups.end() || it->second->fence() != fence)
+                              return;
+                          it->second->orderEnded(now(), order.id, result);
+                          carryOut();
+                      });
+}
+
+void FleetControl::noteOrder(const std::string &group, const RunOrder &order, const OrderResult &result,
+                             TimePoint sentAt)
+{
+    const std::string kind(nameIn(orderKindNames, order.kind));
+    m_page.metrics().count(Metric::OrdersEnded,
+                           {kind, std::string(nameIn(orderVerdictNames, result.verdict))});
+    m_page.metrics().observe(Metric::OrderTime, {kind}, now() - sentAt);
+    if (result.verdict == OrderVerdict::NoAnswer && order.kind != OrderKind::Poll)
+        logEvent(Event::OrderUnanswered,
+                 {{"upstream", order.upstream},
+                  {"order", kind},
+                  {"task", order.task},
+                  {"run", std::to_string(order.run)},
+                  {"group", group}});
+    if (result.verdict == OrderVerdict::StaleFence)
+        logEvent(Event::UpstreamTakenOver,
+                 {{"group", group}, {"fence", std::to_string(order.fence)}, {"upstream", order.upstream}});
+}
+
+void FleetControl::collect(Metrics &metrics) const
+{
+    for (const auto &[group, it] : m_groups) {
+        const auto load = it->load(now());
+        metrics.set(Metric::GroupFence, {group}, static_cast<double>(load.fence));
+        metrics.set(Metric::GroupFreeTasks, {group}, load.freeTasks);
+        metrics.set(Metric::GroupParallelTasks, {group}, load.parallel);
+        metrics.set(Metric::GroupWaitingTime, {group}, std::chrono::duration<double>(load.waiting).count());
+        const auto ready = it->readyUpstreams();
+        metrics.set(Metric::GroupUpstreams, {group, "ready"}, static_cast<double>(ready));
+        metrics.set(Metric::GroupUpstreams, {group, "heldBack"},
+                    static_cast<double>(it->upstreams() - ready));
+    }
+    m_member.collect(metrics);
 }
 
-void FleetControl::carryOut(const FinishedJob &finished)
+void FleetControl::carryOut(const std::string &group, const FinishedJob &finished)
 {
+    m_page.metrics().count(Metric::JobsFinished,
+                           {group, std::string(nameIn(outcomeNames, finished.answer.outcome)),
+                            std::string(nameIn(reasonNames, finished.answer.reason))});
     wire::Message message;
     toWire(now(), finished, message.mutable_job_ended());
     m_member.send(finished.owner.vm, message);
--- a/src/fleet/fleetcontrol.h
+++ b/src/fleet/fleetcontrol.h
@@ -5,6 +5,7 @@
 #include "citronpitch/workdeclaration.h"
 #include "fleet/fleetentry.h"
 #include "fleet/fleetmember.h"
+#include "fleet/metricspage.h"
 #include "fleet/upstreamregistry.h"
 
 #include <functional>
@@ -102,12 +103,16 @@
     void sendRegistry(const std::string &vm);
     void carryOut();
     void carryOut(const std::string &group, const RunOrder &order);
-    void carryOut(const FinishedJob &finished);
+    void carryOut(const std::string &group, const FinishedJob &finished);
+    void noteOrder(const std::string &group, const RunOrder &order, const OrderResult &result,
+                   TimePoint sentAt);
+    void collect(Metrics &metrics) const;
 
     FleetControlHooks m_hooks;
     FleetSettings m_settings;
     UpstreamRegistry m_registry;
     FleetMember m_member;
+    MetricsPage m_page;
     std::optional<WorkDeclaration> m_declaration;
     std::vector<ClassDeclaration> m_classes;
     std::map<std::string, std::unique_ptr<GroupDispatcher>> m_groups;
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -20,6 +20,7 @@
                 [this](const PeerChange &change) { peerChanged(change); },
                 [this](const Configuration &configuration) { shown(configuration); },
                 [](const AnswerChange &) {}, [this] { ticked(); }})
+    , m_page(io, settings.metrics, [this](Metrics &metrics) { collect(metrics); })
 {
 }
 
@@ -32,7 +33,7 @@
 {
     const auto caller = m_nextCaller++;
     job.owner = {m_member.self().name, m_member.self().incarnation, 0};
-    m_callers[caller] = {std::move(answered), job.submission.key, now()};
+    m_callers[caller] = {std::move(answered), job.submission.key, job.submission.className, now()};
     m_relay.submit(now(), caller, std::move(job));
     carryOut();
     return caller;
@@ -130,13 +131,23 @@
     carryOut();
 }
 
-void FleetEntry::answer(const WaitingCaller &caller, const Answer &answer) const
+void FleetEntry::collect(Metrics &metrics) const
 {
+    metrics.set(Metric::JobsWaiting, {}, static_cast<double>(m_callers.size()));
+    m_member.collect(metrics);
+}
+
+void FleetEntry::answer(const WaitingCaller &caller, const Answer &answer)
+{
+    const std::string outcome(nameIn(outcomeNames, answer.outcome));
+    m_page.metrics().count(Metric::JobsAnswered,
+                           {caller.className, outcome, std::string(nameIn(reasonNames, answer.reason))});
+    m_page.metrics().observe(Metric::JobTime, {caller.className, outcome}, now() - caller.arrivedAt);
     if (answer.outcome != Outcome::Complete) {
         const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now() - caller.arrivedAt);
         logEvent(Event::JobNotServed,
                  {{"key", caller.key},
-                  {"outcome", std::string(nameIn(outcomeNames, answer.outcome))},
+                  {"outcome", outcome},
                   {"reason", std::string(nameIn(reasonNames, answer.reason))},
                   {"detail", answer.detail},
                   {"waitedMs", std::to_string(waited.count())}});
--- a/src/fleet/fleetentry.h
+++ b/src/fleet/fleetentry.h
@@ -3,6 +3,7 @@
 #include "citronpitch/jobrelay.h"
 #include "citronpitch/workdeclaration.h"
 #include "fleet/fleetmember.h"
+#include "fleet/metricspage.h"
 
 #include <functional>
 #include <map>
@@ -58,14 +59,17 @@
     {
         JobAnswered answered;
         std::string key;
+        std::string className;
         TimePoint arrivedAt;
     };
 
-    void answer(const WaitingCaller &caller, const Answer &answer) const;
+    void answer(const WaitingCaller &caller, const Answer &answer);
+    void collect(Metrics &metrics) const;
 
     ParseDocument m_parse;
     JobRelay m_relay;
     FleetMember m_member;
+    MetricsPage m_page;
     std::optional<WorkDeclaration> m_declaration;
     std::map<CallerId, WaitingCaller> m_callers;
     CallerId m_nextCaller = 1;
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -95,7 +95,7 @@
     , m_peerPort(settings.peers.port)
     , m_directory({m_self, seedsOf(settings)})
     , m_links(
-          io, m_self.name, settings.peers, {}, [this](std::string_view bytes) { received(bytes); },
+          io, m_self.name, settings.peerListener, {}, [this](std::string_view bytes) { received(bytes); },
           [this](const std::string &vm, bool isUp) {
               if (isUp)
                   m_nextHeartbeat = {};
@@ -187,6 +187,24 @@
     carryOut();
 }
 
+void FleetMember::collect(Metrics &metrics) const
+{
+    const auto secondsOf = [](Duration time) { return std::chrono::duration<double>(time).count(); };
+    for (const auto &[name, it] : m_directory.peers()) {
+        if (it.peer.role == VmRole::Control && !it.peer.domain.empty())
+            metrics.set(Metric::PeerAge, {name}, secondsOf(now() - it.heardAt));
+    }
+    metrics.set(Metric::DocumentVersion, {}, static_cast<double>(m_node->shown().document.version));
+    if (const auto age = m_node->confirmedAge(now()))
+        metrics.set(Metric::ConfigurationAge, {}, secondsOf(*age));
+    const auto &log = m_node->log();
+    metrics.set(Metric::ConfigurationTerm, {}, static_cast<double>(m_node->term()));
+    metrics.set(Metric::ConfigurationIsLeader, {}, m_node->role() == ConfigurationRole::Leader ? 1 : 0);
+    metrics.set(Metric::ConfigurationVoters, {}, static_cast<double>(log.voters().size()));
+    metrics.set(Metric::ConfigurationLogEntries, {},
+                static_cast<double>(log.lastIndex() - log.snapshotIndex()));
+}
+
 TimePoint FleetMember::now() const
 {
     return m_clock.now();
--- a/src/fleet/fleetmember.h
+++ b/src/fleet/fleetmember.h
@@ -4,6 +4,7 @@
 #include "citronpitch/peerdirectory.h"
 #include "fleet/bootclock.h"
 #include "fleet/fleetsettings.h"
+#include "log/metrics.h"
 #include "net/peerlinks.h"
 #include "store/configurationstore.h"
 
@@ -66,6 +67,9 @@
     /// Gives a group to a holder; only on the leader.
     void assignHolder(const GroupHolder &wanted);
 
+    /// Sets the gauges of what this VM knows of the others and of the configuration.
+    void collect(Metrics &metrics) const;
+
     TimePoint now() const;
     const FleetPeer &self() const;
     const PeerDirectory &directory() const;
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -73,9 +73,12 @@
     BOOST_LEAF_ASSIGN(settings.peers.address, fields.text("address"));
     BOOST_LEAF_ASSIGN(const auto port, fields.requiredNumber("peerPort", 1, highestPort));
     settings.peers.port = static_cast<std::uint16_t>(port);
+    BOOST_LEAF_ASSIGN(const auto listener, parseListener(fields, "peerListener"));
+    settings.peerListener = listener.value_or(settings.peers);
     BOOST_LEAF_ASSIGN(settings.callers, parseListener(fields, "callers"));
     BOOST_LEAF_ASSIGN(settings.readiness, parseListener(fields, "readiness"));
     BOOST_LEAF_ASSIGN(settings.control, parseListener(fields, "control"));
+    BOOST_LEAF_ASSIGN(settings.metrics, parseListener(fields, "metrics"));
     BOOST_LEAF_ASSIGN(const auto seeds, parseTexts(fields, "seeds"));
     for (const auto &it : seeds) {
         BOOST_LEAF_ASSIGN(const auto seed, parseEndpoint(fields, "seeds", it));
--- a/src/fleet/fleetsettings.h
+++ b/src/fleet/fleetsettings.h
@@ -21,8 +21,10 @@
     std::string domain;
     /// Every failure domain of the deployment.
     std::vector<std::string> domains;
-    /// Link of this VM; the links of all VMs have the same port.
+    /// Link of this VM as the others reach it; the links of all VMs have the same port.
     Endpoint peers;
+    /// Where links of the others arrive; another address than @ref peers where addresses are translated.
+    Endpoint peerListener;
     /// Addresses of VMs that may know the others.
     std::vector<std::string> seeds;
     /// Whether the fleet starts for the first time; the seeds are its first voters then.
@@ -35,6 +37,7 @@
     std::optional<Endpoint> callers;
     std::optional<Endpoint> readiness;
     std::optional<Endpoint> control;
+    std::optional<Endpoint> metrics;
     /// How long a shutdown may take.
     Duration drainTimeout{};
     /// Longest lease that upstreams give.
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Lines that lead from the id of a request to its cause.
+constexpr std::uint32_t requestLines = 20;
+
 constexpr std::array catalogue{
     EventEntry{Event::Started, EventLevel::Info, "started", "vm failureDomain",
                "The daemon serves. Nothing to do."},
@@ -30,6 +33,9 @@
                "The named event came more than `log.repeatLimit` times in a window; so many were left out."},
     EventEntry{Event::ListeningStopped, EventLevel::Info, "no more connections are taken", "vm inFlight",
                "Second step of a graceful shutdown; the number of connections in flight is said."},
+    EventEntry{
+        Event::MetricsUnavailable, EventLevel::Error, "the metrics page can't be served", "address error",
+        "The VM goes on without it. Another process may have the address; restart the VM once it is free."},
     EventEntry{Event::UpstreamAnnounced, EventLevel::Info, "upstream announced itself",
                "upstream address slots",
                "An upstream is new, or came back with a new incarnation or after its lease had expired."},
@@ -48,7 +54,7 @@
                "It was heard for the first time or again."},
     EventEntry{Event::PeerSuspected, EventLevel::Warning, "entry VM is out of reach", "peer failureDomain",
                "Nothing was heard of it for `suspicionMs`. Keys at home there are answered \"unknown\" here "
-               "until it is heard again. See docs/OPERATING.md."},
+               "until it is heard again. See docs/OPERATIONS.md."},
     EventEntry{Event::PeerLeaving, EventLevel::Info, "entry VM is shutting down", "peer failureDomain",
                "It said so in its heartbeat."},
     EventEntry{Event::ConfigurationInForce, EventLevel::Info, "configuration is in force", "version",
@@ -90,10 +96,11 @@
                "It has seen a higher fencing token. Jobs with runs there are answered as unknown."},
     EventEntry{Event::JobNotServed, EventLevel::Warning, "job was not completed",
                "key outcome reason detail waitedMs",
-               "The caller got the outcome. The holder's log has the runs of the same key."},
+               "The caller got the outcome. The holder's log has the runs of the same key.", requestLines},
     EventEntry{Event::OrderUnanswered, EventLevel::Warning, "an upstream did not answer an order",
                "upstream order task run group",
-               "It may be carried out later; the task starts elsewhere once that is ruled out."},
+               "It may be carried out later; the task starts elsewhere once that is ruled out.",
+               requestLines},
 };
 
 } // namespace
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -20,6 +20,7 @@
     SettingsRefused = 107,
     RepeatsSuppressed = 108,
     ListeningStopped = 109,
+    MetricsUnavailable = 110,
     UpstreamAnnounced = 200,
     UpstreamLeaving = 201,
     UpstreamExpired = 202,
@@ -55,6 +56,8 @@
     std::string_view fields;
     /// What it means and what to do.
     std::string_view meaning;
+    /// Multiple of the limit on repeats: lines about single requests come more often than others.
+    std::uint32_t repeatFactor = 1;
 };
 
 /// Every event, in the order of the numbers.
--- /dev/null
+++ b/src/log/metrics.cpp
@@ -0,0 +1,202 @@
+#include "log/metrics.h"
+
+#include <boost/histogram.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <sstream>
+#include <utility>
+
+namespace Citronpitch {
+
+namespace {
+
+constexpr std::array catalogue{
+    MetricEntry{Metric::JobsAnswered, MetricKind::Counter, "citronpitch_jobs_answered_total",
+                "class outcome reason", "Jobs that callers got an answer to, at the entry VM."},
+    MetricEntry{Metric::JobTime, MetricKind::Histogram, "citronpitch_job_seconds", "class outcome",
+                "Time from a caller's request to its answer, at the entry VM."},
+    MetricEntry{Metric::JobsWaiting, MetricKind::Gauge, "citronpitch_jobs_waiting", "",
+                "Callers that wait for an answer, at the entry VM."},
+    MetricEntry{Metric::OrdersEnded, MetricKind::Counter, "citronpitch_orders_total", "order verdict",
+                "Orders to upstreams, by what came back."},
+    MetricEntry{Metric::OrderTime, MetricKind::Histogram, "citronpitch_order_seconds", "order",
+                "Time from an order to its answer; polls wait for ends on purpose."},
+    MetricEntry{Metric::JobsFinished, MetricKind::Counter, "citronpitch_jobs_finished_total",
+                "group outcome reason", "Jobs, or parts of them, that a group's holder has answered."},
+    MetricEntry{Metric::GroupFence, MetricKind::Gauge, "citronpitch_group_fence", "group",
+                "Fencing token under which this VM dispatches for the group."},
+    MetricEntry{Metric::GroupFreeTasks, MetricKind::Gauge, "citronpitch_group_free_tasks", "group",
+                "Tasks of the usual need that would start at once."},
+    MetricEntry{Metric::GroupParallelTasks, MetricKind::Gauge, "citronpitch_group_parallel_tasks", "group",
+                "Tasks of the usual need that run side by side."},
+    MetricEntry{Metric::GroupWaitingTime, MetricKind::Gauge, "citronpitch_group_waiting_seconds", "group",
+                "Expected run time of the tasks that wait."},
+    MetricEntry{Metric::GroupUpstreams, MetricKind::Gauge, "citronpitch_group_upstreams", "group state",
+                "Upstreams of the group: ready for starts, or held back."},
+    MetricEntry{Metric::PeerAge, MetricKind::Gauge, "citronpitch_peer_age_seconds", "peer",
+                "Time since a control VM was heard."},
+    MetricEntry{Metric::DocumentVersion, MetricKind::Gauge, "citronpitch_document_version", "",
+                "Version of the declared document in force here."},
+    MetricEntry{Metric::ConfigurationAge, MetricKind::Gauge, "citronpitch_configuration_age_seconds", "",
+                "Time since it was certain that the configuration in force here is the newest; absent while "
+                "that was never certain."},
+    MetricEntry{Metric::ConfigurationTerm, MetricKind::Gauge, "citronpitch_configuration_term", "",
+                "Term of the replicated log."},
+    MetricEntry{Metric::ConfigurationIsLeader, MetricKind::Gauge, "citronpitch_configuration_is_leader", "",
+                "1 on the leader of the replicated log."},
+    MetricEntry{Metric::ConfigurationVoters, MetricKind::Gauge, "citronpitch_configuration_voters", "",
+                "Voters of the replicated log."},
+    MetricEntry{Metric::ConfigurationLogEntries, MetricKind::Gauge, "citronpitch_configuration_log_entries",
+                "", "Entries of the replicated log after its snapshot."},
+};
+
+/// Upper bounds of the buckets in seconds, from the time of one message to the patience of callers.
+const std::vector<double> bucketBounds{0,   0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                       0.2, 0.3,   0.5,   0.75,  1,    1.5,  2,    5};
+
+constexpr double microsecondsPerSecond = 1e6;
+
+namespace histogram = boost::histogram;
+
+using TimeAxis = histogram::axis::variable<double, boost::use_default, histogram::axis::option::overflow_t>;
+using TimeHistogram = decltype(histogram::make_histogram(TimeAxis(bucketBounds)));
+
+struct TimeValues
+{
+    TimeHistogram buckets = histogram::make_histogram(TimeAxis(bucketBounds));
+    double sum = 0;
+};
+
+const MetricEntry &entryOf(Metric metric)
+{
+    return *std::find_if(catalogue.begin(), catalogue.end(),
+                         [&](const auto &it) { return it.metric == metric; });
+}
+
+/// Backslashes, quotes and line ends are escaped.
+std::string escaped(const std::string &value)
+{
+    std::string text;
+    for (const char it : value) {
+        if (it == '\\' || it == '"')
+            text += '\\';
+        text += it == '\n' ? std::string("\\n") : std::string(1, it);
+    }
+    return text;
+}
+
+std::string labelText(const MetricEntry &entry, const std::vector<std::string> &values)
+{
+    std::istringstream names{std::string(entry.labels)};
+    std::string text;
+    std::string name;
+    for (std::size_t i = 0; names >> name && i < values.size(); ++i)
+        text += (text.empty() ? "" : ",") + name + "=\"" + escaped(values[i]) + "\"";
+    return text;
+}
+
+std::string inBraces(const std::string &labels)
+{
+    return labels.empty() ? std::string() : "{" + labels + "}";
+}
+
+std::string_view typeOf(MetricKind kind)
+{
+    switch (kind) {
+    case MetricKind::Counter:
+        return "counter";
+    case MetricKind::Gauge:
+        return "gauge";
+    case MetricKind::Histogram:
+        break;
+    }
+    return "histogram";
+}
+
+void writeHistogram(std::ostream &out, std::string_view name, const std::string &labels,
+                    const TimeValues &values)
+{
+    double count = 0;
+    const auto before = labels.empty() ? std::string() : labels + ",";
+    const auto &axis = values.buckets.axis();
+    for (int i = 0; i <= axis.size(); ++i) {
+        count += values.buckets.at(i);
+        out << name << "_bucket{" << before << "le=\"";
+        if (i < axis.size())
+            out << axis.bin(i).upper();
+        else
+            out << "+Inf";
+        out << "\"} " << count << "\n";
+    }
+    out << name << "_sum" << inBraces(labels) << " " << values.sum << "\n";
+    out << name << "_count" << inBraces(labels) << " " << count << "\n";
+}
+
+} // namespace
+
+struct Metrics::Values
+{
+    /// Counters and gauges, by metric and labels.
+    std::map<std::pair<Metric, std::string>, double> numbers;
+    std::map<std::pair<Metric, std::string>, TimeValues> times;
+};
+
+std::span<const MetricEntry> metricCatalogue()
+{
+    return catalogue;
+}
+
+Metrics::Metrics()
+    : m_values(std::make_unique<Values>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::count(Metric metric, const std::vector<std::string> &labels)
+{
+    ++m_values->numbers[{metric, labelText(entryOf(metric), labels)}];
+}
+
+void Metrics::set(Metric metric, const std::vector<std::string> &labels, double value)
+{
+    m_values->numbers[{metric, labelText(entryOf(metric), labels)}] = value;
+}
+
+void Metrics::observe(Metric metric, const std::vector<std::string> &labels, Duration time)
+{
+    auto &values = m_values->times[{metric, labelText(entryOf(metric), labels)}];
+    const double seconds =
+        static_cast<double>(std::max<std::int64_t>(0, time.count())) / microsecondsPerSecond;
+    values.buckets(seconds);
+    values.sum += seconds;
+}
+
+void Metrics::clearGauges()
+{
+    std::erase_if(m_values->numbers,
+                  [](const auto &it) { return entryOf(it.first.first).kind == MetricKind::Gauge; });
+}
+
+std::string Metrics::text() const
+{
+    std::ostringstream out;
+    out.precision(12);
+    for (const auto &entry : catalogue) {
+        out << "# HELP " << entry.name << " " << entry.meaning << "\n# TYPE " << entry.name << " "
+            << typeOf(entry.kind) << "\n";
+        for (const auto &[key, value] : m_values->numbers) {
+            if (key.first == entry.metric)
+                out << entry.name << inBraces(key.second) << " " << value << "\n";
+        }
+        for (const auto &[key, values] : m_values->times) {
+            if (key.first == entry.metric)
+                writeHistogram(out, entry.name, key.second, values);
+        }
+    }
+    return out.str();
+}
+
+} // namespace Citronpitch
--- a/src/log/repeatlimiter.cpp
+++ b/src/log/repeatlimiter.cpp
@@ -17,7 +17,7 @@
         window.end = now + m_length;
         window.logged = 0;
     }
-    if (window.logged < m_limit) {
+    if (window.logged < m_limit * entryOf(event).repeatFactor) {
         ++window.logged;
         return true;
     }
--- a/src/log/repeatlimiter.h
+++ b/src/log/repeatlimiter.h
@@ -23,7 +23,7 @@
 class RepeatLimiter
 {
 public:
-    /// @p limit lines of one event may be logged within @p window.
+    /// @p limit lines of one event, times its factor, may be logged within @p window.
     RepeatLimiter(std::uint32_t limit, Duration window);
 
     /// Whether @p event may be logged at @p now; counts it as suppressed otherwise.
--- a/tests/integration/docstest.cpp
+++ b/tests/integration/docstest.cpp
@@ -1,3 +1,4 @@
+#include "log/metrics.h"
 #include "support/clirun.h"
 #include "support/deployment.h"
 #include "support/submissions.h"
@@ -146,7 +147,7 @@
 {
     runAll({{{"submit", sourceFolder + "/examples/first/job.json", "--key", "order-1"}},
             {{"class", "create", "approval", "--target-ms", "600"}}});
-    runAll(commandsOf("docs/OPERATING.md", "build/citronpitch"));
+    runAll(commandsOf("docs/OPERATIONS.md", "build/citronpitch"));
 }
 
 TEST(DocsPagesTest, daemonCommandsOfThePagesAreRunHereOrByTheExample)
@@ -166,8 +167,8 @@
 
 TEST(DocsPagesTest, linkedPagesExist)
 {
-    for (const std::string page :
-         {"README.md", "docs/OPERATING.md", "docs/CONTRIBUTING.md", "docs/GLOSSARY.md", "docs/SETTINGS.md"}) {
+    for (const std::string page : {"README.md", "docs/OPERATIONS.md", "docs/CONTRIBUTING.md",
+                                   "docs/GLOSSARY.md", "docs/SETTINGS.md"}) {
         std::ostringstream text;
         text << std::ifstream(sourceFolder + "/" + page).rdbuf();
         const auto content = text.str();
@@ -179,3 +180,14 @@
         }
     }
 }
+
+TEST(DocsPagesTest, everyMetricIsExplained)
+{
+    std::ostringstream text;
+    text << std::ifstream(sourceFolder + "/docs/OPERATIONS.md").rdbuf();
+    for (const auto &it : metricCatalogue()) {
+        const auto row = "| `" + std::string(it.name) + "` | " + std::string(it.labels) + " | "
+            + std::string(it.meaning) + " |";
+        EXPECT_NE(text.str().find(row), std::string::npos) << row;
+    }
+}
--- /dev/null
+++ b/tests/integration/explanationtest.cpp
@@ -0,0 +1,126 @@
+#include "support/platformfleet.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+
+using namespace Citronpitch;
+
+namespace {
+
+constexpr std::size_t entry = 3;
+
+/// A fleet in which each domain can lose what serves it. The tests follow docs/OPERATIONS.md from the id of a
+/// failed job to its cause, by logs alone.
+class ExplanationTest : public testing::Test
+{
+protected:
+    ExplanationTest()
+        : folder(std::filesystem::temp_directory_path()
+                 / ("citronpitch-explanation-" + std::to_string(getpid())))
+        , fleet({std::string(CITRONPITCH_PROGRAMS) + "/citronpitch-platform",
+                 folder,
+                 {"a", "a", "a"},
+                 {"a"},
+                 {"a"},
+                 true})
+    {
+        fleet.startExecutors();
+    }
+
+    ~ExplanationTest() override
+    {
+        std::filesystem::remove_all(folder);
+    }
+
+    bool becomesReady()
+    {
+        const ClientRequest declare{"POST", "/config/replace", {}, platformConfiguration(1).dump()};
+        return waitFor([&] { return callOnce(fleet.control(0), declare).status == 200; }) && waitFor([&] {
+                   return callOnce(fleet.readiness(entry), {"GET", "/ready"}).status == 200;
+               })
+            && waitFor([&] { return submit("00000000000000aa").status == 200; });
+    }
+
+    HttpResponse submit(const std::string &id)
+    {
+        return callOnce(fleet.callers(entry), platformSubmission(id, platformJob(1)));
+    }
+
+    /// The line of @p vm's log that holds every one of @p parts; empty where there is none.
+    std::string lineWith(std::size_t vm, const std::vector<std::string> &parts) const
+    {
+        std::istringstream log(fleet.logOf(vm));
+        for (std::string line; std::getline(log, line);) {
+            if (std::all_of(parts.begin(), parts.end(),
+                            [&](const auto &it) { return line.find(it) != std::string::npos; }))
+                return line;
+        }
+        return {};
+    }
+
+    std::filesystem::path folder;
+    PlatformFleet fleet;
+};
+
+} // namespace
+
+TEST_F(ExplanationTest, refusalLeadsToTheControlVmsThatAreOutOfReach)
+{
+    ASSERT_TRUE(becomesReady());
+    for (std::size_t vm = 0; vm < entry; ++vm)
+        fleet.process(vm).signal(SIGKILL);
+    const std::string id = "00000000000000b1";
+    ASSERT_TRUE(waitFor([&] { return submit(id).status == 503; }));
+    const auto answer = lineWith(entry, {"E620", "key=" + id, "outcome=refused"});
+    EXPECT_NE(answer.find("no VM that dispatches is in reach"), std::string::npos) << fleet.logOf(entry);
+    for (std::size_t vm = 0; vm < entry; ++vm)
+        EXPECT_NE(lineWith(entry, {"E302", "peer=" + fleet.linkOf(vm)}), "") << fleet.logOf(entry);
+}
+
+TEST_F(ExplanationTest, lateJobLeadsToTheUpstreamThatStoodStill)
+{
+    ASSERT_TRUE(becomesReady());
+    fleet.executorProxy(0).faults().swallowToServer = true;
+    const std::string id = "00000000000000b2";
+    EXPECT_NE(submit(id).status, 200);
+    EXPECT_TRUE(waitFor([&] {
+        return !lineWith(entry, {"E620", "key=" + id}).empty();
+    })) << fleet.logOf(entry);
+    std::string order;
+    for (std::size_t vm = 0; vm < entry; ++vm)
+        order += lineWith(vm, {"E621", "task=" + id + ".0.0.0", "upstream=i-0"});
+    EXPECT_NE(order, "") << fleet.logOf(0) << fleet.logOf(1) << fleet.logOf(2);
+}
+
+TEST_F(ExplanationTest, unknownOutcomeLeadsToTheControlVmThatWasLost)
+{
+    ASSERT_TRUE(becomesReady());
+    // With its upstream silent the job stays open until the holder of the group is gone as well.
+    fleet.executorProxy(0).faults().swallowToServer = true;
+    const std::string id = "00000000000000b3";
+    boost::asio::io_context io;
+    HttpClient client(io);
+    int status = 0;
+    client.send(fleet.callers(entry), platformSubmission(id, platformJob(1)),
+                [&](const ClientResponse &response) {
+                    status = response.response.status;
+                    io.stop();
+                });
+    boost::asio::steady_timer killTime(io, std::chrono::milliseconds(300));
+    killTime.async_wait([&](boost::system::error_code) {
+        for (std::size_t vm = 0; vm < entry; ++vm)
+            fleet.process(vm).signal(SIGKILL);
+    });
+    io.run();
+    EXPECT_EQ(status, 502);
+    const auto answer = lineWith(entry, {"E620", "key=" + id, "outcome=unknown"});
+    bool namesALostVm = false;
+    for (std::size_t vm = 0; vm < entry; ++vm) {
+        const bool isNamed = answer.find(fleet.linkOf(vm)) != std::string::npos;
+        namesALostVm =
+            namesALostVm || (isNamed && !lineWith(entry, {"E302", "peer=" + fleet.linkOf(vm)}).empty());
+    }
+    EXPECT_TRUE(namesALostVm) << fleet.logOf(entry);
+}
--- /dev/null
+++ b/tests/integration/metricstest.cpp
@@ -0,0 +1,45 @@
+#include "log/metrics.h"
+
+#include <gtest/gtest.h>
+
+using namespace Citronpitch;
+
+TEST(MetricsTest, countersAndGaugesShowTheirLabels)
+{
+    Metrics metrics;
+    metrics.count(Metric::OrdersEnded, {"start", "accepted"});
+    metrics.count(Metric::OrdersEnded, {"start", "accepted"});
+    metrics.set(Metric::GroupFence, {"a\"b\\c\nd"}, 7);
+    const auto text = metrics.text();
+    EXPECT_NE(text.find("# TYPE citronpitch_orders_total counter\n"
+                        "citronpitch_orders_total{order=\"start\",verdict=\"accepted\"} 2\n"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find("citronpitch_group_fence{group=\"a\\\"b\\\\c\\nd\"} 7\n"), std::string::npos) << text;
+}
+
+TEST(MetricsTest, clearedGaugesAreGoneAndCountersStay)
+{
+    Metrics metrics;
+    metrics.count(Metric::OrdersEnded, {"stop", "noAnswer"});
+    metrics.set(Metric::GroupFence, {"a"}, 7);
+    metrics.clearGauges();
+    EXPECT_EQ(metrics.text().find("group=\"a\""), std::string::npos);
+    EXPECT_NE(metrics.text().find("verdict=\"noAnswer\"} 1\n"), std::string::npos);
+}
+
+TEST(MetricsTest, bucketsOfAHistogramAreCumulative)
+{
+    Metrics metrics;
+    for (const int ms : {0, 3, 120, 9000})
+        metrics.observe(Metric::OrderTime, {"poll"}, std::chrono::milliseconds(ms));
+    const auto text = metrics.text();
+    const auto has = [&](const std::string &line) { return text.find(line + "\n") != std::string::npos; };
+    EXPECT_TRUE(has("citronpitch_order_seconds_bucket{order=\"poll\",le=\"0.001\"} 1")) << text;
+    EXPECT_TRUE(has("citronpitch_order_seconds_bucket{order=\"poll\",le=\"0.005\"} 2"));
+    EXPECT_TRUE(has("citronpitch_order_seconds_bucket{order=\"poll\",le=\"0.2\"} 3"));
+    EXPECT_TRUE(has("citronpitch_order_seconds_bucket{order=\"poll\",le=\"5\"} 3"));
+    EXPECT_TRUE(has("citronpitch_order_seconds_bucket{order=\"poll\",le=\"+Inf\"} 4"));
+    EXPECT_TRUE(has("citronpitch_order_seconds_sum{order=\"poll\"} 9.123"));
+    EXPECT_TRUE(has("citronpitch_order_seconds_count{order=\"poll\"} 4"));
+}
--- a/tests/support/fakeexecutor.cpp
+++ b/tests/support/fakeexecutor.cpp
@@ -14,7 +14,8 @@
 
 constexpr auto announcePeriod = std::chrono::milliseconds(200);
 constexpr Duration callTimeout = std::chrono::milliseconds(500);
-constexpr std::uint64_t born = 1'700'000'000'000;
+/// Start of the first life; each further life starts a millisecond later.
+constexpr std::uint64_t firstBorn = 1'700'000'000'000;
 
 std::string wordOf(OrderVerdict verdict)
 {
@@ -32,30 +33,30 @@
 
 } // namespace
 
-FakeExecutor::FakeExecutor(const std::string &id, const std::string &zone, const Endpoint &own,
-                           std::vector<Endpoint> controls)
-    : m_id(id)
-    , m_zone(zone)
-    , m_own(own)
-    , m_controls(std::move(controls))
-    , m_model(now(), {id, 4, std::chrono::milliseconds(50)})
-    , m_server(m_io, own, Platform::controlServerLimits(),
-               [this](const HttpRequest &request, const HttpResponder &respond) -> HttpGone {
-                   respond(handle(request));
-                   return nullptr;
+FakeExecutor::FakeExecutor(boost::asio::io_context &io, FakeExecutorPlan plan)
+    : m_io(io)
+    , m_plan(std::move(plan))
+    , m_model(
+          now(),
+          {m_plan.id, 4, std::chrono::milliseconds(50), std::chrono::milliseconds(1000), m_plan.clockRate})
+    , m_server(m_io, m_plan.own, Platform::controlServerLimits(),
+               [this](const HttpRequest &request, const HttpResponder &respond) {
+                   return handle(request, respond);
                })
     , m_client(m_io)
     , m_timer(m_io)
 {
-    m_model.started = [this](const std::string &) { ++m_starts; };
+    m_model.started = [this](const std::string &task) {
+        ++m_starts;
+        if (started)
+            started(task);
+    };
+    m_model.howEnds = [this](const std::string &task) {
+        if (done)
+            done(task);
+        return RunEndKind::Done;
+    };
     schedule();
-    m_thread = std::thread([this] { m_io.run(); });
-}
-
-FakeExecutor::~FakeExecutor()
-{
-    m_io.stop();
-    m_thread.join();
 }
 
 void FakeExecutor::leave()
@@ -68,6 +69,25 @@
     return m_starts;
 }
 
+void FakeExecutor::delayStarts(Duration delay)
+{
+    m_startDelay = delay;
+}
+
+void FakeExecutor::restart()
+{
+    m_model.restart(now());
+    // Orders that were put off die with the process that had them.
+    m_lateOrders.clear();
+    m_sequence = 0;
+}
+
+bool FakeExecutor::isRunning(const std::string &task)
+{
+    m_model.advance(now());
+    return m_model.running().contains(task);
+}
+
 void FakeExecutor::schedule()
 {
     announce(0);
@@ -80,26 +100,26 @@
 
 void FakeExecutor::announce(std::size_t control)
 {
-    if (control >= m_controls.size())
+    if (control >= m_plan.controls.size())
         return;
     const Json body{{"Service", "pool"},
-                    {"Address", m_own.address + ":" + std::to_string(m_own.port)},
-                    {"Zone", m_zone},
+                    {"Address", m_plan.announced.address + ":" + std::to_string(m_plan.announced.port)},
+                    {"Zone", m_plan.zone},
                     {"Slots", 4},
                     {"State", m_isLeaving ? "draining" : "ready"},
                     {"Capacity", {{"Cpu", 4000}, {"MemMb", 4096}, {"Gpu", 0}}},
                     {"Labels", {"a", "r1"}},
                     {"ClockMs", m_model.clockMs(now())},
                     {"Seq", ++m_sequence},
-                    {"born", born}};
-    ClientRequest request{"POST", "/instances/" + m_id + "/heartbeat", {}, body.dump(), callTimeout};
-    m_client.send(m_controls[control], request, [this, control](const ClientResponse &response) {
+                    {"born", born()}};
+    ClientRequest request{"POST", "/instances/" + m_plan.id + "/heartbeat", {}, body.dump(), callTimeout};
+    m_client.send(m_plan.controls[control], request, [this, control](const ClientResponse &response) {
         if (response.end != ExchangeEnd::Answered || response.response.status != 200)
             announce(control + 1);
     });
 }
 
-HttpResponse FakeExecutor::handle(const HttpRequest &request)
+HttpGone FakeExecutor::handle(const HttpRequest &request, const HttpResponder &respond)
 {
     const auto json = Json::parse(request.body, nullptr, false);
     RunOrder order;
@@ -111,6 +131,30 @@
     order.run = json.value("Run", 0U);
     order.leaseMs = json.value("DeadlineMs", std::int64_t{0});
     order.seenEnds = json.value("AckedThrough", std::uint64_t{0});
+    const auto *expected = request.findHeader("X-Expect-Instance");
+    if (expected != nullptr && *expected != m_plan.id)
+        respond({421, "{}", {}});
+    else if (order.kind == OrderKind::Start && m_startDelay > Duration())
+        carryOutLate(order);
+    else
+        respond(carryOut(order));
+    return nullptr;
+}
+
+void FakeExecutor::carryOutLate(const RunOrder &order)
+{
+    const auto it = m_lateOrders.emplace(m_lateOrders.end(), m_io);
+    it->expires_after(m_startDelay);
+    it->async_wait([this, it, order](boost::system::error_code ec) {
+        if (ec)
+            return;
+        carryOut(order);
+        m_lateOrders.erase(it);
+    });
+}
+
+HttpResponse FakeExecutor::carryOut(const RunOrder &order)
+{
     const auto result = m_model.carryOut(now(), order);
     Json body{{"ClockMs", *result.clockMs}};
     if (result.verdict != OrderVerdict::Accepted) {
@@ -118,7 +162,7 @@
         return {409, body.dump(), {}};
     }
     if (order.kind == OrderKind::Poll) {
-        body["born"] = born;
+        body["born"] = born();
         body["Running"] = Json::array();
         body["Finished"] = Json::array();
         for (const auto &it : result.running)
@@ -129,6 +173,11 @@
     return {200, body.dump(), {}};
 }
 
+std::uint64_t FakeExecutor::born() const
+{
+    return firstBorn + m_model.incarnation();
+}
+
 TimePoint FakeExecutor::now() const
 {
     return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
--- a/tests/support/fakeexecutor.h
+++ b/tests/support/fakeexecutor.h
@@ -9,50 +9,79 @@
 
 #include <atomic>
 #include <functional>
+#include <list>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace Citronpitch {
 
+/// What a FakeExecutor is told at its start.
+struct FakeExecutorPlan
+{
+    std::string id;
+    std::string zone;
+    /// Where it listens, and the address that it announces.
+    Endpoint own;
+    Endpoint announced;
+    /// Control VMs, of which the first that answers takes its announcements.
+    std::vector<Endpoint> controls;
+    /// Rate of its clock, in thousandths of real time.
+    int clockRate = 1000;
+};
+
 /**
- * @brief An executor of the platform on loopback: takes orders over HTTP and announces itself. Used by tests
- * of the adapter.
+ * @brief An executor of the platform on loopback: takes orders over HTTP and announces itself.
+ *
+ * All of it runs on the thread of its event loop, but for the calls that say otherwise. Used by tests of the
+ * adapter and by the soak.
  */
 class FakeExecutor
 {
 public:
-    /// Listens on @p own and announces itself at the first of @p controls that answers.
-    FakeExecutor(const std::string &id, const std::string &zone, const Endpoint &own,
-                 std::vector<Endpoint> controls);
-    ~FakeExecutor();
+    FakeExecutor(boost::asio::io_context &io, FakeExecutorPlan plan);
     FakeExecutor(const FakeExecutor &) = delete;
     FakeExecutor &operator=(const FakeExecutor &) = delete;
 
-    /// Says from now on that it leaves.
+    /// Says from now on that it leaves. From any thread.
     void leave();
 
+    /// Starts of tasks so far. From any thread.
     unsigned starts() const;
 
+    /// Leaves start orders unanswered from now on and carries them out this much later; zero: no more.
+    void delayStarts(Duration delay);
+
+    /// Loses everything that runs, and what it knows, as in a crash.
+    void restart();
+
+    /// Whether @p task runs at this moment.
+    bool isRunning(const std::string &task);
+
+    /// Called with the task whenever a run starts, and whenever one has ended as done.
+    std::function<void(const std::string &task)> started;
+    std::function<void(const std::string &task)> done;
+
 private:
     void announce(std::size_t control);
     void schedule();
-    HttpResponse handle(const HttpRequest &request);
+    HttpGone handle(const HttpRequest &request, const HttpResponder &respond);
+    HttpResponse carryOut(const RunOrder &order);
+    void carryOutLate(const RunOrder &order);
+    std::uint64_t born() const;
     TimePoint now() const;
 
-    std::string m_id;
-    std::string m_zone;
-    Endpoint m_own;
-    std::vector<Endpoint> m_controls;
-    boost::asio::io_context m_io;
+    boost::asio::io_context &m_io;
+    FakeExecutorPlan m_plan;
     UpstreamModel m_model;
     HttpServer m_server;
     HttpClient m_client;
     boost::asio::steady_timer m_timer;
+    /// Orders that are carried out late; each ends with its timer.
+    std::list<boost::asio::steady_timer> m_lateOrders;
+    Duration m_startDelay{};
     std::uint64_t m_sequence = 0;
     std::atomic<bool> m_isLeaving = false;
     std::atomic<unsigned> m_starts = 0;
-    std::thread m_thread;
 };
 
 } // namespace Citronpitch
