Fault soak of a fleet: real processes, signals, and proxies on loopback

Checked while it runs: no task twice at the same time, no start of a refused job, no answer before all tasks are done, reads of the configuration never older than accepted and never backwards, valid orders never refused, no process that ends by itself; and that everything serves again afterwards.

Not covered: clocks and disks that misbehave; the loss of more than one disk.

--- /dev/null
+++ b/tests/soak/soakrun.cpp
@@ -0,0 +1,431 @@
+#include "soak/soakrun.h"
+
+#include <csignal>
+#include <cstdio>
+#include <utility>
+
+namespace Citronpitch {
+
+namespace {
+
+constexpr Duration submitPeriod = std::chrono::milliseconds(40);
+constexpr Duration orderPeriod = std::chrono::milliseconds(700);
+constexpr Duration readPeriod = std::chrono::milliseconds(150);
+constexpr Duration watchPeriod = std::chrono::milliseconds(50);
+constexpr Duration checkPeriod = std::chrono::milliseconds(250);
+/// A caller that got no clear answer sends its job again after this time, to another VM.
+constexpr Duration retryTime = std::chrono::milliseconds(1300);
+/// Callers wait well beyond their deadlines, so that a request that is never answered is seen.
+constexpr Duration callerTimeout = std::chrono::seconds(10);
+constexpr Duration operatorTimeout = std::chrono::seconds(1);
+/// Orders of operators that got no clear answer are sent again after this time.
+constexpr Duration orderAgainTime = std::chrono::milliseconds(300);
+/// First service, recovery after the faults, and shutdown; generous, since the machine may be busy.
+constexpr Duration longestRecovery = std::chrono::seconds(40);
+constexpr Duration longestShutdown = std::chrono::seconds(12);
+constexpr Duration shortestDownTime = std::chrono::milliseconds(100);
+constexpr std::size_t largestJob = 4;
+constexpr std::size_t firstStatusOfRefusal = 400;
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+SoakRun::SoakRun(const std::string &program, const std::filesystem::path &folder, SoakPlan plan)
+    : m_plan(std::move(plan))
+    , m_fleet({program, folder, {"a", "b", "c", "d"}, {"a", "b", "c"}, {"a", "a", "b", "b", "c", "d"}, true})
+    , m_faultLog(folder / "faults.log")
+    , m_client(m_io)
+    , m_random(m_plan.seed)
+    , m_states(m_fleet.vms())
+    , m_isServing(m_fleet.vms())
+    , m_isCurrent(m_fleet.vms())
+{
+    for (std::size_t i = 0; i < m_fleet.executors(); ++i) {
+        m_fleet.executor(i).done = [this](const std::string &task) { m_ledger.done(task); };
+        m_fleet.executor(i).started = [this, i](const std::string &task) {
+            std::vector<std::string> others;
+            for (std::size_t other = 0; other < m_fleet.executors(); ++other) {
+                if (other != i && m_fleet.executor(other).isRunning(task))
+                    others.push_back("executor " + std::to_string(other));
+            }
+            m_ledger.started(task, others);
+        };
+    }
+    m_fleet.startExecutors();
+}
+
+void SoakRun::run()
+{
+    every(submitPeriod, [this] { submitNext(); });
+    every(orderPeriod, [this] { orderNext(); });
+    every(readPeriod, [this] { readNext(); });
+    every(watchPeriod, [this] { watchProcesses(); });
+    checkRecovery();
+    m_io.run();
+}
+
+const SoakLedger &SoakRun::ledger() const
+{
+    return m_ledger;
+}
+
+void SoakRun::every(Duration period, const std::function<void()> &action)
+{
+    after(period, [this, period, action] {
+        action();
+        if (!m_isOver)
+            every(period, action);
+    });
+}
+
+void SoakRun::after(Duration time, const std::function<void()> &action)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, time);
+    timer->async_wait([timer, action](boost::system::error_code ec) {
+        if (!ec)
+            action();
+    });
+}
+
+std::size_t SoakRun::draw(std::size_t limit)
+{
+    return m_random() % limit;
+}
+
+std::size_t SoakRun::drawEntry()
+{
+    return m_fleet.controls() + draw(m_fleet.vms() - m_fleet.controls());
+}
+
+TimePoint SoakRun::now() const
+{
+    return std::chrono::time_point_cast<Duration>(
+        TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch())));
+}
+
+void SoakRun::submitNext()
+{
+    Request request;
+    std::array<char, 17> id{};
+    std::snprintf(id.data(), id.size(), "%016llx", static_cast<unsigned long long>(m_nextId++));
+    request.id = id.data();
+    request.tasks = static_cast<unsigned>(1 + draw(largestJob));
+    request.vm = drawEntry();
+    submit(std::move(request));
+}
+
+void SoakRun::submit(Request request)
+{
+    // As a balancer would: a VM that was seen to be gone or to shut down gets no new connections.
+    for (std::size_t i = 0; i < m_fleet.vms() && m_states[request.vm].isEnding; ++i)
+        request.vm = drawEntry();
+    request.sentAt = now();
+    m_ledger.submitted(request.id, request.tasks);
+    auto sent = platformSubmission(request.id, platformJob(request.tasks));
+    sent.timeout = callerTimeout;
+    m_client.send(m_fleet.callers(request.vm), sent,
+                  [this, request](const ClientResponse &response) { ended(request, response); });
+}
+
+void SoakRun::ended(const Request &request, const ClientResponse &response)
+{
+    const bool isAnswered = response.end == ExchangeEnd::Answered;
+    const int status = isAnswered ? response.response.status : 0;
+    m_ledger.answered(request.id, status);
+    if (status == statusOk)
+        m_isServing[request.vm] = true;
+    if (!isAnswered && isCutByShutdown(request))
+        m_ledger.cutOff(request.id, m_fleet.nameOf(request.vm));
+    const bool isClear = isAnswered && status < 500;
+    if (isClear || status == statusUnavailable || request.isSecond || m_isOver)
+        return;
+    auto again = request;
+    again.isSecond = true;
+    again.vm = drawEntry();
+    after(retryTime, [this, again] { submit(again); });
+}
+
+bool SoakRun::isCutByShutdown(const Request &request) const
+{
+    // A connection that a VM closes while a request is on its way to it is no request that it took.
+    const auto &state = m_states[request.vm];
+    return m_plan.isPlannedOnly && request.sentAt < state.terminatedAt;
+}
+
+void SoakRun::orderNext()
+{
+    if (m_isOrderOpen)
+        return;
+    m_isOrderOpen = true;
+    // Now and then an operator sends an order again that an other one has overtaken.
+    if (m_version > 1 && draw(4) == 0) {
+        order(1 + draw(m_version - 1));
+        return;
+    }
+    ++m_version;
+    m_ledger.ordered(m_version, platformConfiguration(m_version).dump());
+    order(m_version);
+}
+
+void SoakRun::order(std::uint64_t version)
+{
+    ClientRequest request{"POST", "/config/replace", {}, platformConfiguration(version).dump()};
+    request.timeout = operatorTimeout;
+    m_client.send(
+        m_fleet.control(draw(m_fleet.controls())), request, [this, version](const ClientResponse &response) {
+            const auto status = response.end == ExchangeEnd::Answered ? response.response.status : 0;
+            if (status == statusOk) {
+                m_ledger.accepted(now(), version);
+                m_isOrderOpen = false;
+                return;
+            }
+            if (status >= static_cast<int>(firstStatusOfRefusal) && status < 500) {
+                m_ledger.orderRefused(version, status);
+                m_isOrderOpen = false;
+                return;
+            }
+            if (!m_isOver)
+                after(orderAgainTime, [this, version] { order(version); });
+        });
+}
+
+void SoakRun::readNext()
+{
+    const auto vm = draw(m_fleet.controls());
+    const auto life = m_states[vm].life;
+    const auto sentAt = now();
+    ClientRequest request{"GET", "/config/read"};
+    request.timeout = operatorTimeout;
+    m_client.send(m_fleet.control(vm), request, [this, vm, life, sentAt](const ClientResponse &response) {
+        if (response.end != ExchangeEnd::Answered || response.response.status != statusOk)
+            return;
+        if (life == m_states[vm].life)
+            m_ledger.read(sentAt, m_fleet.nameOf(vm), life, response.response.body);
+        m_isCurrent[vm] = m_ledger.isNewest(response.response.body);
+    });
+}
+
+void SoakRun::inject(const SoakStep &step)
+{
+    if (m_isOver || !m_isLoaded)
+        return;
+    note(step);
+    switch (step.fault) {
+    case SoakFault::RestartExecutor:
+    case SoakFault::SilenceExecutor:
+    case SoakFault::MuteExecutor:
+    case SoakFault::DelayStarts:
+        injectIntoExecutor(step);
+        return;
+    default:
+        injectIntoVm(step);
+    }
+}
+
+void SoakRun::note(const SoakStep &step)
+{
+    const auto sinceMidnight = std::chrono::system_clock::now().time_since_epoch() % std::chrono::hours(24);
+    const std::chrono::hh_mm_ss time(std::chrono::floor<std::chrono::milliseconds>(sinceMidnight));
+    std::array<char, 16> text{};
+    std::snprintf(text.data(), text.size(), "%02d:%02d:%02d.%03d", static_cast<int>(time.hours().count()),
+                  static_cast<int>(time.minutes().count()), static_cast<int>(time.seconds().count()),
+                  static_cast<int>(time.subseconds().count()));
+    m_faultLog << text.data() << " " << nameIn(soakFaultNames, step.fault) << " vm "
+               << step.target % m_fleet.vms() << " executor " << step.target % m_fleet.executors() << " "
+               << step.time / std::chrono::milliseconds(1) << " ms" << std::endl;
+}
+
+void SoakRun::injectIntoVm(const SoakStep &step)
+{
+    const auto vm = step.target % m_fleet.vms();
+    auto &state = m_states[vm];
+    const auto links = [this, vm]() -> FaultPlan & { return m_fleet.linkProxy(vm).faults(); };
+    switch (step.fault) {
+    case SoakFault::Kill:
+        kill(vm, step.time);
+        return;
+    case SoakFault::KillControl:
+        for (std::size_t i = 0; i < m_fleet.controls(); ++i)
+            kill(i, step.time / 2);
+        return;
+    case SoakFault::LoseDisk:
+        // A fleet of this size bears the loss of one disk; a second one only once that is made up for.
+        if (!m_fleet.isControl(vm) || state.isEnding || std::exchange(m_hasLostDisk, true))
+            return;
+        state.hasLostDisk = true;
+        kill(vm, step.time);
+        return;
+    case SoakFault::Terminate:
+        if (state.isEnding || state.isPaused)
+            return;
+        state.isEnding = true;
+        state.terminatedAt = now();
+        m_fleet.process(vm).signal(SIGTERM);
+        return;
+    case SoakFault::Pause:
+        if (state.isEnding || std::exchange(state.isPaused, true))
+            return;
+        m_fleet.process(vm).signal(SIGSTOP);
+        after(step.time, [this, vm, life = state.life] {
+            if (m_states[vm].life == life && std::exchange(m_states[vm].isPaused, false))
+                m_fleet.process(vm).signal(SIGCONT);
+        });
+        return;
+    case SoakFault::DelayLinks:
+        links().delayMicroseconds = step.time.count() / 20;
+        after(step.time, [links] { links().delayMicroseconds = 0; });
+        return;
+    case SoakFault::ResetLinks:
+        m_fleet.linkProxy(vm).closeAll();
+        return;
+    case SoakFault::SilenceLinks:
+        links().swallowToServer = true;
+        after(step.time, [links] { links().swallowToServer = false; });
+        return;
+    case SoakFault::RefuseLinks:
+        links().refuse = true;
+        m_fleet.linkProxy(vm).closeAll();
+        after(step.time, [links] { links().refuse = false; });
+        return;
+    default:
+        return;
+    }
+}
+
+void SoakRun::injectIntoExecutor(const SoakStep &step)
+{
+    const auto number = step.target % m_fleet.executors();
+    auto &executor = m_fleet.executor(number);
+    auto &proxy = m_fleet.executorProxy(number).faults();
+    const auto onExecutor = [this](const std::function<void()> &action) {
+        boost::asio::post(m_fleet.executorLoop(), action);
+    };
+    switch (step.fault) {
+    case SoakFault::RestartExecutor:
+        onExecutor([&executor] { executor.restart(); });
+        return;
+    case SoakFault::SilenceExecutor:
+        proxy.swallowToServer = true;
+        after(step.time, [&proxy] { proxy.swallowToServer = false; });
+        return;
+    case SoakFault::MuteExecutor:
+        proxy.swallowToClient = true;
+        after(step.time, [&proxy] { proxy.swallowToClient = false; });
+        return;
+    default:
+        onExecutor([&executor, delay = step.time] { executor.delayStarts(delay); });
+        after(step.time, [onExecutor, &executor] {
+            onExecutor([&executor] { executor.delayStarts(Duration::zero()); });
+        });
+    }
+}
+
+void SoakRun::kill(std::size_t vm, Duration downTime)
+{
+    auto &state = m_states[vm];
+    if (std::exchange(state.isEnding, true))
+        return;
+    m_fleet.process(vm).signal(SIGKILL);
+    m_fleet.process(vm).wait();
+    if (state.hasLostDisk)
+        m_fleet.loseDisk(vm);
+    after(std::max(downTime, shortestDownTime), [this, vm] { restart(vm); });
+}
+
+void SoakRun::restart(std::size_t vm)
+{
+    auto &state = m_states[vm];
+    const auto life = state.life + 1;
+    state = {};
+    state.life = life;
+    m_fleet.start(vm, false);
+}
+
+void SoakRun::watchProcesses()
+{
+    for (std::size_t i = 0; i < m_fleet.vms() && !m_isOver; ++i) {
+        auto &state = m_states[i];
+        if (!m_fleet.process(i).hasEnded())
+            continue;
+        if (!state.isEnding) {
+            m_ledger.fail(m_fleet.nameOf(i) + " ended by itself, with code "
+                          + std::to_string(m_fleet.process(i).wait()));
+            state.isEnding = true;
+            restart(i);
+        } else if (state.terminatedAt != TimePoint()) {
+            if (const int code = m_fleet.process(i).wait(); code != 0)
+                m_ledger.fail(m_fleet.nameOf(i) + " ended its shutdown with code " + std::to_string(code));
+            restart(i);
+        }
+    }
+}
+
+void SoakRun::checkRecovery()
+{
+    m_isServing.assign(m_fleet.vms(), false);
+    m_isCurrent.assign(m_fleet.vms(), false);
+    const auto deadline = now() + longestRecovery;
+    // Runs until everything serves; then the faults begin, or the run ends.
+    const auto look = std::make_shared<std::function<void()>>();
+    *look = [this, deadline, look] {
+        const bool isLate = now() >= deadline;
+        if (!isRecovered() && !isLate) {
+            after(checkPeriod, *look);
+            return;
+        }
+        if (isLate)
+            m_ledger.fail(m_isLoaded ? "no recovery after the faults" : "no service after the start");
+        if (m_isLoaded || isLate) {
+            shutDown();
+            return;
+        }
+        m_isLoaded = true;
+        for (const auto &it : m_plan.steps)
+            after(it.at, [this, it] { inject(it); });
+        after(m_plan.length, [this] { endFaults(); });
+    };
+    (*look)();
+}
+
+bool SoakRun::isRecovered()
+{
+    for (std::size_t i = 0; i < m_fleet.vms(); ++i) {
+        if (m_states[i].isEnding || !(m_fleet.isControl(i) ? m_isCurrent[i] : m_isServing[i]))
+            return false;
+    }
+    return true;
+}
+
+void SoakRun::endFaults()
+{
+    // Faults that last end by their own timers, at most one fault's time from now.
+    m_isServing.assign(m_fleet.vms(), false);
+    checkRecovery();
+}
+
+void SoakRun::shutDown()
+{
+    m_isOver = true;
+    for (std::size_t i = m_fleet.vms(); i > 0; --i) {
+        m_fleet.process(i - 1).signal(SIGCONT);
+        m_fleet.process(i - 1).signal(SIGTERM);
+    }
+    const auto deadline = now() + longestShutdown;
+    const auto look = std::make_shared<std::function<void()>>();
+    *look = [this, deadline, look] {
+        std::size_t running = 0;
+        for (std::size_t i = 0; i < m_fleet.vms(); ++i)
+            running += m_fleet.process(i).hasEnded() ? 0 : 1;
+        if (running > 0 && now() < deadline) {
+            after(checkPeriod, *look);
+            return;
+        }
+        if (running > 0)
+            m_ledger.fail(std::to_string(running) + " processes did not end when asked to");
+        m_io.stop();
+    };
+    (*look)();
+}
+
+} // namespace Citronpitch
--- a/tools/run.sh
+++ b/tools/run.sh
@@ -79,7 +79,8 @@
 lint) lint ;;
 test) runTests ;;
 demo) buildDemo && $build/bench/citronpitch-demo --programs $build "${@:2}" ;;
+soak) buildAll && $build/tests/citronpitch-soak --programs $build "${@:2}" ;;
 fuzz) buildAll && $build/tests/citronpitch-fuzz "${@:2}" ;;
 bench) buildAll && $build/bench/citronpitch-bench --programs $build "${@:2}" ;;
-*) echo "usage: ./run build|format|lint|test|demo|fuzz|bench" && exit 2 ;;
+*) echo "usage: ./run build|format|lint|test|demo|fuzz|soak|bench" && exit 2 ;;
 esac
