The product decides how a VM shuts down; one place takes over declared documents; dead code goes

DeclaredWork reads and logs a document for both roles. Gone: JobRelay::openJobs(), the argument of dropParts() that was always true, Candidate::free, UpstreamRuns::isTakenOver(), Attempt::startedAt, runOutcomeNames.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -168,7 +168,6 @@
         std::string pool;
         std::string upstream;
         AttemptId placed = 0;
-        TimePoint startedAt;
     };
 
     struct Upstream
--- a/include/citronpitch/jobrelay.h
+++ b/include/citronpitch/jobrelay.h
@@ -80,7 +80,6 @@
 
     /// Jobs with a lower number are over.
     std::uint64_t lowestOpen() const;
-    std::size_t openJobs() const;
     /// Whether a group that takes jobs is in reach.
     bool canServe() const;
 
@@ -124,7 +123,6 @@
         std::string group;
         std::string vm;
         std::uint32_t parallel = 0;
-        std::uint32_t free = 0;
         /// Free places that are fast enough for the class in question.
         std::uint32_t sufficient = 0;
         Duration waiting{};
@@ -144,7 +142,8 @@
     void passPart(TimePoint now, std::uint64_t job, HeldJob held, const Candidate &to,
                   const std::string &refusedBy);
     bool passAgain(TimePoint now, Part part);
-    void dropParts(std::uint64_t job, bool tellsHolders);
+    /// Tells the holders of a job's parts that nobody waits for them.
+    void dropParts(std::uint64_t job);
     void answer(std::uint64_t number, const Answer &answer);
 
     JobRelayOptions m_options;
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -48,16 +48,6 @@
     TakenOver,
 };
 
-inline constexpr std::array runOutcomeNames{
-    EnumName<RunOutcome>{RunOutcome::Done, "done"},
-    EnumName<RunOutcome>{RunOutcome::Failed, "failed"},
-    EnumName<RunOutcome>{RunOutcome::Declined, "declined"},
-    EnumName<RunOutcome>{RunOutcome::NotSent, "notSent"},
-    EnumName<RunOutcome>{RunOutcome::Lost, "lost"},
-    EnumName<RunOutcome>{RunOutcome::Stopped, "stopped"},
-    EnumName<RunOutcome>{RunOutcome::TakenOver, "takenOver"},
-};
-
 /// The end of a run, told once.
 struct FinishedRun
 {
@@ -90,7 +80,7 @@
     /// The upstream has left: nothing runs there any more.
     void left();
 
-    /// Orders run @p run of @p task; finished() tells its end under @p attempt. Only while isReady().
+    /// Orders run @p run of @p task; takeFinished() tells its end under @p attempt. Only while isReady().
     void start(TimePoint now, std::uint64_t attempt, const std::string &task, std::uint32_t run,
                const std::string &payload);
 
@@ -105,7 +95,6 @@
     /// Whether runs may be started: the fencing token is known there, nothing of another holder runs, and the
     /// last order was answered.
     bool isReady() const;
-    bool isTakenOver() const;
     bool isIdle() const;
     const FleetAnnouncement &announcement() const;
 
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -302,7 +302,7 @@
     auto &job = m_jobs.at(placement.job);
     auto &task = job.tasks.at(placement.task);
     const auto attempt = m_nextAttempt++;
-    m_attempts[attempt] = {placement.job, placement.task, pool, placement.upstream, placement.attempt, now};
+    m_attempts[attempt] = {placement.job, placement.task, pool, placement.upstream, placement.attempt};
     task.attempt = attempt;
     ++task.lastRun;
     ++job.open;
--- a/src/core/runs/jobrelay.cpp
+++ b/src/core/runs/jobrelay.cpp
@@ -118,7 +118,7 @@
     std::erase(job.callers, caller);
     if (!job.callers.empty())
         return;
-    dropParts(number, true);
+    dropParts(number);
     m_byKey.erase(job.key);
     m_jobs.erase(number);
 }
@@ -191,11 +191,6 @@
     return m_parts.empty() ? m_nextNumber : m_parts.begin()->first;
 }
 
-std::size_t JobRelay::openJobs() const
-{
-    return m_jobs.size();
-}
-
 bool JobRelay::canServe() const
 {
     return !candidates({}).empty();
@@ -217,8 +212,7 @@
         const auto taken = sent == vm->second.sent.end() ? 0 : sent->second;
         const auto left = [taken](std::uint32_t places) { return places - std::min(places, taken); };
         Candidate candidate{
-            it.group, it.vm, load->second.parallel, left(load->second.freeTasks), 0, load->second.waiting};
-        candidate.sufficient = candidate.free;
+            it.group, it.vm, load->second.parallel, left(load->second.freeTasks), load->second.waiting};
         for (const auto &of : load->second.classes) {
             if (of.className == className)
                 candidate.sufficient = left(of.freeTasks);
@@ -305,23 +299,19 @@
     return true;
 }
 
-void JobRelay::dropParts(std::uint64_t job, bool tellsHolders)
+void JobRelay::dropParts(std::uint64_t job)
 {
     for (const auto number : std::exchange(m_jobs.at(job).parts, {})) {
         const auto it = m_parts.find(number);
-        if (tellsHolders) {
-            m_actions.emplace_back(SendCancel{it->second.vm, number});
-            it->second.resendAt = {};
-            m_cancelled.insert(m_parts.extract(it));
-        } else {
-            m_parts.erase(it);
-        }
+        m_actions.emplace_back(SendCancel{it->second.vm, number});
+        it->second.resendAt = {};
+        m_cancelled.insert(m_parts.extract(it));
     }
 }
 
 void JobRelay::answer(std::uint64_t number, const Answer &answer)
 {
-    dropParts(number, true);
+    dropParts(number);
     const auto it = m_jobs.find(number);
     for (const auto caller : it->second.callers) {
         m_byCaller.erase(caller);
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -135,11 +135,6 @@
     return m_isFenced && !m_isSilent && !m_isTakenOver && !m_hasLeft && m_strangers.empty();
 }
 
-bool UpstreamRuns::isTakenOver() const
-{
-    return m_isTakenOver;
-}
-
 bool UpstreamRuns::isIdle() const
 {
     return m_runs.empty();
--- /dev/null
+++ b/src/fleet/declaredwork.cpp
@@ -0,0 +1,34 @@
+#include "fleet/declaredwork.h"
+
+#include "log/eventlog.h"
+
+#include <utility>
+
+namespace Citronpitch {
+
+DeclaredWork::DeclaredWork(ParseDocument parse)
+    : m_parse(std::move(parse))
+{
+}
+
+bool DeclaredWork::take(const DeclaredDocument &document)
+{
+    const bool isNew = document.version > 0 && (!m_declaration || m_declaration->version < document.version);
+    if (!isNew)
+        return false;
+    auto declaration = m_parse(document);
+    if (!declaration) {
+        logEvent(Event::DocumentUnreadable, {{"version", std::to_string(document.version)}});
+        return false;
+    }
+    m_declaration = std::move(declaration);
+    logEvent(Event::DocumentInForce, {{"version", std::to_string(document.version)}});
+    return true;
+}
+
+const WorkDeclaration *DeclaredWork::declaration() const
+{
+    return m_declaration ? &*m_declaration : nullptr;
+}
+
+} // namespace Citronpitch
--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -24,6 +24,9 @@
 /// How long an announcement waits until the other control VMs have it; upstreams wait a second.
 constexpr Duration announcementTime = std::chrono::milliseconds(700);
 
+/// Heartbeats go on for this long after the last job, so that the leader sees the groups released.
+constexpr Duration lingerAfterRelease = std::chrono::milliseconds(600);
+
 constexpr Duration assignmentPeriod = std::chrono::milliseconds(100);
 
 /// A read of the document fails when it is not certain that it was the newest this long ago.
@@ -44,6 +47,7 @@
 FleetControl::FleetControl(boost::asio::io_context &io, const FleetSettings &settings,
                            FleetControlHooks hooks)
     : m_hooks(std::move(hooks))
+    , m_work(m_hooks.parse)
     , m_settings(settings)
     , m_registry(settings.announcementPeriod * missedForMemory)
     , m_member(io, settings,
@@ -53,6 +57,7 @@
                 [this](const Configuration &configuration) { shown(configuration); },
                 [this](const AnswerChange &answer) { changeAnswered(answer); }, [this] { ticked(); }})
     , m_page(io, settings.metrics, [this](Metrics &metrics) { collect(metrics); })
+    , m_shutdown(io, settings.vm, [this] { return now(); })
 {
 }
 
@@ -134,16 +139,21 @@
     return m_member.configuration().shown().document;
 }
 
-void FleetControl::drain()
+void FleetControl::shutDown()
 {
-    m_isDraining = true;
+    if (m_shutdown.hasBegun())
+        return;
+    const auto lingerUntil = std::make_shared<TimePoint>();
+    m_shutdown.begin({{[this] { return isReleased(); },
+                       [this, lingerUntil] { *lingerUntil = now() + lingerAfterRelease; }},
+                      {[this, lingerUntil] { return now() >= *lingerUntil; }, {}}},
+                     now() + m_settings.drainTimeout);
     m_member.sendHeartbeats();
 }
 
 bool FleetControl::isReleased() const
 {
-    return m_isDraining
-        && std::all_of(m_groups.begin(), m_groups.end(), [](const auto &it) { return it.second->isIdle(); });
+    return std::all_of(m_groups.begin(), m_groups.end(), [](const auto &it) { return it.second->isIdle(); });
 }
 
 TimePoint FleetControl::now() const
@@ -153,7 +163,7 @@
 
 void FleetControl::describe(wire::Heartbeat &heartbeat)
 {
-    heartbeat.set_is_draining(m_isDraining);
+    heartbeat.set_is_draining(m_shutdown.hasBegun());
     for (const auto &[group, it] : m_groups)
         toWire(it->load(now()), heartbeat.add_groups());
 }
@@ -278,17 +288,10 @@
 
 void FleetControl::shown(const Configuration &configuration)
 {
-    const auto &document = configuration.document;
-    if (document.version > 0 && (!m_declaration || m_declaration->version < document.version)) {
-        if (auto declaration = m_hooks.parse(document)) {
-            m_declaration = std::move(declaration);
-            m_classes = classesOf(*m_declaration);
-            for (const auto &[group, it] : m_groups)
-                it->setClasses(m_classes);
-            logEvent(Event::DocumentInForce, {{"version", std::to_string(document.version)}});
-        } else {
-            logEvent(Event::DocumentUnreadable, {{"version", std::to_string(document.version)}});
-        }
+    if (m_work.take(configuration.document)) {
+        m_classes = classesOf(*m_work.declaration());
+        for (const auto &[group, it] : m_groups)
+            it->setClasses(m_classes);
     }
     updateGroups(configuration);
 }
@@ -322,8 +325,8 @@
 {
     const auto previous = std::exchange(m_holders, configuration.holders);
     for (const auto &it : m_holders) {
-        const bool isOwn =
-            it.vm == m_member.self().name && it.incarnation == m_member.self().incarnation && !m_isDraining;
+        const bool isOwn = it.vm == m_member.self().name && it.incarnation == m_member.self().incarnation
+            && !m_shutdown.hasBegun();
         const auto held = m_groups.find(it.group);
         if (held != m_groups.end() && held->second->fence() < it.fence)
             held->second->close(now());
@@ -398,7 +401,7 @@
     if (node.role() != ConfigurationRole::Leader || node.shown().document.version == 0)
         return;
     std::vector<AssignmentVm> vms;
-    vms.push_back({m_member.self(), true, m_isDraining, now()});
+    vms.push_back({m_member.self(), true, m_shutdown.hasBegun(), now()});
     for (const auto &[name, it] : m_member.directory().peers())
         vms.push_back({it.peer, it.isAlive, it.isDraining, it.heardAt});
     m_aliveSince.try_emplace(m_member.self().name, now());
--- a/src/fleet/fleetcontrol.h
+++ b/src/fleet/fleetcontrol.h
@@ -2,10 +2,10 @@
 
 #include "citronpitch/groupdispatcher.h"
 #include "citronpitch/holderassignment.h"
-#include "citronpitch/workdeclaration.h"
-#include "fleet/fleetentry.h"
+#include "fleet/declaredwork.h"
 #include "fleet/fleetmember.h"
 #include "fleet/metricspage.h"
+#include "fleet/shutdownsequence.h"
 #include "fleet/upstreamregistry.h"
 
 #include <functional>
@@ -60,10 +60,8 @@
     /// The newest declared document; nothing while it is not certain which one that is.
     std::optional<DeclaredDocument> readDocument() const;
 
-    /// Gives its groups away, once their jobs have ended.
-    void drain();
-    /// Whether no job is in flight and no group is held any more.
-    bool isReleased() const;
+    /// Gives its groups away once their jobs have ended, and stops the event loop.
+    void shutDown();
 
     TimePoint now() const;
 
@@ -83,6 +81,7 @@
         TimePoint deadline;
     };
 
+    bool isReleased() const;
     void describe(citronpitch::wire::fleet::Heartbeat &heartbeat);
     void received(const std::string &vm, const citronpitch::wire::fleet::Message &message);
     void heartbeatReceived(const std::string &vm, const citronpitch::wire::fleet::Heartbeat &heartbeat);
@@ -109,11 +108,12 @@
     void collect(Metrics &metrics) const;
 
     FleetControlHooks m_hooks;
+    DeclaredWork m_work;
     FleetSettings m_settings;
     UpstreamRegistry m_registry;
     FleetMember m_member;
     MetricsPage m_page;
-    std::optional<WorkDeclaration> m_declaration;
+    ShutdownSequence m_shutdown;
     std::vector<ClassDeclaration> m_classes;
     std::map<std::string, std::unique_ptr<GroupDispatcher>> m_groups;
     std::map<std::string, Takeover> m_takeovers;
@@ -125,7 +125,6 @@
     std::vector<GroupHolder> m_holders;
     TimePoint m_nextAssignment;
     std::uint64_t m_nextRequest = 1;
-    bool m_isDraining = false;
     bool m_isCarryingOut = false;
 };
 
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -11,8 +11,15 @@
 
 namespace wire = citronpitch::wire::fleet;
 
+namespace {
+
+/// Balancers look once a second and take two misses for the end.
+constexpr Duration listenAfterDrain = std::chrono::milliseconds(2500);
+
+} // namespace
+
 FleetEntry::FleetEntry(boost::asio::io_context &io, const FleetSettings &settings, ParseDocument parse)
-    : m_parse(std::move(parse))
+    : m_work(std::move(parse))
     , m_relay({settings.domain})
     , m_member(io, settings,
                {[this](wire::Heartbeat &heartbeat) { describe(heartbeat); },
@@ -21,6 +28,8 @@
                 [this](const Configuration &configuration) { shown(configuration); },
                 [](const AnswerChange &) {}, [this] { ticked(); }})
     , m_page(io, settings.metrics, [this](Metrics &metrics) { collect(metrics); })
+    , m_shutdown(io, settings.vm, [this] { return now(); })
+    , m_drainTimeout(settings.drainTimeout)
 {
 }
 
@@ -49,27 +58,23 @@
 
 const WorkDeclaration *FleetEntry::declaration() const
 {
-    return m_declaration ? &*m_declaration : nullptr;
+    return m_work.declaration();
 }
 
 bool FleetEntry::isReady() const
 {
-    return m_declaration && !m_isDraining && m_relay.canServe();
+    return declaration() != nullptr && !m_shutdown.hasBegun() && m_relay.canServe();
 }
 
-void FleetEntry::drain()
+void FleetEntry::shutDown(HttpServer &callers)
 {
-    m_isDraining = true;
-}
-
-bool FleetEntry::isDraining() const
-{
-    return m_isDraining;
-}
-
-std::size_t FleetEntry::waitingCallers() const
-{
-    return m_callers.size();
+    if (m_shutdown.hasBegun())
+        return;
+    callers.closeAfterResponses();
+    const auto listenUntil = now() + listenAfterDrain;
+    m_shutdown.begin({{[this, listenUntil] { return now() >= listenUntil; }, [&callers] { callers.drain(); }},
+                      {[&callers] { return callers.connections() == 0; }, {}}},
+                     now() + m_drainTimeout);
 }
 
 TimePoint FleetEntry::now() const
@@ -79,7 +84,7 @@
 
 void FleetEntry::describe(wire::Heartbeat &heartbeat) const
 {
-    heartbeat.set_is_draining(m_isDraining);
+    heartbeat.set_is_draining(m_shutdown.hasBegun());
     heartbeat.set_lowest_open_job(m_relay.lowestOpen());
 }
 
@@ -112,17 +117,7 @@
 void FleetEntry::shown(const Configuration &configuration)
 {
     m_relay.setHolders(configuration.holders);
-    const auto &document = configuration.document;
-    const bool isNew = document.version > 0 && (!m_declaration || m_declaration->version < document.version);
-    if (!isNew)
-        return;
-    auto declaration = m_parse(document);
-    if (!declaration) {
-        logEvent(Event::DocumentUnreadable, {{"version", std::to_string(document.version)}});
-        return;
-    }
-    m_declaration = std::move(declaration);
-    logEvent(Event::DocumentInForce, {{"version", std::to_string(document.version)}});
+    m_work.take(configuration.document);
 }
 
 void FleetEntry::ticked()
--- a/src/fleet/fleetentry.h
+++ b/src/fleet/fleetentry.h
@@ -1,19 +1,16 @@
 #pragma once
 
 #include "citronpitch/jobrelay.h"
-#include "citronpitch/workdeclaration.h"
+#include "fleet/declaredwork.h"
 #include "fleet/fleetmember.h"
 #include "fleet/metricspage.h"
+#include "fleet/shutdownsequence.h"
 
 #include <functional>
 #include <map>
-#include <optional>
 
 namespace Citronpitch {
 
-/// Reads the text of a declared document; nothing where it can't be read.
-using ParseDocument = std::function<std::optional<WorkDeclaration>(const DeclaredDocument &)>;
-
 /// Told the one answer to a caller's job.
 using JobAnswered = std::function<void(const Answer &)>;
 
@@ -39,10 +36,8 @@
     /// Whether callers' jobs can be served.
     bool isReady() const;
 
-    /// Takes no new callers; those that wait are served.
-    void drain();
-    bool isDraining() const;
-    std::size_t waitingCallers() const;
+    /// Is no longer ready, serves whoever still comes to @p callers, closes it, and stops the event loop.
+    void shutDown(HttpServer &callers);
 
     TimePoint now() const;
 
@@ -66,14 +61,14 @@
     void answer(const WaitingCaller &caller, const Answer &answer);
     void collect(Metrics &metrics) const;
 
-    ParseDocument m_parse;
+    DeclaredWork m_work;
     JobRelay m_relay;
     FleetMember m_member;
     MetricsPage m_page;
-    std::optional<WorkDeclaration> m_declaration;
+    ShutdownSequence m_shutdown;
+    Duration m_drainTimeout;
     std::map<CallerId, WaitingCaller> m_callers;
     CallerId m_nextCaller = 1;
-    bool m_isDraining = false;
 };
 
 } // namespace Citronpitch
