Links set no routing ids: an old connection that breaks no longer ends the process

A VM that comes back under its routing id takes the id over from its old connection. The old one loses its pipe, stops reading at the next message, and once it breaks, the next heartbeat writes to a connection that has failed, which libzmq 4.3.4 asserts not to happen. It takes an old connection that still delivers after the new one stands: delayed links and a restart, on the platform as well.

Change: no routing ids, and so nothing to hand over. Nobody routes by them; messages name their sender.

Ruled out: leaving out heartbeats on connections; they notice connections that have gone silent.

Test: an old connection delivers after the new one stands and is then cut (it aborted the test's process before).

--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -42,15 +42,15 @@
 class PeerLink::Sockets
 {
 public:
-    Sockets(boost::asio::io_context &io, zmq::context_t &context, const std::string &name,
-            const VmSettings &vm, LinkChanged changed)
+    Sockets(boost::asio::io_context &io, zmq::context_t &context, const VmSettings &vm, LinkChanged changed)
         : m_state(std::move(changed))
         , m_outbound(context, zmq::socket_type::dealer)
         , m_monitor(context, zmq::socket_type::pair)
         , m_readable(io)
     {
+        // It sets no routing id: messages name their sender, and an id that passes from a VM's old connection
+        // to its new one leaves the old one in a state in which libzmq aborts when it breaks.
         preparePeerSocket(m_outbound);
-        m_outbound.set(zmq::sockopt::routing_id, name);
         m_outbound.set(zmq::sockopt::immediate, 1);
         m_outbound.set(zmq::sockopt::reconnect_ivl, reconnectMilliseconds);
         m_outbound.set(zmq::sockopt::reconnect_ivl_max, reconnectLimitMilliseconds);
@@ -124,9 +124,9 @@
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
-PeerLink::PeerLink(boost::asio::io_context &io, zmq::context_t &context, const std::string &name,
-                   const VmSettings &vm, LinkChanged changed)
-    : m_sockets(std::make_unique<Sockets>(io, context, name, vm, std::move(changed)))
+PeerLink::PeerLink(boost::asio::io_context &io, zmq::context_t &context, const VmSettings &vm,
+                   LinkChanged changed)
+    : m_sockets(std::make_unique<Sockets>(io, context, vm, std::move(changed)))
 {
 }
 
--- a/src/net/peerlink.h
+++ b/src/net/peerlink.h
@@ -26,9 +26,7 @@
 class PeerLink
 {
 public:
-    /// @p name is this VM's name, which the other side routes by.
-    PeerLink(boost::asio::io_context &io, zmq::context_t &context, const std::string &name,
-             const VmSettings &vm, LinkChanged changed);
+    PeerLink(boost::asio::io_context &io, zmq::context_t &context, const VmSettings &vm, LinkChanged changed);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
--- a/src/net/peerlinks.cpp
+++ b/src/net/peerlinks.cpp
@@ -41,7 +41,6 @@
     void bind(const Endpoint &own)
     {
         preparePeerSocket(m_inbound);
-        m_inbound.set(zmq::sockopt::router_handover, 1);
         m_inbound.bind("tcp://" + own.address + ":" + std::to_string(own.port));
         m_readable.assign(m_inbound.get(zmq::sockopt::fd));
         readTurn();
@@ -52,7 +51,7 @@
         const auto other = vm.identity.name;
         if (other == m_name || m_links.contains(other))
             return;
-        auto link = std::make_unique<PeerLink>(m_io, m_context, m_name, vm, [this, other](LinkPhase phase) {
+        auto link = std::make_unique<PeerLink>(m_io, m_context, vm, [this, other](LinkPhase phase) {
             if (m_changed && phase != LinkPhase::Closed)
                 m_changed(other, phase == LinkPhase::Up);
         });
--- a/tests/integration/peerlinkstest.cpp
+++ b/tests/integration/peerlinkstest.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
 #include <thread>
 
 using namespace Citronpitch;
@@ -85,3 +87,40 @@
     closing.join();
     EXPECT_EQ(received, messages);
 }
+
+TEST(PeerLinksTest, OldConnectionOfAVmThatCameBackEndsWithoutHarm)
+{
+    // The old connection still delivers when the VM is back on a new one, and then it breaks.
+    const auto a = freeEndpoint();
+    const auto b = freeEndpoint();
+    const auto slowPath = freeEndpoint();
+    FaultProxy proxy(slowPath, b);
+    boost::asio::io_context io;
+    std::map<std::string, int> received;
+    PeerLinks receiver(
+        io, "b", b, {}, [&](std::string_view bytes) { ++received[std::string(bytes)]; }, nullptr);
+    PeerLinks before(
+        io, "a", a, {{{"b", "north"}, slowPath}}, [](std::string_view) {}, nullptr);
+    const auto deliver = [&](PeerLinks &sender, const std::string &text) {
+        const auto limit = std::chrono::steady_clock::now() + recoveryTime;
+        const int already = received[text];
+        while (received[text] == already && std::chrono::steady_clock::now() < limit) {
+            sender.send("b", text);
+            io.run_for(std::chrono::milliseconds(20));
+        }
+        return received[text] > already;
+    };
+    ASSERT_TRUE(deliver(before, "before"));
+    PeerLinks after(
+        io, "a", freeEndpoint(), {{{"b", "north"}, b}}, [](std::string_view) {}, nullptr);
+    ASSERT_TRUE(deliver(after, "after"));
+    for (int i = 0; i < 5; ++i) {
+        before.send("b", "late");
+        io.run_for(std::chrono::milliseconds(20));
+    }
+    proxy.faults().refuse = true;
+    proxy.closeAll();
+    // Longer than the period of heartbeats on connections.
+    io.run_for(std::chrono::milliseconds(1000));
+    EXPECT_TRUE(deliver(after, "after"));
+}
