--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -25,9 +25,19 @@
 constexpr Duration longestShutdown = std::chrono::seconds(12);
 constexpr Duration shortestDownTime = std::chrono::milliseconds(100);
 constexpr std::size_t largestJob = 4;
-constexpr std::size_t firstStatusOfRefusal = 400;
 constexpr int statusOk = 200;
+constexpr int statusTimeout = 408;
+constexpr int statusOverloaded = 429;
 constexpr int statusUnavailable = 503;
+constexpr int lowestError = 400;
+constexpr int lowestServerError = 500;
+
+/// Whether @p status ends an operator's order; after a timeout or under load the operator asks elsewhere.
+bool isRefusal(int status)
+{
+    return status >= lowestError && status < lowestServerError && status != statusTimeout
+        && status != statusOverloaded;
+}
 
 } // namespace
 
@@ -137,7 +147,7 @@
         m_isServing[request.vm] = true;
     if (!isAnswered && isCutByShutdown(request))
         m_ledger.cutOff(request.id, m_fleet.nameOf(request.vm));
-    const bool isClear = isAnswered && status < 500;
+    const bool isClear = isAnswered && status < lowestServerError;
     if (isClear || status == statusUnavailable || request.isSecond || m_isOver)
         return;
     auto again = request;
@@ -180,7 +190,7 @@
                 m_isOrderOpen = false;
                 return;
             }
-            if (status >= static_cast<int>(firstStatusOfRefusal) && status < 500) {
+            if (isRefusal(status)) {
                 m_ledger.orderRefused(version, status);
                 m_isOrderOpen = false;
                 return;
@@ -250,7 +260,7 @@
             kill(i, step.time / 2);
         return;
     case SoakFault::LoseDisk:
-        // A fleet of this size bears the loss of one disk; a second one only once that is made up for.
+        // A fleet of this size bears the loss of one disk, and it is not seen here when that is made up for.
         if (!m_fleet.isControl(vm) || state.isEnding || std::exchange(m_hasLostDisk, true))
             return;
         state.hasLostDisk = true;
