A signal that interrupts ZeroMQ no longer ends the process

A call of ZeroMQ that a signal interrupts fails with EINTR, cppzmq throws that, and the event loop ended: the shutdown cut off everything that was in flight, and a SIGHUP could end a VM.

Change: such a call is made again; nothing was done when it is interrupted. Receiving, sending, connecting and binding are the calls that look at signals.

Ruled out: blocking the signals in the event loop's thread, since Asio's signal set needs them there.

--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -1,5 +1,7 @@
 #include "net/peerlink.h"
 
+#include "net/uninterrupted.h"
+
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <zmq.hpp>
 
@@ -56,7 +58,7 @@
         m_outbound.set(zmq::sockopt::reconnect_ivl_max, reconnectLimitMilliseconds);
         static std::uint64_t links = 0;
         watch("inproc://link-" + std::to_string(++links));
-        m_outbound.connect(addressOf(vm.peers));
+        uninterrupted([&] { m_outbound.connect(addressOf(vm.peers)); });
     }
 
     ~Sockets()
@@ -70,7 +72,8 @@
 
     bool send(std::string_view bytes)
     {
-        return m_outbound.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+        return uninterrupted(
+            [&] { return m_outbound.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value(); });
     }
 
     LinkPhase phase() const
@@ -85,7 +88,7 @@
         constexpr int events = ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED;
         if (::zmq_socket_monitor(m_outbound.handle(), address.c_str(), events) != 0)
             throw zmq::error_t();
-        m_monitor.connect(address);
+        uninterrupted([&] { m_monitor.connect(address); });
         m_readable.assign(m_monitor.get(zmq::sockopt::fd));
         readEvents();
     }
@@ -95,8 +98,12 @@
     {
         zmq::message_t event;
         zmq::message_t address;
-        while (m_monitor.recv(event, zmq::recv_flags::dontwait)) {
-            if (!m_monitor.recv(address, zmq::recv_flags::dontwait) || event.size() < sizeof(std::uint16_t))
+        const auto receive = [this](zmq::message_t &message) {
+            return uninterrupted(
+                [&] { return m_monitor.recv(message, zmq::recv_flags::dontwait).has_value(); });
+        };
+        while (receive(event)) {
+            if (!receive(address) || event.size() < sizeof(std::uint16_t))
                 break;
             take(event);
         }
--- a/src/net/peerlinks.cpp
+++ b/src/net/peerlinks.cpp
@@ -1,6 +1,7 @@
 #include "net/peerlinks.h"
 
 #include "net/peerlink.h"
+#include "net/uninterrupted.h"
 
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
@@ -41,7 +42,7 @@
     void bind(const Endpoint &own)
     {
         preparePeerSocket(m_inbound);
-        m_inbound.bind("tcp://" + own.address + ":" + std::to_string(own.port));
+        uninterrupted([&] { m_inbound.bind("tcp://" + own.address + ":" + std::to_string(own.port)); });
         m_readable.assign(m_inbound.get(zmq::sockopt::fd));
         readTurn();
     }
@@ -76,13 +77,13 @@
         zmq::message_t sender;
         zmq::message_t body;
         for (int i = 0; i < messagesPerTurn; ++i) {
-            if (!m_inbound.recv(sender, zmq::recv_flags::dontwait)) {
+            if (!receive(sender)) {
                 waitForMore();
                 return;
             }
             bool hasBody = false;
             while (m_inbound.get(zmq::sockopt::rcvmore) != 0)
-                hasBody = m_inbound.recv(body, zmq::recv_flags::dontwait).has_value();
+                hasBody = receive(body);
             if (hasBody)
                 m_received(body.to_string_view());
         }
@@ -92,6 +93,12 @@
         });
     }
 
+    /// Returns false where nothing has arrived.
+    bool receive(zmq::message_t &message)
+    {
+        return uninterrupted([&] { return m_inbound.recv(message, zmq::recv_flags::dontwait).has_value(); });
+    }
+
     void waitForMore()
     {
         m_readable.async_wait(boost::asio::posix::stream_descriptor::wait_read,
--- a/tests/integration/peerlinkstest.cpp
+++ b/tests/integration/peerlinkstest.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <csignal>
 #include <map>
 #include <string>
 #include <thread>
@@ -124,3 +126,41 @@
     io.run_for(std::chrono::milliseconds(1000));
     EXPECT_TRUE(deliver(after, "after"));
 }
+
+TEST(PeerLinksTest, SignalsDoNotEndTheEventLoop)
+{
+    struct sigaction interrupts
+    {
+    };
+    interrupts.sa_handler = [](int) {};
+    struct sigaction before
+    {
+    };
+    ASSERT_EQ(sigaction(SIGUSR1, &interrupts, &before), 0);
+    std::atomic<bool> isOver = false;
+    const auto self = pthread_self();
+    std::thread interrupter([&] {
+        while (!isOver)
+            pthread_kill(self, SIGUSR1);
+    });
+    const auto a = freeEndpoint();
+    const auto b = freeEndpoint();
+    boost::asio::io_context io;
+    int received = 0;
+    const auto sendAndReceive = [&] {
+        PeerLinks receiver(
+            io, "b", b, {}, [&](std::string_view) { ++received; }, nullptr);
+        PeerLinks sender(
+            io, "a", a, {{{"b", "north"}, b}}, [](std::string_view) {}, nullptr);
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+        while (std::chrono::steady_clock::now() < limit) {
+            sender.send("b", "hello");
+            io.run_for(std::chrono::milliseconds(1));
+        }
+    };
+    EXPECT_NO_THROW(sendAndReceive());
+    isOver = true;
+    interrupter.join();
+    sigaction(SIGUSR1, &before, nullptr);
+    EXPECT_GT(received, 0);
+}
