--- a/src/core/runs/jobrelay.cpp
+++ b/src/core/runs/jobrelay.cpp
@@ -211,8 +211,8 @@
         const auto sent = vm->second.sent.find(it.group);
         const auto taken = sent == vm->second.sent.end() ? 0 : sent->second;
         const auto left = [taken](std::uint32_t places) { return places - std::min(places, taken); };
-        Candidate candidate{
-            it.group, it.vm, load->second.parallel, left(load->second.freeTasks), load->second.waiting};
+        Candidate candidate{it.group, it.vm, load->second.parallel, left(load->second.freeTasks),
+                            load->second.waiting};
         for (const auto &of : load->second.classes) {
             if (of.className == className)
                 candidate.sufficient = left(of.freeTasks);
--- a/tests/unit/holderassignmenttest.cpp
+++ b/tests/unit/holderassignmenttest.cpp
@@ -65,7 +65,8 @@
 TEST(HolderAssignmentTest, domainThatIsBackFromACutKeepsItsHolder)
 {
     const std::vector<GroupHolder> holders{{"a", "x", 1, 1}, {"b", "y", 1, 2}};
-    const std::vector<AssignmentVm> vms{silent(vmOf("x", "a")), vmOf("e", "a", VmRole::Entry), vmOf("y", "b")};
+    const std::vector<AssignmentVm> vms{silent(vmOf("x", "a")), vmOf("e", "a", VmRole::Entry),
+                                        vmOf("y", "b")};
     EXPECT_TRUE(assign(holders, vms, {{"e", now - std::chrono::milliseconds(100)}}).empty());
     EXPECT_EQ(assign(holders, vms, {{"e", now - longAgo}}).size(), 1U);
 }
