A start message whose connection comes up after the job's deadline is not sent

Cause: Daemon checks the deadline when a start is decided, but the message is written once the connection stands. A process that was stopped meanwhile (SIGSTOP, suspension) wrote the starts of all connections that had come up in that time, before its timers saw that the jobs had failed. Change: ClientRequest::isExpired is asked right before the request is written; UpstreamClient sets it to the job's deadline on the clock of the daemon. Ruled out: that it starts tasks from the tick after SIGCONT (Dispatcher drops jobs past their deadline before it places). Left: a start message that is written in part when the process stops.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -64,11 +64,12 @@
     , m_claims(std::move(claims))
     , m_incarnation(nextIncarnation(m_wallStart, m_claims->lastIncarnation()))
     , m_vm(entryVmOptions(settings, m_incarnation))
-    , m_upstreams(m_io,
-                  [this](AttemptId attempt, const AttemptResult &result) {
-                      m_vm.attemptEnded(now(), attempt, result);
-                      executeActions();
-                  })
+    , m_upstreams(
+          m_io, [this] { return now(); },
+          [this](AttemptId attempt, const AttemptResult &result) {
+              m_vm.attemptEnded(now(), attempt, result);
+              executeActions();
+          })
     , m_links(
           m_io, settings.name, settings.peers, settings.vms,
           [this](std::string_view bytes) { handlePeerMessage(bytes); },
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -35,6 +35,9 @@
     /// Timeout of writing the request and reading the response together; zero for none. Connecting has a
     /// timeout of its own.
     Duration timeout{};
+    /// Called right before the request is written, after the connection was established. If it returns true,
+    /// nothing is written and the outcome is NotSent. Never expires if empty.
+    std::function<bool()> isExpired;
 };
 
 /// Result of an exchange; response is only set if the outcome is Answered.
--- a/src/net/httpconnection.cpp
+++ b/src/net/httpconnection.cpp
@@ -37,6 +37,7 @@
     m_exchange = exchange;
     m_handler = std::move(handler);
     m_timeout = request.timeout;
+    m_isExpired = request.isExpired;
     m_hasSentBytes = false;
     m_request = {};
     m_request.version(11);
@@ -91,6 +92,13 @@
 
 void HttpConnection::write()
 {
+    if (m_isExpired && m_isExpired()) {
+        boost::asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange = m_exchange] {
+            if (self->m_exchange == exchange)
+                self->close();
+        });
+        return;
+    }
     if (m_timeout.count() > 0)
         m_stream.expires_after(m_timeout);
     else
--- a/src/net/httpconnection.h
+++ b/src/net/httpconnection.h
@@ -5,6 +5,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -49,6 +50,7 @@
     ExchangeId m_exchange = 0;
     ExchangeHandler m_handler;
     Duration m_timeout{};
+    std::function<bool()> m_isExpired;
     bool m_hasSentBytes = false;
     bool m_isConnected = false;
     bool m_isClosed = false;
--- a/src/net/upstreamclient.cpp
+++ b/src/net/upstreamclient.cpp
@@ -24,8 +24,10 @@
 
 } // namespace
 
-UpstreamClient::UpstreamClient(boost::asio::io_context &io, AttemptHandler handler)
+UpstreamClient::UpstreamClient(boost::asio::io_context &io, std::function<TimePoint()> clock,
+                               AttemptHandler handler)
     : m_client(io)
+    , m_clock(std::move(clock))
     , m_handler(std::move(handler))
 {
 }
@@ -39,6 +41,7 @@
                        {"Task-Class", start.className},
                        {"Task-Deadline", std::to_string(microsecondsOf(start.deadline))}};
     request.body = start.payload;
+    request.isExpired = [this, deadline = start.deadline] { return m_clock() >= deadline; };
     const auto attempt = start.attempt;
     const auto exchange =
         m_client.send({start.address, start.port}, request,
--- a/src/net/upstreamclient.h
+++ b/src/net/upstreamclient.h
@@ -18,9 +18,15 @@
 class UpstreamClient
 {
 public:
-    UpstreamClient(boost::asio::io_context &io, AttemptHandler handler);
-
-    /// Sends @p start without retries; the handler is called once.
+    /// @p clock returns the current time, on the clock of StartTask::deadline.
+    UpstreamClient(boost::asio::io_context &io, std::function<TimePoint()> clock, AttemptHandler handler);
+
+    /**
+     * Sends @p start without retries; the handler is called once.
+     *
+     * Nothing is sent if the deadline has passed by the time the connection is established, as after a
+     * suspension of the process.
+     */
     void start(const StartTask &start);
 
     /// Aborts an attempt by closing its connection, which the upstream detects. The handler is called at
@@ -31,6 +37,7 @@
     void exchangeFinished(AttemptId attempt, const ClientResponse &response);
 
     HttpClient m_client;
+    std::function<TimePoint()> m_clock;
     AttemptHandler m_handler;
     std::map<AttemptId, ExchangeId> m_exchanges;
 };
