A relayed announcement no longer shortens the lease of an upstream

An announcement that another VM relays carries the time of its arrival there; where the one before was delayed on its way, that lies before the earlier one. GroupDispatcher took the earlier lease and forgot the upstream, the pool's Dispatcher kept the later one and started a task on it. Change: GroupDispatcher keeps the later of the two. Ruled out by reading: runs that end between a tick and the removal (taken before it), a second start under a name in use. Measured: GroupDispatcherTest.relayedAnnouncementDoesNotShortenTheLease throws map::at without the change and passes with it.

--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -75,7 +75,9 @@
     } else {
         it.runs->announced(now, announcement);
     }
-    it.leaseDeadline = announcement.upstream.leaseDeadline;
+    // An announcement that another VM relays may carry an earlier arrival than the one before it. The pool's
+    // Dispatcher keeps the later deadline and may start tasks until then.
+    it.leaseDeadline = std::max(it.leaseDeadline, announcement.upstream.leaseDeadline);
     if (announcement.hasLeft)
         it.runs->upstreamLeft();
     auto offered = it.runs->announcement().upstream;
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -8,7 +8,6 @@
 
 constexpr Duration step = std::chrono::milliseconds(1);
 constexpr Duration delay = std::chrono::milliseconds(1);
-constexpr Duration announcementLease = std::chrono::seconds(6);
 constexpr unsigned thousand = 1000;
 constexpr int minimumLateMs = 2000;
 constexpr int maximumLateMs = 12000;
@@ -44,7 +43,7 @@
         announce(name);
 }
 
-void GroupHarness::announce(const std::string &name, bool isLeaving)
+void GroupHarness::announce(const std::string &name, bool isLeaving, Duration lease)
 {
     const auto &model = *m_upstreams.at(name);
     FleetAnnouncement announcement;
@@ -53,7 +52,7 @@
     announcement.upstream.port = 1;
     announcement.upstream.slots = 2;
     announcement.upstream.incarnation = model.incarnation();
-    announcement.upstream.leaseDeadline = m_now + announcementLease;
+    announcement.upstream.leaseDeadline = m_now + lease;
     announcement.upstream.leaving = isLeaving;
     announcement.domain = "domain";
     announcement.pool = "pool";
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -33,11 +33,13 @@
     /// Adds an upstream and announces it.
     SimulatedUpstream &add(const SimulatedUpstreamOptions &options);
 
+    static constexpr Duration announcementLease = std::chrono::seconds(6);
+
     /// Replaces the dispatcher by one with a higher fencing token; runs on the upstreams continue.
     void takeOver();
 
-    /// Announces an upstream again.
-    void announce(const std::string &name, bool isLeaving = false);
+    /// Announces an upstream again, under a lease of @p lease.
+    void announce(const std::string &name, bool isLeaving = false, Duration lease = announcementLease);
 
     /// Sets whether orders to @p name time out without reaching it.
     void setUnreachable(const std::string &name, bool isUnreachable);
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -166,6 +166,22 @@
     EXPECT_TRUE(group.dispatcher().isIdle());
 }
 
+/// A control VM that relays an announcement reports when it arrived there, which may be before the arrival of
+/// an older announcement that was delayed on its way. The upstream must not be forgotten while its earlier
+/// lease still lets tasks start on it.
+TEST(GroupDispatcherTest, relayedAnnouncementDoesNotShortenTheLease)
+{
+    GroupHarness group;
+    addUpstreams(group, 1);
+    group.advance(settlingTime);
+    group.announce("u0", false, std::chrono::milliseconds(100));
+    group.advance(settlingTime);
+    group.submit("a", 1, 1);
+    group.advance(settlingTime);
+    ASSERT_TRUE(group.answers.contains(1));
+    EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
+}
+
 /// After a takeover the upstream still runs a task of the previous holder. The new holder has to stop that
 /// run before it starts the same task, or the task would run twice concurrently.
 TEST(GroupDispatcherTest, newHolderStartsNothingWhileRunsOfThePreviousOneContinue)
