An exception on the event loop gets an event of its own, with what was being handled

Cause: a control VM that ended by "map::at" 30 s after its start logged E104 "start-up failed", without where it came from; finding the cause took reading every call of at(). Change: E111 "event loop failed" names the request, response, message or timer whose handler failed (callHandler, runEventLoop); both programs use it. ADDRESS:PORT is written by Endpoint::text() in place of five copies.

--- a/src/cli/reportcommands.cpp
+++ b/src/cli/reportcommands.cpp
@@ -87,7 +87,7 @@
         if (burn)
             vms.push_back(std::move(*burn));
         else
-            silent.push_back(textOf(it));
+            silent.push_back(it.text());
     }
     if (vms.empty())
         return leaf::new_error(CliError{{"report burn", "", "no entry VM answered"},
--- a/src/cli/statecommands.cpp
+++ b/src/cli/statecommands.cpp
@@ -91,7 +91,7 @@
     Json explanation;
     std::string asked;
     for (const auto &it : client.vms()) {
-        asked = textOf(it);
+        asked = it.text();
         auto reply = client.askOne(it, request);
         if (!reply)
             continue;
--- a/src/cli/vmclient.cpp
+++ b/src/cli/vmclient.cpp
@@ -33,17 +33,12 @@
 {
     std::string text;
     for (const auto &it : vms)
-        text += (text.empty() ? "" : ", ") + textOf(it);
+        text += (text.empty() ? "" : ", ") + it.text();
     return text;
 }
 
 } // namespace
 
-std::string textOf(const Endpoint &endpoint)
-{
-    return endpoint.address + ":" + std::to_string(endpoint.port);
-}
-
 leaf::result<VmClient> VmClient::create(const CliOptions &options, VmPort port, std::string step)
 {
     std::string token;
@@ -108,7 +103,7 @@
 {
     BOOST_LEAF_AUTO(reply, tryOne(vm, request));
     if (!reply)
-        return leaf::new_error(CliError{{m_step, textOf(vm), "no answer"}, "ask again", ExitCode::NoAnswer});
+        return leaf::new_error(CliError{{m_step, vm.text(), "no answer"}, "ask again", ExitCode::NoAnswer});
     return *reply;
 }
 
@@ -130,10 +125,10 @@
     if (result.outcome != ExchangeOutcome::Answered)
         return std::optional<VmReply>();
     if (result.response.status == 401 || result.response.status == 403)
-        return leaf::new_error(CliError{{m_step, textOf(vm), "the token was refused"},
+        return leaf::new_error(CliError{{m_step, vm.text(), "the token was refused"},
                                         "give the operators' token with --token-file",
                                         ExitCode::Refused});
-    return std::optional<VmReply>({textOf(vm), result.response});
+    return std::optional<VmReply>({vm.text(), result.response});
 }
 
 const std::vector<Endpoint> &VmClient::vms() const
--- a/src/cli/vmclient.h
+++ b/src/cli/vmclient.h
@@ -63,7 +63,4 @@
     std::string m_token;
 };
 
-/// Address and port of @p endpoint as text.
-std::string textOf(const Endpoint &endpoint);
-
 } // namespace Citronpitch
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,6 +6,7 @@
 #include "daemon/controlapi.h"
 #include "log/eventlog.h"
 #include "log/wallclock.h"
+#include "net/eventloop.h"
 
 #include "wire/peer.pb.h"
 
@@ -103,13 +104,14 @@
     scheduleTick();
 }
 
-int Daemon::run()
+bool Daemon::run()
 {
     logEvent(Event::Started, {{"vm", m_settings.name}, {"failureDomain", m_settings.failureDomain}});
-    m_io.run();
-    logEvent(Event::Stopped, {{"vm", m_settings.name}});
+    const bool isStopped = runEventLoop(m_io);
+    if (isStopped)
+        logEvent(Event::Stopped, {{"vm", m_settings.name}});
     logAllSuppressedCounts();
-    return 0;
+    return isStopped;
 }
 
 DisconnectHandler Daemon::handleCaller(const HttpRequest &request, HttpResponder respond)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -31,8 +31,9 @@
     /// on SIGHUP.
     Daemon(const Settings &settings, std::string settingsFile, std::unique_ptr<ClaimStore> claims);
 
-    /// Runs the event loop until a graceful shutdown is complete. Returns the exit code of the process.
-    int run();
+    /// Runs the event loop until a graceful shutdown is complete. Returns false if a defect of the program
+    /// ended it.
+    bool run();
 
 private:
     DisconnectHandler handleCaller(const HttpRequest &request, HttpResponder respond);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -48,7 +48,7 @@
             options.folder = settings.dataFolder;
             BOOST_LEAF_ASSIGN(auto claims, ClaimStore::open(options));
             Daemon daemon(settings, path, std::move(claims));
-            return daemon.run();
+            return daemon.run() ? 0 : exitFailure;
         },
         [](const StepError &error) {
             logEvent(Event::StartFailed, {{"step", error.step}, {"error", error.text()}});
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleetmember.h"
 
 #include "log/eventlog.h"
+#include "net/eventloop.h"
 #include "store/randomnumber.h"
 
 #include "wire/fleet.pb.h"
@@ -30,9 +31,12 @@
 /// Every reachable VM receives a committed entry within this time.
 constexpr Duration learnerHeartbeatInterval = std::chrono::milliseconds(200);
 
-std::string linkName(const std::string &address, std::uint16_t port)
+/// Names @p message in the report of a failed handler.
+std::string describe(const wire::Message &message)
 {
-    return address + ":" + std::to_string(port);
+    const auto *field = wire::Message::descriptor()->FindFieldByNumber(message.body_case());
+    return "message " + (field == nullptr ? std::string("without a body") : field->name()) + " from "
+        + message.sender();
 }
 
 Endpoint endpointOf(const std::string &name, std::uint16_t port)
@@ -42,7 +46,7 @@
 
 FleetPeer selfOf(const FleetSettings &settings, TimePoint now)
 {
-    return {linkName(settings.peers.address, settings.peers.port), settings.role, settings.domain,
+    return {settings.peers.text(), settings.role, settings.domain,
             static_cast<std::uint64_t>(microsecondsOf(now))};
 }
 
@@ -50,7 +54,7 @@
 {
     std::vector<std::string> names;
     for (const auto &it : settings.seeds)
-        names.push_back(linkName(it, settings.peers.port));
+        names.push_back(Endpoint{it, settings.peers.port}.text());
     return names;
 }
 
@@ -236,6 +240,11 @@
         return;
     }
     const bool isForThisIncarnation = message.receiver_incarnation() == m_self.incarnation;
+    callHandler([&] { return describe(message); }, [&] { handle(message); });
+}
+
+void FleetMember::handle(const wire::Message &message)
+{
     const auto echoedAt = isForThisIncarnation ? timePointOf(message.echoed_at_us()) : TimePoint();
     if (!m_directory.messageReceived(now(), message.sender(), message.incarnation(), message.sent_at_us(),
                                      echoedAt))
@@ -314,7 +323,7 @@
     m_timer.async_wait([this](boost::system::error_code ec) {
         if (ec)
             return;
-        tick();
+        callHandler([] { return std::string("timer of the VM"); }, [this] { tick(); });
         scheduleTick();
     });
 }
--- a/src/fleet/fleetmember.h
+++ b/src/fleet/fleetmember.h
@@ -81,6 +81,7 @@
     /// Opens the journal again after a write to it failed.
     void reopenConfiguration();
     void received(std::string_view bytes);
+    void handle(const citronpitch::wire::fleet::Message &message);
     void heartbeatReceived(const citronpitch::wire::fleet::Message &message);
     void updateLinks();
     void updateMembers();
--- a/src/fleet/metricspage.cpp
+++ b/src/fleet/metricspage.cpp
@@ -41,9 +41,7 @@
                 return nullptr;
             });
     } catch (const std::exception &e) {
-        logEvent(
-            Event::MetricsUnavailable,
-            {{"address", endpoint->address + ":" + std::to_string(endpoint->port)}, {"error", e.what()}});
+        logEvent(Event::MetricsUnavailable, {{"address", endpoint->text()}, {"error", e.what()}});
     }
 }
 
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -44,6 +44,9 @@
                     "address error",
                     "The VM runs without the metrics page. Another process may use the address; restart the "
                     "VM once it is free."},
+    EventDefinition{Event::EventLoopFailed, EventSeverity::Error, "event loop failed", "activity error",
+                    "A defect of the program: an exception ended the VM while it handled `activity`. Its "
+                    "supervisor restarts it. Report the line and those before it."},
     EventDefinition{Event::UpstreamAnnounced, EventSeverity::Info, "upstream announced itself",
                     "upstream address slots",
                     "The upstream is new, restarted with a new incarnation, or renewed an expired lease."},
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -21,6 +21,7 @@
     RepeatsSuppressed = 108,
     ListeningStopped = 109,
     MetricsUnavailable = 110,
+    EventLoopFailed = 111,
     UpstreamAnnounced = 200,
     UpstreamLeaving = 201,
     UpstreamExpired = 202,
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "net/httpclient.h"
 
+#include "net/eventloop.h"
 #include "net/httpconnection.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -69,7 +70,7 @@
     m_active.erase(exchange);
     if (connection->isOpen())
         m_idle[connection->endpoint()].push_back(connection);
-    handler(response);
+    callHandler([&] { return "response of " + connection->endpoint().text(); }, [&] { handler(response); });
 }
 
 void HttpClient::connectionClosed(const std::shared_ptr<HttpConnection> &connection)
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -1,5 +1,6 @@
 #include "net/httpsession.h"
 
+#include "net/eventloop.h"
 #include "net/httpserver.h"
 
 namespace Citronpitch {
@@ -157,11 +158,13 @@
         return;
     }
     const auto number = ++m_requestNumber;
-    m_onDisconnect = m_server->m_handler(request, [self = shared_from_this(), number](HttpResponse response) {
+    const auto respondOnce = [self = shared_from_this(), number](HttpResponse response) {
         if (self->m_isClosed || self->m_requestNumber != number || !self->m_hasRequestInProgress)
             return;
         self->respond(std::move(response));
-    });
+    };
+    callHandler([&] { return "request " + request.method + " " + request.path; },
+                [&] { m_onDisconnect = m_server->m_handler(request, respondOnce); });
     if (m_hasRequestInProgress && m_onDisconnect)
         watchForRemoteClose();
 }
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -25,7 +25,7 @@
 
 std::string zmqAddress(const Endpoint &endpoint)
 {
-    return "tcp://" + endpoint.address + ":" + std::to_string(endpoint.port);
+    return "tcp://" + endpoint.text();
 }
 
 } // namespace
--- a/src/net/peerlinks.cpp
+++ b/src/net/peerlinks.cpp
@@ -44,7 +44,7 @@
     void bind(const Endpoint &own)
     {
         configurePeerSocket(m_inbound);
-        retryOnInterrupt([&] { m_inbound.bind("tcp://" + own.address + ":" + std::to_string(own.port)); });
+        retryOnInterrupt([&] { m_inbound.bind("tcp://" + own.text()); });
         m_descriptor.assign(m_inbound.get(zmq::sockopt::fd));
         readMessages();
     }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -21,6 +21,12 @@
     std::string address;
     std::uint16_t port = 0;
     auto operator<=>(const Endpoint &) const = default;
+
+    /// Returns ADDRESS:PORT.
+    std::string text() const
+    {
+        return address + ":" + std::to_string(port);
+    }
 };
 
 /// Entry VM of the deployment.
