Heartbeats list the control VMs once a second and when they change

Cause: heartbeats are most of the bytes between VMs of a large site: 97 entry VMs and 6 control VMs exchange 11,640 a second, and the list of control VMs is about 270 of their 330 to 450 bytes (by the fields; not measured apart). Change: PeerDirectory::takeListing decides whether a heartbeat to a VM lists them: to a VM that is not reachable yet or restarted, when the list has changed, and once a second. The interval of heartbeats and the detection times stay. Compatible with VMs of the build before: an absent list changes nothing there. Ruled out: leaving out the sender's own entry too, which the build before needs in each heartbeat.

--- a/include/citronpitch/peerdirectory.h
+++ b/include/citronpitch/peerdirectory.h
@@ -26,6 +26,8 @@
     Duration closedLinkTimeout = std::chrono::milliseconds(200);
     /// Time without a message after which a VM is removed.
     Duration retention = std::chrono::seconds(60);
+    /// Interval at which a VM is told the reachable control VMs again while they do not change.
+    Duration listingInterval = std::chrono::seconds(1);
 };
 
 /// State of another VM of the fleet.
@@ -40,6 +42,9 @@
     TimePoint echoedAt;
     /// When it sent its newest message, by its own clock, in microseconds.
     std::int64_t sentAt = 0;
+    /// The control VMs that this VM listed to it last, and when it is to list them again.
+    std::vector<FleetPeer> listedControlVms;
+    TimePoint nextListingAt;
 };
 
 /// Reports that a VM became reachable or unreachable. A restart reports its previous incarnation as
@@ -86,6 +91,10 @@
     /// Reachable control VMs, including this one if it is a control VM.
     std::vector<FleetPeer> controlVms() const;
 
+    /// Whether the next heartbeat to @p name has to list @p controlVms: they have changed since the last
+    /// listing, or that was long ago. Counts the listing as sent.
+    bool takeListing(TimePoint now, const std::string &name, const std::vector<FleetPeer> &controlVms);
+
     /// Returns null for a VM without any message so far.
     const KnownPeer *find(const std::string &name) const;
     bool isAlive(const std::string &name) const;
--- a/src/core/fleet/peerdirectory.cpp
+++ b/src/core/fleet/peerdirectory.cpp
@@ -97,6 +97,20 @@
     return list;
 }
 
+bool PeerDirectory::takeListing(TimePoint now, const std::string &name,
+                                const std::vector<FleetPeer> &controlVms)
+{
+    const auto it = m_peers.find(name);
+    if (it == m_peers.end())
+        return true;
+    auto &peer = it->second;
+    if (peer.isAlive && now < peer.nextListingAt && peer.listedControlVms == controlVms)
+        return false;
+    peer.listedControlVms = controlVms;
+    peer.nextListingAt = now + m_options.listingInterval;
+    return true;
+}
+
 const KnownPeer *PeerDirectory::find(const std::string &name) const
 {
     const auto it = m_peers.find(name);
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -171,14 +171,15 @@
 void FleetMember::sendHeartbeats()
 {
     m_nextHeartbeat = now() + heartbeatInterval;
-    wire::Message message;
-    auto *heartbeat = message.mutable_heartbeat();
-    toWire(m_self, heartbeat->mutable_self());
-    for (const auto &it : m_directory.controlVms())
-        toWire(it, heartbeat->add_control_vms());
-    m_hooks.fillHeartbeat(*heartbeat);
+    wire::Message brief;
+    toWire(m_self, brief.mutable_heartbeat()->mutable_self());
+    m_hooks.fillHeartbeat(*brief.mutable_heartbeat());
+    auto listing = brief;
+    const auto controlVms = m_directory.controlVms();
+    for (const auto &it : controlVms)
+        toWire(it, listing.mutable_heartbeat()->add_control_vms());
     for (const auto &it : m_directory.heartbeatTargets())
-        send(it, message);
+        send(it, m_directory.takeListing(now(), it, controlVms) ? listing : brief);
 }
 
 void FleetMember::propose(ChangeRequestId request, const ConfigurationChange &change)
@@ -239,12 +240,12 @@
         logEvent(Event::PeerMessageMalformed, {{"bytes", std::to_string(bytes.size())}});
         return;
     }
-    const bool isForThisIncarnation = message.receiver_incarnation() == m_self.incarnation;
     callHandler([&] { return describe(message); }, [&] { handle(message); });
 }
 
 void FleetMember::handle(const wire::Message &message)
 {
+    const bool isForThisIncarnation = message.receiver_incarnation() == m_self.incarnation;
     const auto echoedAt = isForThisIncarnation ? timePointOf(message.echoed_at_us()) : TimePoint();
     if (!m_directory.messageReceived(now(), message.sender(), message.incarnation(), message.sent_at_us(),
                                      echoedAt))
--- a/tests/unit/peerdirectorytest.cpp
+++ b/tests/unit/peerdirectorytest.cpp
@@ -116,3 +116,22 @@
     directory.tick(start + std::chrono::milliseconds(250));
     EXPECT_FALSE(directory.isAlive("x:1"));
 }
+
+/// In a large fleet the list of control VMs would be most of each heartbeat. It is repeated once a second for
+/// VMs that missed a heartbeat, and at once for those that need it.
+TEST(PeerDirectoryTest, controlVmsAreListedOnceASecondAndWhenTheyChange)
+{
+    auto directory = directoryOf(VmRole::Control);
+    const std::vector<FleetPeer> one{{"self:1", VmRole::Control, "a", 1}};
+    EXPECT_TRUE(directory.takeListing(start, "x:1", one)) << "never heard of";
+    receive(directory, start, "x:1", VmRole::Entry);
+    EXPECT_TRUE(directory.takeListing(start, "x:1", one));
+    EXPECT_FALSE(directory.takeListing(start + second / 2, "x:1", one));
+    EXPECT_TRUE(directory.takeListing(start + second, "x:1", one));
+    auto two = one;
+    two.push_back({"other:1", VmRole::Control, "b", 1});
+    EXPECT_TRUE(directory.takeListing(start + second, "x:1", two));
+    EXPECT_FALSE(directory.takeListing(start + second, "x:1", two));
+    receive(directory, start + second, "x:1", VmRole::Entry, 2);
+    EXPECT_TRUE(directory.takeListing(start + second, "x:1", two)) << "restarted";
+}
