Control VMs pass on announcements in batches, renewals without what has not changed

Cause: each control VM passed every announcement on at once and whole: with 540 upstreams 1,800 messages a second between six control VMs, almost all of them renewals of a lease. Change: AnnouncementRelay collects renewals for up to 200 ms (the lease is 6 s) into one message a control VM, each with name, incarnation, sequence, clock and age; news leave at once, with what is pending. A VM that does not know a renewed upstream asks for the registry, at most once a second; the registry is sent in batches of 100. That an upstream leaves is passed on as before, one by one and acknowledged. Control VMs of the build before do not understand batches: restart control VMs of a fleet within the lease of upstreams.

--- a/include/citronpitch/fleetannouncement.h
+++ b/include/citronpitch/fleetannouncement.h
@@ -20,6 +20,18 @@
     std::int64_t clockMs = 0;
     /// The upstream has shut down, so nothing runs there any more.
     bool hasLeft = false;
+
+    /// Whether this announcement only renews the lease of @p earlier.
+    bool isRenewalOf(const FleetAnnouncement &earlier) const;
+};
+
+/// What changes in an announcement that only renews the lease of its upstream.
+struct AnnouncementRenewal
+{
+    std::string upstream;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::int64_t clockMs = 0;
 };
 
 } // namespace Citronpitch
--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -29,6 +29,12 @@
 /// Heartbeats continue this long after the last job, so that the leader sees that the groups were released.
 constexpr Duration lingerAfterRelease = std::chrono::milliseconds(600);
 
+/// How long renewals wait for a common message to the other control VMs.
+constexpr Duration relayInterval = std::chrono::milliseconds(200);
+/// Largest number of upstreams in one message to another control VM.
+constexpr int maximumBatch = 100;
+constexpr Duration registryRequestInterval = std::chrono::seconds(1);
+
 constexpr Duration assignmentInterval = std::chrono::milliseconds(100);
 
 /// Reading the document fails if the last proof that it is the newest is older than this.
@@ -52,6 +58,7 @@
     , m_activeDeclaration(m_hooks.parse)
     , m_settings(settings)
     , m_registry(settings.announcementInterval * retentionAnnouncementIntervals)
+    , m_relay(relayInterval)
     , m_member(io, settings,
                {[this](wire::Heartbeat &heartbeat) { fillHeartbeat(heartbeat); },
                 [this](const std::string &vm, const wire::Message &message) { received(vm, message); },
@@ -73,10 +80,21 @@
 void FleetControl::announce(FleetAnnouncement announcement, std::function<void(bool)> acknowledge)
 {
     const auto arrivedAt = now();
-    const bool isFinal = announcement.upstream.leaving || announcement.hasLeft;
-    if (m_registry.update(announcement, arrivedAt))
+    const auto known = m_registry.upstreams().find(announcement.upstream.name);
+    const bool isRenewal =
+        known != m_registry.upstreams().end() && announcement.isRenewalOf(known->second.announcement);
+    const bool isNewest = m_registry.update(announcement, arrivedAt);
+    if (isNewest)
         announceToGroup(m_registry.upstreams().at(announcement.upstream.name));
-    const auto request = isFinal ? m_nextRequest++ : 0;
+    if (!announcement.upstream.leaving && !announcement.hasLeft) {
+        if (isNewest)
+            m_relay.add({std::move(announcement), arrivedAt, isRenewal});
+        relayAnnouncements();
+        acknowledge(true);
+        executeActions();
+        return;
+    }
+    const auto request = m_nextRequest++;
     PendingAnnouncement pending{{}, std::move(acknowledge), arrivedAt + announcementTimeout};
     wire::Message message;
     toWire(now(), arrivedAt, announcement, message.mutable_announcement());
@@ -87,7 +105,7 @@
         m_member.send(it.name, message);
         pending.unacknowledgedBy.insert(it.name);
     }
-    if (!isFinal || pending.unacknowledgedBy.empty())
+    if (pending.unacknowledgedBy.empty())
         pending.acknowledge(true);
     else
         m_pendingAnnouncements.emplace(request, std::move(pending));
@@ -184,6 +202,9 @@
     case wire::Message::kAnnouncement:
         announcementReceived(vm, message.announcement());
         break;
+    case wire::Message::kAnnouncementBatch:
+        announcementsReceived(vm, message.announcement_batch());
+        break;
     case wire::Message::kAnnouncementTaken:
         announcementAcknowledged(vm, message.announcement_taken().request());
         break;
@@ -223,6 +244,48 @@
     m_member.send(vm, reply);
 }
 
+void FleetControl::announcementsReceived(const std::string &vm, const wire::AnnouncementBatch &batch)
+{
+    for (const auto &it : batch.announcements())
+        announcementReceived(vm, it);
+    bool isComplete = true;
+    for (const auto &it : batch.renewals()) {
+        const AnnouncementRenewal renewal{it.name(), it.incarnation(), it.sequence(), it.clock_ms()};
+        const bool isKnown = m_registry.renew(renewal, now() - Duration(it.age_us()));
+        if (isKnown)
+            announceToGroup(m_registry.upstreams().at(it.name()));
+        isComplete = isComplete && isKnown;
+    }
+    // This VM missed the announcement that is renewed, as after a broken connection.
+    if (!isComplete)
+        requestRegistry(vm);
+}
+
+void FleetControl::relayAnnouncements()
+{
+    const auto due = m_relay.take(now());
+    for (std::size_t first = 0; first < due.size(); first += maximumBatch) {
+        wire::Message message;
+        auto *batch = message.mutable_announcement_batch();
+        for (std::size_t i = first; i < std::min(due.size(), first + maximumBatch); ++i) {
+            const auto &it = due[i];
+            if (it.isRenewal)
+                toWire(now(), it.arrivedAt, it.announcement, batch->add_renewals());
+            else
+                toWire(now(), it.arrivedAt, it.announcement, batch->add_announcements());
+        }
+        sendToOtherControlVms(message);
+    }
+}
+
+void FleetControl::sendToOtherControlVms(wire::Message &message)
+{
+    for (const auto &it : m_member.directory().controlVms()) {
+        if (it.name != m_member.self().name)
+            m_member.send(it.name, message);
+    }
+}
+
 void FleetControl::announcementAcknowledged(const std::string &vm, std::uint64_t request)
 {
     const auto it = m_pendingAnnouncements.find(request);
@@ -284,9 +347,8 @@
     m_aliveSince[name] = now();
     if (change.peer.role != VmRole::Control)
         return;
-    wire::Message message;
-    message.mutable_registry_request();
-    m_member.send(name, message);
+    m_nextRegistryRequestAt.erase(name);
+    requestRegistry(name);
 }
 
 void FleetControl::configurationChanged(const Configuration &configuration)
@@ -315,6 +377,7 @@
     for (const auto &[group, it] : m_groups)
         it->tick(now());
     removeReleasedGroups();
+    relayAnnouncements();
     expireAnnouncements();
     if (now() >= m_nextAssignment) {
         m_nextAssignment = now() + assignmentInterval;
@@ -442,13 +505,30 @@
     it->second->announce(now(), announcement);
 }
 
+void FleetControl::requestRegistry(const std::string &vm)
+{
+    auto &nextRequestAt = m_nextRegistryRequestAt[vm];
+    if (now() < nextRequestAt)
+        return;
+    nextRequestAt = now() + registryRequestInterval;
+    wire::Message message;
+    message.mutable_registry_request();
+    m_member.send(vm, message);
+}
+
 void FleetControl::sendRegistry(const std::string &vm)
 {
+    wire::Message message;
+    auto *batch = message.mutable_announcement_batch();
     for (const auto &[name, it] : m_registry.upstreams()) {
-        wire::Message message;
-        toWire(now(), it.arrivedAt, it.announcement, message.mutable_announcement());
+        toWire(now(), it.arrivedAt, it.announcement, batch->add_announcements());
+        if (batch->announcements_size() < maximumBatch)
+            continue;
         m_member.send(vm, message);
+        batch->clear_announcements();
     }
+    if (batch->announcements_size() > 0)
+        m_member.send(vm, message);
 }
 
 void FleetControl::executeActions()
--- a/src/fleet/fleetcontrol.h
+++ b/src/fleet/fleetcontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronpitch/announcementrelay.h"
 #include "citronpitch/groupdispatcher.h"
 #include "citronpitch/holderassignment.h"
 #include "fleet/activedeclaration.h"
@@ -17,6 +18,7 @@
 
 namespace citronpitch::wire::fleet {
 class Announcement;
+class AnnouncementBatch;
 } // namespace citronpitch::wire::fleet
 
 namespace Citronpitch {
@@ -91,6 +93,11 @@
     void received(const std::string &vm, const citronpitch::wire::fleet::Message &message);
     void heartbeatReceived(const std::string &vm, const citronpitch::wire::fleet::Heartbeat &heartbeat);
     void announcementReceived(const std::string &vm, const citronpitch::wire::fleet::Announcement &message);
+    void announcementsReceived(const std::string &vm,
+                               const citronpitch::wire::fleet::AnnouncementBatch &batch);
+    /// Sends the announcements that are due to the other control VMs.
+    void relayAnnouncements();
+    void sendToOtherControlVms(citronpitch::wire::fleet::Message &message);
     void announcementAcknowledged(const std::string &vm, std::uint64_t request);
     void jobReceived(const std::string &vm, const citronpitch::wire::fleet::Message &message);
     void peerChanged(const PeerChange &change);
@@ -104,6 +111,7 @@
     void assignGroups();
     void expireAnnouncements();
     void announceToGroup(const RegisteredUpstream &upstream);
+    void requestRegistry(const std::string &vm);
     void sendRegistry(const std::string &vm);
     void executeActions();
     void execute(const std::string &group, const RunOrder &order);
@@ -116,6 +124,9 @@
     ActiveDeclaration m_activeDeclaration;
     FleetSettings m_settings;
     UpstreamRegistry m_registry;
+    AnnouncementRelay m_relay;
+    /// By control VM: when its registry may be requested again.
+    std::map<std::string, TimePoint> m_nextRegistryRequestAt;
     FleetMember m_member;
     MetricsPage m_metricsPage;
     ShutdownSequence m_shutdown;
--- a/src/fleet/fleetwire.cpp
+++ b/src/fleet/fleetwire.cpp
@@ -64,6 +64,15 @@
     to->set_age_us((now - arrivedAt).count());
 }
 
+void toWire(TimePoint now, TimePoint arrivedAt, const FleetAnnouncement &from, wire::Renewal *to)
+{
+    to->set_name(from.upstream.name);
+    to->set_incarnation(from.upstream.incarnation);
+    to->set_sequence(from.sequence);
+    to->set_clock_ms(from.clockMs);
+    to->set_age_us((now - arrivedAt).count());
+}
+
 void toWire(const GroupLoad &from, wire::GroupLoad *to)
 {
     to->set_group(from.group);
--- a/src/fleet/fleetwire.h
+++ b/src/fleet/fleetwire.h
@@ -7,6 +7,7 @@
 
 namespace citronpitch::wire::fleet {
 class Announcement;
+class Renewal;
 class GroupLoad;
 class JobEnded;
 class RunJob;
@@ -21,6 +22,8 @@
 void toWire(TimePoint now, const FinishedJob &from, citronpitch::wire::fleet::JobEnded *to);
 void toWire(TimePoint now, TimePoint arrivedAt, const FleetAnnouncement &from,
             citronpitch::wire::fleet::Announcement *to);
+void toWire(TimePoint now, TimePoint arrivedAt, const FleetAnnouncement &from,
+            citronpitch::wire::fleet::Renewal *to);
 void toWire(const GroupLoad &from, citronpitch::wire::fleet::GroupLoad *to);
 
 /// Decodes a message that arrived at @p now; returns nothing if a field is out of range.
--- a/src/fleet/upstreamregistry.cpp
+++ b/src/fleet/upstreamregistry.cpp
@@ -34,6 +34,19 @@
     return true;
 }
 
+bool UpstreamRegistry::renew(const AnnouncementRenewal &renewal, TimePoint arrivedAt)
+{
+    const auto it = m_upstreams.find(renewal.upstream);
+    if (it == m_upstreams.end() || it->second.announcement.upstream.incarnation != renewal.incarnation)
+        return false;
+    auto renewed = it->second.announcement;
+    renewed.sequence = renewal.sequence;
+    renewed.clockMs = renewal.clockMs;
+    if (!renewed.upstream.leaving && !renewed.hasLeft)
+        update(renewed, arrivedAt);
+    return true;
+}
+
 void UpstreamRegistry::expire(TimePoint now)
 {
     std::erase_if(m_upstreams, [&](const auto &it) { return now - it.second.arrivedAt > m_retention; });
--- a/src/fleet/upstreamregistry.h
+++ b/src/fleet/upstreamregistry.h
@@ -30,6 +30,10 @@
     /// Records @p announcement. Returns false if a newer one is known or the upstream has left.
     bool update(const FleetAnnouncement &announcement, TimePoint arrivedAt);
 
+    /// Renews the announcement of an upstream that did not change otherwise. Returns false if no upstream
+    /// with that name and incarnation is known; an older sequence number has no effect.
+    bool renew(const AnnouncementRenewal &renewal, TimePoint arrivedAt);
+
     /// Removes upstreams without recent announcements.
     void expire(TimePoint now);
 
