Under load a job is refused when it is expected to miss a target that scales with it

Cause: such jobs were refused only beyond three times their target. Under sustained overload the queue grew until most jobs ended between one and three times their target, where an answer is worth a fifth to its caller; the slots that late jobs took made the next ones late too. Change: admission takes the target, less a tenth for upstreams slower than expected, in place of three times the target; a queued job without starts is shed when not even one task can end before the target. Classes whose target does not scale, and jobs with free slots, are as before. Answers the load: more jobs than slots for longer than callers wait (bursts, many upstreams lost at once).

--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -119,9 +119,8 @@
     }
     const auto classIndex = classes.find(submission.className).value_or(0);
     AdmissionLoad load;
-    load.latestEnd =
-        usefulUntil({classIndex, {}, now, submission.deadline, unloadedTimeOf(classIndex, submission)});
     const auto unloadedTime = unloadedTimeOf(classIndex, submission);
+    load.latestEnd = latestExpectedEnd({classIndex, {}, now, submission.deadline, unloadedTime});
     if (serviceTimes.isLearned(classIndex)) {
         load.unloadedTime = unloadedTime;
         load.workAhead =
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -21,9 +21,6 @@
 /// Unit of ClassDeclaration::targetStretch.
 constexpr int stretchUnit = 1000;
 
-/// An answer after this multiple of the target time is of little use; under load such a job is shed.
-constexpr int usefulFactor = 3;
-
 /// When at least one in this many slots is busy, tasks that can meet their target elsewhere leave the fast
 /// upstreams free.
 constexpr std::size_t busyDivisor = 2;
@@ -129,7 +126,15 @@
     // Only a target that scales with the size of the job tells when an answer to that job is of little use.
     if (classes.at(job.classIndex).declaration.targetStretch == 0)
         return job.deadline;
-    return std::min(job.deadline, job.arrival + usefulFactor * (targetTime(job) - job.arrival));
+    return std::min(job.deadline, targetTime(job));
+}
+
+TimePoint Dispatcher::State::latestExpectedEnd(const QueuedJob &job) const
+{
+    const auto until = usefulUntil(job);
+    if (until == job.deadline)
+        return until;
+    return job.arrival + (until - job.arrival) * targetMarginNumerator / targetMarginDenominator;
 }
 
 Duration Dispatcher::State::unloadedTimeOf(ClassIndex classIndex, const Submission &submission) const
@@ -360,12 +365,14 @@
 {
     if (head.deadline <= now)
         return true;
-    const auto usefulUntil = std::min(head.deadline, queue.findJob(head.job)->usefulUntil);
+    const auto usefulUntil = queue.findJob(head.job)->usefulUntil;
     if (isBaseline() || !isContended(head.job) || !serviceTimes.isLearned(head.subqueue.classIndex)
         || !jobs.at(head.job).startsPerRack.empty())
         return false;
     const auto one = serviceTimes.expected(head.subqueue.classIndex, {});
-    return now + one * infeasibleNumerator / infeasibleDenominator > usefulUntil;
+    if (usefulUntil < head.deadline && now + one > usefulUntil)
+        return true;
+    return now + one * infeasibleNumerator / infeasibleDenominator > head.deadline;
 }
 
 std::optional<Placement> Dispatcher::State::tryStart(TimePoint now, const SubqueueHead &head)
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -35,10 +35,14 @@
     /// Returns when a job is due that has missed dueTime().
     TimePoint demotedDueTime(const QueuedJob &job) const;
 
-    /// Returns the time after which an answer is of little use: a multiple of the target, but at most the
-    /// deadline; the deadline alone if the target does not scale with the size of the job.
+    /// Returns the time after which an answer is of little use: that of the target if the target scales with
+    /// the size of the job, otherwise the deadline.
     TimePoint usefulUntil(const QueuedJob &job) const;
 
+    /// Returns the latest expected end with which admission accepts a job under load. The margin to
+    /// usefulUntil() covers upstreams that are slower than expected.
+    TimePoint latestExpectedEnd(const QueuedJob &job) const;
+
     /// Returns the expected time of a job on an unloaded system.
     Duration unloadedTimeOf(ClassIndex classIndex, const Submission &submission) const;
 
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -122,6 +122,7 @@
         } else {
             const auto &finished = std::get<FinishedJob>(action);
             answers.try_emplace(finished.origin.number, finished.answer);
+            answeredAt.try_emplace(finished.origin.number, m_now);
         }
     }
 }
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -53,8 +53,9 @@
     TimePoint now() const;
     SimulatedUpstream &upstream(const std::string &name);
 
-    /// Answers by job number.
+    /// Answers by job number, and when they came.
     std::map<std::uint64_t, Answer> answers;
+    std::map<std::uint64_t, TimePoint> answeredAt;
     /// Number of starts by task.
     std::map<std::string, unsigned> starts;
     /// Tasks that ran on two upstreams at the same time.
