Large documents reach VMs that are behind once and in bounded messages

A VM with part of the log got up to 64 documents in one message. Content up to 16 KiB is repeated as before. Ruled out by reading: batches of announcements (bounded by the upstreams), queues of heartbeats.

--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -177,6 +177,10 @@
     TimePoint acknowledgedSentAt;
     /// Timestamp of its newest reply, by its own clock.
     std::int64_t lastReplyTimestamp = 0;
+    /// When the oldest long message with entries or a snapshot was sent that no reply has followed yet.
+    TimePoint contentSentAt;
+    /// Index of the newest snapshot that was sent.
+    std::uint64_t snapshotIndex = 0;
 };
 
 /**
@@ -332,6 +336,8 @@
     void broadcast(TimePoint now);
     void sendAppend(TimePoint now, const std::string &vm);
     void sendSnapshot(TimePoint now, const std::string &vm);
+    /// Whether a learner has to wait for its snapshot until others have received theirs.
+    bool isSnapshotPostponed(TimePoint now, const std::string &vm) const;
     void handleAppend(TimePoint now, const std::string &vm, const Message &message);
     void handleInstallSnapshot(TimePoint now, const std::string &vm, const Message &message);
     void handleAppendReply(TimePoint now, const std::string &vm, const Message &message);
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -27,8 +27,21 @@
 constexpr std::uint64_t incarnationMask = (1 << 20) - 1;
 
 constexpr std::size_t maximumEntriesPerMessage = 64;
+/// Limit of the entries in one message, so that a leader can hold a message for each of some hundred VMs at
+/// once. A single entry may be larger.
+constexpr std::size_t maximumBytesPerMessage = 512 * 1024;
+/// Content that is no longer than this may be sent again to a VM that has not replied to it yet.
+constexpr std::size_t shortContentBytes = 16 * 1024;
+/// Typical size of an entry without its document.
+constexpr std::size_t entryBytes = 128;
 constexpr std::uint64_t maximumUncommittedEntries = 1000;
 
+/// Learners that are sent a snapshot at the same time. After a restart of the whole fleet all of them need
+/// one.
+constexpr std::ptrdiff_t maximumSnapshotsInFlight = 16;
+/// A snapshot without a reply for this long is no longer counted as in flight.
+constexpr Duration snapshotTimeout = std::chrono::seconds(1);
+
 std::uint64_t splitMix64(std::uint64_t value)
 {
     value += 0x9e3779b97f4a7c15;
@@ -37,6 +50,21 @@
     return value ^ (value >> 31);
 }
 
+/// Approximate size of an entry in a message.
+std::size_t sizeOf(const LogEntry &entry)
+{
+    return entryBytes + entry.change.document.text.size();
+}
+
+/// Records that entries or a snapshot of @p bytes are sent to a VM, unless they are so short that they may be
+/// sent again at any time. Later ones count only once a reply shows that the first were received or lost, so
+/// that frequent changes don't hide that a VM is behind.
+void recordContentSent(TimePoint now, std::size_t bytes, FollowerProgress &progress)
+{
+    if (bytes > shortContentBytes && progress.acknowledgedSentAt >= progress.contentSentAt)
+        progress.contentSentAt = now;
+}
+
 std::vector<Voter> initialVotersOf(const ConfigurationNodeOptions &options)
 {
     std::vector<Voter> initialVoters;
@@ -553,6 +581,9 @@
     const bool votes = hasVoterNamed(vm);
     progress.nextSendAt =
         now + (votes ? m_options.voterHeartbeatInterval : m_options.learnerHeartbeatInterval);
+    const bool isSilent = now - progress.lastReplyAt > 2 * m_options.learnerHeartbeatInterval;
+    auto end = votes ? m_log.lastIndex() : m_commitIndex;
+    end = isSilent ? 0 : std::min(end, progress.nextIndex - 1 + maximumEntriesPerMessage);
     if (progress.nextIndex <= m_log.snapshotIndex()) {
         sendSnapshot(now, vm);
         return;
@@ -568,11 +599,15 @@
         append->set_echoed_at(progress.lastReplyTimestamp);
         append->set_confirmed_age_us(age->count());
     }
-    const bool isSilent = now - progress.lastReplyAt > 2 * m_options.learnerHeartbeatInterval;
-    auto end = votes ? m_log.lastIndex() : m_commitIndex;
-    end = isSilent ? 0 : std::min(end, progress.nextIndex - 1 + maximumEntriesPerMessage);
-    for (; progress.nextIndex <= end; ++progress.nextIndex)
-        toWire(m_log.at(progress.nextIndex), append->add_entries());
+    std::size_t bytes = 0;
+    for (; progress.nextIndex <= end; ++progress.nextIndex) {
+        const auto &entry = m_log.at(progress.nextIndex);
+        bytes += sizeOf(entry);
+        if (bytes > maximumBytesPerMessage && append->entries_size() > 0)
+            break;
+        toWire(entry, append->add_entries());
+    }
+    recordContentSent(now, bytes, progress);
     sendAfterSync(m_termToken, vm, message);
 }
 
@@ -584,8 +619,8 @@
     install->set_sent_at(encodeTimestamp(now));
     auto &progress = m_progress[vm];
     const bool isSilent = now - progress.lastReplyAt > 2 * m_options.learnerHeartbeatInterval;
-    if (isSilent) {
-        // Probes the log of the VM; the snapshot is sent after its reply.
+    if (isSilent || isSnapshotPostponed(now, vm)) {
+        // Probes the log of the VM; the snapshot is sent after a reply.
         auto probe = newMessage();
         probe.mutable_append()->set_previous_index(m_commitIndex);
         probe.mutable_append()->set_previous_term(*m_log.termAt(m_commitIndex));
@@ -598,9 +633,22 @@
                                  m_state},
            install->mutable_snapshot());
     progress.nextIndex = m_commitIndex + 1;
+    progress.snapshotIndex = m_commitIndex;
+    recordContentSent(now, m_state.configuration().document.text.size(), progress);
     sendAfterSync(m_termToken, vm, message);
 }
 
+bool ConfigurationNode::isSnapshotPostponed(TimePoint now, const std::string &vm) const
+{
+    if (m_progress.at(vm).nextIndex > m_log.snapshotIndex() || hasVoterNamed(vm))
+        return false;
+    const auto inFlight = std::count_if(m_progress.begin(), m_progress.end(), [&](const auto &it) {
+        const auto &progress = it.second;
+        return progress.snapshotIndex > progress.matchIndex && now - progress.contentSentAt < snapshotTimeout;
+    });
+    return inFlight >= maximumSnapshotsInFlight;
+}
+
 void ConfigurationNode::handleAppend(TimePoint now, const std::string &vm, const Message &message)
 {
     const auto &append = message.append();
@@ -712,9 +760,14 @@
     }
     progress.lastReplyAt = now;
     const auto &reply = message.append_reply();
-    if (const auto sentAt = decodeTimestamp(reply.echoed_at()))
+    const auto sentAt = decodeTimestamp(reply.echoed_at());
+    if (sentAt)
         progress.acknowledgedSentAt = std::max(progress.acknowledgedSentAt, *sentAt);
     progress.lastReplyTimestamp = reply.sent_at();
+    // A rejection of a message that preceded the last entries or snapshot says nothing about those. Sending
+    // them again for each such rejection would fill the queues of slow links.
+    if (!reply.matched() && sentAt && *sentAt < progress.contentSentAt)
+        return;
     if (reply.matched()) {
         progress.matchIndex = std::max(progress.matchIndex, reply.index());
         progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
@@ -722,7 +775,8 @@
     } else if (!m_options.faults.skipsCatchUp) {
         progress.nextIndex = std::min(std::max(progress.matchIndex, reply.index()), m_log.lastIndex()) + 1;
     }
-    if (progress.nextIndex <= (hasVoterNamed(vm) ? m_log.lastIndex() : m_commitIndex))
+    const auto end = hasVoterNamed(vm) ? m_log.lastIndex() : m_commitIndex;
+    if (progress.nextIndex <= end && !isSnapshotPostponed(now, vm))
         sendAppend(now, vm);
 }
 
--- a/tests/fuzz/configurationcluster.cpp
+++ b/tests/fuzz/configurationcluster.cpp
@@ -136,6 +136,10 @@
     change.proposedAt = m_now;
     change.kind = ChangeKind::SetTeam;
     change.teams = {{"team" + std::to_string(randomBelow(5)), static_cast<std::uint32_t>(randomBelow(1000))}};
+    if (m_plan.documentBytes > 0) {
+        change.kind = ChangeKind::ReplaceDocument;
+        change.document = {m_proposedChanges.size() + 1, std::string(m_plan.documentBytes, 'x')};
+    }
     m_proposedChanges.push_back({change, {}});
     submit(vm, m_proposedChanges.size() - 1);
 }
@@ -311,6 +315,8 @@
 void ConfigurationCluster::execute(std::size_t vm, const SendConfigurationMessage &action)
 {
     const auto to = static_cast<std::size_t>(std::stoul(action.vm.substr(2)));
+    m_counts.messageBytes += action.bytes.size();
+    m_counts.largestMessageBytes = std::max(m_counts.largestMessageBytes, action.bytes.size());
     if (m_partitions.contains({vm, to}) || randomBelow(100) < m_lossPercent)
         return;
     const auto copies = m_lossPercent > 0 && randomBelow(100) < m_lossPercent ? 2 : 1;
--- a/tests/fuzz/configurationcluster.h
+++ b/tests/fuzz/configurationcluster.h
@@ -22,6 +22,8 @@
     std::uint64_t faults = 0;
     std::uint64_t accepted = 0;
     std::uint64_t refused = 0;
+    std::size_t messageBytes = 0;
+    std::size_t largestMessageBytes = 0;
 };
 
 /// Options of a ConfigurationCluster.
@@ -29,6 +31,8 @@
 {
     std::uint64_t seed = 1;
     std::size_t voters = 5;
+    /// Changes replace a document of this size; zero: they are small.
+    std::size_t documentBytes = 0;
     std::size_t learners = 2;
     std::uint64_t retainedEntries = 20;
     /// Number of VMs that may lose their disks at once, under dynamic membership: the group has
--- a/tests/unit/configurationnodetest.cpp
+++ b/tests/unit/configurationnodetest.cpp
@@ -270,3 +270,47 @@
         EXPECT_LE(n, 1) << domain;
     EXPECT_EQ(cluster.failure(), "");
 }
+
+// Guards against a leader that runs out of memory after a restart of the whole fleet, and each leader after
+// it. Entry VMs have no disk, so all of them need the document. On slow links their replies to heartbeats
+// came before it had arrived, and each such reply made the leader send it again.
+TEST(ConfigurationNodeTest, snapshotsAreSentOnceOverSlowLinks)
+{
+    constexpr std::size_t learners = 20;
+    auto plan = clusterPlan(3, learners);
+    plan.documentBytes = 100 * 1024;
+    ConfigurationCluster cluster(plan);
+    cluster.advance(settlingTime);
+    proposeChanges(cluster, 0, 45);
+    for (std::size_t i = 3; i < cluster.size(); ++i) {
+        ASSERT_TRUE(cluster.wipeDisk(i));
+        cluster.restart(i);
+    }
+    const auto before = cluster.counts().messageBytes;
+    cluster.setMaximumDelay(std::chrono::milliseconds(100));
+    for (std::size_t i = 0; i < 100; ++i) {
+        // Each small change makes the leader send to all VMs.
+        cluster.assignHolder(i, i);
+        cluster.advance(std::chrono::milliseconds(20));
+    }
+    EXPECT_LT(cluster.counts().messageBytes - before, 3 * learners * plan.documentBytes);
+    cluster.settle();
+    EXPECT_EQ(cluster.failure(), "");
+}
+
+// Guards against messages of many megabytes: a VM that missed large changes got up to 64 of them in one
+// message.
+TEST(ConfigurationNodeTest, missedLargeDocumentsAreSentInBoundedMessages)
+{
+    auto plan = clusterPlan(3, 2);
+    plan.documentBytes = 200 * 1024;
+    plan.retainedEntries = 64;
+    ConfigurationCluster cluster(plan);
+    cluster.advance(settlingTime);
+    proposeChanges(cluster, 0, 40);
+    ASSERT_TRUE(cluster.wipeDisk(3));
+    cluster.restart(3);
+    cluster.settle();
+    EXPECT_EQ(cluster.failure(), "");
+    EXPECT_LT(cluster.counts().largestMessageBytes, 1U << 20);
+}
