--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -29,9 +29,9 @@
 constexpr std::size_t maximumEntriesPerMessage = 64;
 /// Limit of the entries in one message, so that a leader can hold a message for each of some hundred VMs at
 /// once. A single entry may be larger.
-constexpr std::size_t maximumBytesPerMessage = 512 * 1024;
+constexpr std::size_t maximumBytesPerMessage = 1 << 19;
 /// Content that is no longer than this may be sent again to a VM that has not replied to it yet.
-constexpr std::size_t shortContentBytes = 16 * 1024;
+constexpr std::size_t shortContentBytes = 1 << 14;
 /// Typical size of an entry without its document.
 constexpr std::size_t entryBytes = 128;
 constexpr std::uint64_t maximumUncommittedEntries = 1000;
--- a/tests/unit/configurationnodetest.cpp
+++ b/tests/unit/configurationnodetest.cpp
@@ -278,7 +278,7 @@
 {
     constexpr std::size_t learners = 20;
     auto plan = clusterPlan(3, learners);
-    plan.documentBytes = 100 * 1024;
+    plan.documentBytes = 102'400;
     ConfigurationCluster cluster(plan);
     cluster.advance(settlingTime);
     proposeChanges(cluster, 0, 45);
@@ -303,7 +303,7 @@
 TEST(ConfigurationNodeTest, missedLargeDocumentsAreSentInBoundedMessages)
 {
     auto plan = clusterPlan(3, 2);
-    plan.documentBytes = 200 * 1024;
+    plan.documentBytes = 204'800;
     plan.retainedEntries = 64;
     ConfigurationCluster cluster(plan);
     cluster.advance(settlingTime);
