Log lost runs with their reason, and count them

The logs could not tell the hypotheses of docs/incidents/2026-12-04-crashing-tasks.md apart: they showed neither which runs were lost nor why. E622 names task, run, upstream and reason; citronpitch_runs_lost_total counts them. No decision changes.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -79,6 +79,16 @@
     JobOrigin origin;
 };
 
+/// A run has ended without a result.
+struct LostRun
+{
+    /// Name under which the task runs on its upstream.
+    std::string task;
+    std::uint32_t run = 0;
+    std::string upstream;
+    RunLoss loss = RunLoss::None;
+};
+
 /// Free capacity of a group for jobs of one class.
 struct ClassLoad
 {
@@ -110,7 +120,7 @@
 };
 
 /// An action that the owner of a GroupDispatcher has to execute, in order.
-using GroupAction = std::variant<RunOrder, FinishedJob, ReservedJob>;
+using GroupAction = std::variant<RunOrder, FinishedJob, ReservedJob, LostRun>;
 
 /**
  * @brief Dispatches best-effort jobs to the upstreams of one group, as the only holder of the group.
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -3,6 +3,7 @@
 #include "citronpitch/fleetannouncement.h"
 #include "citronpitch/runorder.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -48,14 +49,41 @@
     TakenOver,
 };
 
+/// Why a run has ended without a result.
+enum class RunLoss {
+    None,
+    /// Its start order was not answered, and it was stopped.
+    StartUnanswered,
+    /// The upstream did not answer until the lease had expired; it may have crashed or be unreachable.
+    UpstreamSilent,
+    /// The upstream has restarted.
+    UpstreamRestarted,
+    /// The upstream has left.
+    UpstreamLeft,
+    /// The upstream reported that the lease expired, or that it ended the run.
+    EndedByUpstream,
+};
+
+inline constexpr std::array runLossNames{
+    EnumName<RunLoss>{RunLoss::None, "none"},
+    EnumName<RunLoss>{RunLoss::StartUnanswered, "startUnanswered"},
+    EnumName<RunLoss>{RunLoss::UpstreamSilent, "upstreamSilent"},
+    EnumName<RunLoss>{RunLoss::UpstreamRestarted, "upstreamRestarted"},
+    EnumName<RunLoss>{RunLoss::UpstreamLeft, "upstreamLeft"},
+    EnumName<RunLoss>{RunLoss::EndedByUpstream, "endedByUpstream"},
+};
+
 /// The end of a run; reported once.
 struct FinishedRun
 {
     std::uint64_t attempt = 0;
     std::string task;
+    std::uint32_t run = 0;
     RunOutcome outcome = RunOutcome::Lost;
     /// For Declined and NotSent: the verdict on the order.
     OrderVerdict verdict = OrderVerdict::Accepted;
+    /// For Lost: the reason.
+    RunLoss loss = RunLoss::None;
 };
 
 /**
@@ -122,6 +150,8 @@
         /// Whether stop() requested it, as opposed to a start order without an answer.
         bool isStopRequested = false;
         bool isStopAcknowledged = false;
+        /// Whether the upstream has restarted since the start order was sent.
+        bool hasUpstreamRestarted = false;
         OrderId stopOrder = 0;
         TimePoint stopRetryAt;
         /// First poll sent after the stop was acknowledged; if it lists no such run, the run has ended.
@@ -157,7 +187,9 @@
     void recordEnd(const EndedRun &end);
     void finish(std::map<std::string, Run>::iterator it, RunOutcome outcome,
                 OrderVerdict verdict = OrderVerdict::Accepted);
-    void finishAll(RunOutcome outcome);
+    /// Ends a run without a result.
+    void lose(std::map<std::string, Run>::iterator it, RunLoss loss);
+    void loseAll(RunLoss loss);
     void resetForNewIncarnation();
     bool hasWork() const;
 
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -521,6 +521,8 @@
     task.attempt = 0;
     --job.openAttempts;
     pool(attempt.pool).finish(now, attempt.placementAttempt, resultOf(run, job.isEnded));
+    if (run.outcome == RunOutcome::Lost)
+        m_actions.emplace_back(LostRun{run.task, run.run, attempt.upstream, run.loss});
     if (job.isEnded) {
         removeIfFinished(now, attempt.job);
         return;
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -50,7 +50,7 @@
 {
     m_hasLeft = true;
     m_foreignRuns.clear();
-    finishAll(RunOutcome::Lost);
+    loseAll(RunLoss::UpstreamLeft);
 }
 
 void UpstreamRuns::start(TimePoint now, std::uint64_t attempt, const std::string &task, std::uint32_t run,
@@ -93,7 +93,8 @@
     recordAnswer(now, result);
     if (result.verdict == OrderVerdict::StaleFence) {
         m_isTakenOver = true;
-        finishAll(RunOutcome::TakenOver);
+        while (!m_runs.empty())
+            finish(m_runs.begin(), RunOutcome::TakenOver);
     }
     switch (open.kind) {
     case OrderKind::Start:
@@ -117,7 +118,7 @@
     const bool isLeaseExpired = m_clockReadAt && m_leaseMs > 0 && clockLowerBound(now - lag) > m_leaseMs;
     if (isLeaseExpired && !m_runs.empty()) {
         m_isUnresponsive = true;
-        finishAll(RunOutcome::Lost);
+        loseAll(RunLoss::UpstreamSilent);
     }
     for (auto &[task, it] : m_runs) {
         const bool isDue = it.isStopNeeded && !it.isStopAcknowledged && it.stopOrder == 0;
@@ -313,8 +314,12 @@
         const auto next = std::next(it);
         const auto &run = it->second;
         const bool isStopConfirmed = run.isStopAcknowledged && open.poll >= run.confirmingPoll;
-        if (isStopConfirmed && !running.contains({it->first, run.run}))
-            finish(it, run.isStopRequested ? RunOutcome::Stopped : RunOutcome::Lost);
+        if (isStopConfirmed && !running.contains({it->first, run.run})) {
+            if (run.isStopRequested)
+                finish(it, RunOutcome::Stopped);
+            else
+                lose(it, RunLoss::StartUnanswered);
+        }
         it = next;
     }
     m_nextPollAt = now;
@@ -336,21 +341,32 @@
         finish(it, RunOutcome::Failed);
         return;
     default:
-        finish(it, it->second.isStopRequested ? RunOutcome::Stopped : RunOutcome::Lost);
+        if (it->second.isStopRequested)
+            finish(it, RunOutcome::Stopped);
+        else
+            lose(it, RunLoss::EndedByUpstream);
         return;
     }
 }
 
 void UpstreamRuns::finish(std::map<std::string, Run>::iterator it, RunOutcome outcome, OrderVerdict verdict)
 {
-    m_finished.push_back({it->second.attempt, it->first, outcome, verdict});
+    m_finished.push_back({it->second.attempt, it->first, it->second.run, outcome, verdict});
     m_runs.erase(it);
 }
 
-void UpstreamRuns::finishAll(RunOutcome outcome)
+void UpstreamRuns::lose(std::map<std::string, Run>::iterator it, RunLoss loss)
+{
+    if (it->second.hasUpstreamRestarted)
+        loss = RunLoss::UpstreamRestarted;
+    finish(it, RunOutcome::Lost);
+    m_finished.back().loss = loss;
+}
+
+void UpstreamRuns::loseAll(RunLoss loss)
 {
     while (!m_runs.empty())
-        finish(m_runs.begin(), outcome);
+        lose(m_runs.begin(), loss);
 }
 
 void UpstreamRuns::resetForNewIncarnation()
@@ -368,6 +384,7 @@
         it.phase = Phase::Unconfirmed;
         it.isStopNeeded = true;
         it.isStopAcknowledged = false;
+        it.hasUpstreamRestarted = true;
         it.stopOrder = 0;
         it.stopRetryAt = {};
     }
--- a/src/fleet/heldgroups.cpp
+++ b/src/fleet/heldgroups.cpp
@@ -500,6 +500,18 @@
     m_member.send(reserved.origin.vm, message);
 }
 
+void HeldGroups::execute(const std::string &group, const LostRun &lost)
+{
+    const std::string loss(enumName(runLossNames, lost.loss));
+    m_metrics.increment(Metric::RunsLost, {group, loss});
+    logEvent(Event::RunLost,
+             {{"task", lost.task},
+              {"run", std::to_string(lost.run)},
+              {"upstream", lost.upstream},
+              {"loss", loss},
+              {"group", group}});
+}
+
 void HeldGroups::startReceived(const JobOrigin &origin)
 {
     if (origin.vm != m_member.self().name)
--- a/src/fleet/heldgroups.h
+++ b/src/fleet/heldgroups.h
@@ -134,6 +134,7 @@
     void execute(const std::string &group, const RunOrder &order);
     void execute(const std::string &group, const FinishedJob &finished);
     void execute(const std::string &group, const ReservedJob &reserved);
+    void execute(const std::string &group, const LostRun &lost);
     /// Acknowledges the jobs that were received and not answered yet.
     void sendReceipts();
     void recordOrder(const std::string &group, const RunOrder &order, const OrderResult &result,
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -147,6 +147,12 @@
         "upstream order task run group",
         "The upstream may still execute the order; the task is started elsewhere once that is ruled out.",
         requestRepeatLimitMultiplier},
+    EventDefinition{
+        Event::RunLost, EventSeverity::Warning, "a run ended without a result",
+        "task run upstream loss group",
+        "`loss` tells whether the upstream restarted, was silent until the lease had expired, left, or ended "
+        "the run itself. The same task on several upstreams: it may crash them. See docs/OPERATIONS.md.",
+        requestRepeatLimitMultiplier},
     EventDefinition{
         Event::GroupStartsEnded, EventSeverity::Info, "no more starts in a group because of an evacuation",
         "group refused",
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -51,6 +51,7 @@
     DomainPartitioned = 614,
     JobNotCompleted = 620,
     OrderUnanswered = 621,
+    RunLost = 622,
     GroupStartsEnded = 630,
 };
 
--- a/src/log/metrics.cpp
+++ b/src/log/metrics.cpp
@@ -29,6 +29,8 @@
         "Jobs that were split across groups, and those that were then started, at the entry VM."},
     MetricDefinition{Metric::OrdersCompleted, MetricKind::Counter, "citronpitch_orders_total",
                      "order verdict", "Orders to upstreams, by what came back."},
+    MetricDefinition{Metric::RunsLost, MetricKind::Counter, "citronpitch_runs_lost_total", "group loss",
+                     "Runs that ended without a result, by reason."},
     MetricDefinition{Metric::OrderDuration, MetricKind::Histogram, "citronpitch_order_seconds", "order",
                      "Time from an order to its answer; polls wait for ends on purpose."},
     MetricDefinition{Metric::JobsFinished, MetricKind::Counter, "citronpitch_jobs_finished_total",
--- a/src/log/metrics.h
+++ b/src/log/metrics.h
@@ -20,6 +20,7 @@
     JobsRefusedAtOnce,
     JobsSplit,
     OrdersCompleted,
+    RunsLost,
     OrderDuration,
     JobsFinished,
     GroupFence,
