CrashingTaskTest: a task that crashes its upstreams is started without a bound

Orders to an upstream that has become unreachable time out in the harness now, they were never answered.

--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -1,5 +1,6 @@
 #include "support/groupharness.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Citronpitch {
@@ -24,7 +25,13 @@
 {
     auto &it = m_upstreams[options.name];
     it = std::make_unique<SimulatedUpstream>(m_now, options);
-    it->onStarted = [this](const std::string &task) { ++starts[task]; };
+    it->onStarted = [this, name = options.name](const std::string &task) {
+        ++starts[task];
+        if (crashesUnder[task] >= crashLimit)
+            ++startsAfterCrashes[task];
+        if (crashes && crashes(task))
+            m_crashing.insert(name);
+    };
     announce(options.name);
     return *it;
 }
@@ -96,6 +103,7 @@
     const auto end = m_now + time;
     while (m_now < end) {
         m_now += step;
+        endCrashes();
         for (auto &[name, it] : m_upstreams)
             it->advance(m_now);
         while (!m_events.empty() && m_events.begin()->first <= m_now) {
@@ -131,10 +139,9 @@
             sendOrder(*order);
         } else if (const auto *reservation = std::get_if<ReservedJob>(&action)) {
             reserved.insert(reservation->origin.number);
-        } else {
-            const auto &finished = std::get<FinishedJob>(action);
-            answers.try_emplace(finished.origin.number, finished.answer);
-            answeredAt.try_emplace(finished.origin.number, m_now);
+        } else if (const auto *finished = std::get_if<FinishedJob>(&action)) {
+            answers.try_emplace(finished->origin.number, finished->answer);
+            answeredAt.try_emplace(finished->origin.number, m_now);
         }
     }
 }
@@ -170,15 +177,47 @@
         executeActions();
         return;
     }
-    if (m_unreachable[event.order.upstream])
-        return;
     auto answer = event;
     answer.kind = Event::Kind::Answer;
+    if (m_unreachable[event.order.upstream]) {
+        if (event.isAnswered)
+            m_events.emplace(m_now + event.order.timeout, answer);
+        return;
+    }
     answer.result = m_upstreams.at(event.order.upstream)->execute(m_now, event.order);
+    if (m_crashing.erase(event.order.upstream) > 0) {
+        crash(event.order.upstream);
+        answer.result = {};
+    }
     if (event.isAnswered)
         m_events.emplace(m_now + delay, answer);
 }
 
+void GroupHarness::crash(const std::string &name)
+{
+    auto &upstream = *m_upstreams.at(name);
+    for (const auto &[task, run] : upstream.running())
+        ++crashesUnder[task];
+    upstream.restart(m_now);
+    setUnreachable(name, true);
+    m_backAt[name] = m_now + downTime;
+}
+
+void GroupHarness::endCrashes()
+{
+    while (true) {
+        const auto it = std::find_if(m_backAt.begin(), m_backAt.end(),
+                                     [this](const auto &entry) { return entry.second <= m_now; });
+        if (it == m_backAt.end())
+            return;
+        const auto name = it->first;
+        m_backAt.erase(it);
+        m_upstreams.at(name)->restart(m_now);
+        setUnreachable(name, false);
+        announce(name);
+    }
+}
+
 void GroupHarness::checkRuns()
 {
     std::map<std::string, unsigned> runs;
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -3,6 +3,7 @@
 #include "citronpitch/groupdispatcher.h"
 #include "support/simulatedupstream.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -69,6 +70,16 @@
     unsigned concurrentRuns = 0;
     GroupFaults faults;
 
+    /// Whether the start of @p task crashes its upstream; none does if it is not set.
+    std::function<bool(const std::string &task)> crashes;
+    /// How long a crashed upstream is down.
+    Duration downTime = std::chrono::seconds(3);
+    /// Upstreams that have crashed while they ran a task, by task.
+    std::map<std::string, unsigned> crashesUnder;
+    /// Starts of a task after crashLimit upstreams have crashed under it.
+    std::map<std::string, unsigned> startsAfterCrashes;
+    static constexpr unsigned crashLimit = 3;
+
 private:
     struct Event
     {
@@ -84,6 +95,9 @@
     void sendOrder(const RunOrder &order);
     void handle(const Event &event);
     void checkRuns();
+    /// Restarts an upstream that answers nothing until downTime has passed.
+    void crash(const std::string &name);
+    void endCrashes();
 
     TimePoint m_now{std::chrono::seconds(1000)};
     std::mt19937_64 m_random;
@@ -91,6 +105,10 @@
     std::unique_ptr<GroupDispatcher> m_dispatcher;
     std::map<std::string, std::unique_ptr<SimulatedUpstream>> m_upstreams;
     std::map<std::string, bool> m_unreachable;
+    /// Upstreams that a started task crashes before they answer.
+    std::set<std::string> m_crashing;
+    /// When crashed upstreams are back.
+    std::map<std::string, TimePoint> m_backAt;
     std::multimap<TimePoint, Event> m_events;
     std::uint64_t m_sequence = 0;
 };
