A task under which two upstreams crashed is not started again

Cause: a run that was lost with its upstream was queued again without being counted, so that only the client timeout ended the repetition; and what was counted of a task (failed runs) was in the memory of one holder and one submission. Class of fault: a retry without a bound that holds across processes.

Why this works: CrashLedger counts the upstreams lost under each task by (upstream, incarnation), in every VM, for all groups and submissions. Records only grow, so VMs exchange them without agreement. A task with two lost upstreams waits until it is known whether they crashed (a later incarnation) or were only silent (an answer in the same one), and its job fails at once when two are confirmed. Of the tasks of a job that lost several upstreams, one runs at a time. docs/design/crashes.md says which faults the records survive.

--- a/bench/decisions/groupcost.cpp
+++ b/bench/decisions/groupcost.cpp
@@ -115,7 +115,8 @@
     options.nameTask = [](const std::string &key, std::uint32_t task) {
         return key + "." + std::to_string(task);
     };
-    GroupDispatcher group(std::move(options));
+    CrashLedger crashes;
+    GroupDispatcher group(std::move(options), crashes);
     std::vector<ClassDeclaration> classes;
     for (const auto *it : {"a", "b", "c"}) {
         classes.push_back({it, 990'000, 60ms});
--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -8,6 +8,7 @@
 #include "citronpitch/upstream.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -134,8 +135,9 @@
     /// Returns why @p submission is refused at @p now, or nothing if it is accepted.
     std::optional<Refusal> refusal(TimePoint now, const Submission &submission) const;
 
-    /// Queues every task of a job.
-    void add(TimePoint now, JobId job, const Submission &submission);
+    /// Adds a job and queues its tasks; those for which @p isQueued returns false only with requeue().
+    void add(TimePoint now, JobId job, const Submission &submission,
+             const std::function<bool(std::uint32_t task)> &isQueued = {});
 
     /// Queues a task again after an attempt that did not start it or that may be retried.
     void requeue(TimePoint now, JobId job, const Submission &submission, std::uint32_t task);
--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronpitch/crashledger.h"
 #include "citronpitch/dispatcher.h"
 #include "citronpitch/fleetannouncement.h"
 #include "citronpitch/runorder.h"
@@ -131,7 +132,8 @@
 class GroupDispatcher
 {
 public:
-    explicit GroupDispatcher(GroupDispatcherOptions options);
+    /// @p crashes must outlive this object.
+    GroupDispatcher(GroupDispatcherOptions options, CrashLedger &crashes);
     ~GroupDispatcher();
     GroupDispatcher(const GroupDispatcher &) = delete;
     GroupDispatcher &operator=(const GroupDispatcher &) = delete;
@@ -209,6 +211,8 @@
         std::uint32_t lastRun = 0;
         /// Number of the attempt in flight; zero for none.
         std::uint64_t attempt = 0;
+        /// Not queued, as upstreams crashed or may have crashed under it; see releaseHeldTasks().
+        bool isHeld = false;
     };
 
     struct Job
@@ -218,6 +222,11 @@
         std::uint32_t doneTasks = 0;
         std::uint32_t openAttempts = 0;
         bool hasStarted = false;
+        /// Upstreams that were lost while they ran tasks of the job.
+        std::set<std::string> lostUpstreams;
+        /// Whether tasks under which an upstream was lost run one at a time, as one of them may crash its
+        /// upstream.
+        bool runsSuspectsSingly = false;
         /// Answered or cancelled; the job is kept until its runs have ended.
         bool isEnded = false;
         /// A job with the same key that is added once this one is removed.
@@ -269,6 +278,16 @@
     void place(TimePoint now);
     void startRun(TimePoint now, const std::string &pool, const Placement &placement);
     void reschedule(TimePoint now);
+    /// Adds to the ledger what the runs on @p upstream show.
+    void recordCrashes(TimePoint now, UpstreamRuns &upstream);
+    /// Ends the jobs with tasks that must not be started again, and queues held tasks that may.
+    void applyCrashes(TimePoint now);
+    /// Queues the held tasks of a job that may run.
+    void releaseHeldTasks(TimePoint now, Job &job, JobId id);
+    std::string taskName(const RoutedJob &routed, std::size_t task) const;
+    /// Returns the first task of @p routed that must not be started again, or nothing.
+    std::optional<std::size_t> findDeniedTask(const RoutedJob &routed) const;
+    static std::string crashDetail(const std::string &task);
     void runFinished(TimePoint now, const FinishedRun &run);
     void answerJob(TimePoint now, JobId id, Outcome outcome, Reason reason, const std::string &detail);
     void endJob(TimePoint now, JobId id);
@@ -283,6 +302,9 @@
     void refuse(TimePoint now, const JobOrigin &origin, const Refusal &refusal);
 
     GroupDispatcherOptions m_options;
+    CrashLedger &m_crashes;
+    /// Version of the ledger that was applied last.
+    std::uint64_t m_appliedCrashes = 0;
     std::vector<ClassDeclaration> m_classes;
     std::map<std::string, Dispatcher> m_pools;
     std::map<std::string, Upstream> m_upstreams;
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronpitch/crashledger.h"
 #include "citronpitch/fleetannouncement.h"
 #include "citronpitch/runorder.h"
 
@@ -131,6 +132,9 @@
     bool hasFinished() const;
     std::vector<FinishedRun> takeFinished();
 
+    /// Returns the crashes of the upstream, certain or possible, under the tasks that it ran.
+    std::vector<TaskCrash> takeCrashes();
+
 private:
     enum class Phase {
         /// The start order is unanswered.
@@ -190,7 +194,10 @@
     /// Ends a run without a result.
     void lose(std::map<std::string, Run>::iterator it, RunLoss loss);
     void loseAll(RunLoss loss);
-    void resetForNewIncarnation();
+    /// Continues with a new incarnation; @p previous is what the earlier one announced.
+    void resetForNewIncarnation(const UpstreamAnnouncement &previous);
+    /// Records a crash under each run that the incarnation announced by @p announcement may have had.
+    void recordCrashes(const UpstreamAnnouncement &announcement, CrashState state);
     bool hasWork() const;
 
     UpstreamRunsOptions m_options;
@@ -216,6 +223,7 @@
     bool m_isTakenOver = false;
     bool m_hasLeft = false;
     std::vector<FinishedRun> m_finished;
+    std::vector<TaskCrash> m_crashes;
 };
 
 } // namespace Citronpitch
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -152,7 +152,8 @@
     return refusal;
 }
 
-void Dispatcher::add(TimePoint now, JobId job, const Submission &submission)
+void Dispatcher::add(TimePoint now, JobId job, const Submission &submission,
+                     const std::function<bool(std::uint32_t task)> &isQueued)
 {
     m_state->recordNeeds(now, submission);
     const auto classIndex = m_state->classes.findOrAdd(submission.className);
@@ -169,8 +170,10 @@
         m_state->admission.acceptedUnderContention += m_state->contention.isInEffect() ? 1 : 0;
     }
     m_state->queue.addJob(job, queued);
-    for (auto i = static_cast<std::uint32_t>(submission.tasks.size()); i > 0; --i)
-        requeue(now, job, submission, i - 1);
+    for (auto i = static_cast<std::uint32_t>(submission.tasks.size()); i > 0; --i) {
+        if (!isQueued || isQueued(i - 1))
+            requeue(now, job, submission, i - 1);
+    }
 }
 
 void Dispatcher::requeue(TimePoint, JobId job, const Submission &submission, std::uint32_t task)
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -74,8 +74,9 @@
     return answer;
 }
 
-GroupDispatcher::GroupDispatcher(GroupDispatcherOptions options)
+GroupDispatcher::GroupDispatcher(GroupDispatcherOptions options, CrashLedger &crashes)
     : m_options(std::move(options))
+    , m_crashes(crashes)
 {
 }
 
@@ -121,6 +122,8 @@
     dispatcher.announce(now, offered);
     it.isPaused = mustPause(now, it);
     dispatcher.setPaused(now, name, it.isPaused);
+    recordCrashes(now, *it.runs);
+    m_crashes.upstreamStarted(now, name, it.runs->announcement().upstream.incarnation);
     if (it.runs->hasFinished())
         m_touched.insert(name);
     reschedule(now);
@@ -137,6 +140,15 @@
         reply(now, job.origin, formerHolderAnswer());
         return;
     }
+    if (const auto denied = findDeniedTask(job); denied && !isKnown(job.origin)) {
+        Answer answer;
+        answer.key = job.submission.key;
+        answer.outcome = Outcome::Failed;
+        answer.reason = Reason::TaskFailed;
+        answer.detail = crashDetail(taskName(job, *denied));
+        reply(now, job.origin, std::move(answer));
+        return;
+    }
     if (job.reserve)
         reserve(now, job);
     else
@@ -261,8 +273,16 @@
     m_orders.erase(order);
     if (it == m_upstreams.end())
         return;
-    it->second.runs->orderEnded(now, id, result);
-    if (it->second.runs->hasFinished())
+    auto &runs = *it->second.runs;
+    runs.orderEnded(now, id, result);
+    recordCrashes(now, runs);
+    if (result.incarnation != 0) {
+        const auto incarnation = runs.announcement().upstream.incarnation;
+        m_crashes.upstreamStarted(now, it->first, incarnation);
+        if (result.incarnation == incarnation)
+            m_crashes.upstreamAnswered(now, it->first, incarnation);
+    }
+    if (runs.hasFinished())
         m_touched.insert(it->first);
     updatePause(now, it->second);
     reschedule(now);
@@ -272,6 +292,7 @@
 {
     for (auto &[name, it] : m_upstreams) {
         it.runs->tick(now, lag);
+        recordCrashes(now, *it.runs);
         if (it.runs->hasFinished())
             m_touched.insert(name);
         updatePause(now, it);
@@ -289,6 +310,7 @@
     for (const auto id : late)
         answerJob(now, id, Outcome::Failed, Reason::DeadlinePassed, "dispatch: the deadline passed");
     reschedule(now);
+    applyCrashes(now);
     // An upstream without announcements is no longer polled once no run can be left there; its next
     // announcement adds it again.
     std::erase_if(m_upstreams,
@@ -453,7 +475,15 @@
     job.tasks.resize(routed.submission.tasks.size());
     m_byKey[routed.submission.key] = id;
     m_byOrigin[routed.origin] = id;
-    dispatcher.add(now, id, routed.submission);
+    if (m_crashes.size() > 0) {
+        for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+            const bool isSuspect = m_crashes.isSuspect(taskName(routed, i));
+            job.tasks[i].isHeld = isSuspect;
+            job.runsSuspectsSingly = job.runsSuspectsSingly || isSuspect;
+        }
+    }
+    dispatcher.add(now, id, routed.submission, [&](std::uint32_t task) { return !job.tasks[task].isHeld; });
+    releaseHeldTasks(now, job, id);
 }
 
 void GroupDispatcher::place(TimePoint now)
@@ -493,10 +523,9 @@
     ++task.lastRun;
     ++job.openAttempts;
     job.hasStarted = true;
-    const auto &key = job.routed.submission.key;
     m_upstreams.at(placement.upstream)
-        .runs->start(now, attempt, m_options.nameTask(key, job.routed.firstTask + placement.task),
-                     task.lastRun, job.routed.submission.tasks[placement.task].payload);
+        .runs->start(now, attempt, taskName(job.routed, placement.task), task.lastRun,
+                     job.routed.submission.tasks[placement.task].payload);
 }
 
 void GroupDispatcher::reschedule(TimePoint now)
@@ -532,6 +561,8 @@
         task.isDone = true;
         if (++job.doneTasks == job.tasks.size())
             answerJob(now, attempt.job, Outcome::Complete, Reason::None, {});
+        else
+            releaseHeldTasks(now, job, attempt.job);
         return;
     case RunOutcome::Failed:
         if (++task.failures >= job.routed.attempts) {
@@ -551,7 +582,91 @@
         endEvacuatedJob(now, attempt.job);
         return;
     }
-    pool(attempt.pool).requeue(now, attempt.job, job.routed.submission, attempt.task);
+    if (m_crashes.permission(run.task) == StartPermission::Denied) {
+        answerJob(now, attempt.job, Outcome::Failed, Reason::TaskFailed, crashDetail(run.task));
+        return;
+    }
+    if (run.outcome == RunOutcome::Lost)
+        job.lostUpstreams.insert(attempt.upstream);
+    job.runsSuspectsSingly = job.runsSuspectsSingly || job.lostUpstreams.size() > 1;
+    task.isHeld = m_crashes.isSuspect(run.task);
+    if (task.isHeld)
+        releaseHeldTasks(now, job, attempt.job);
+    else
+        pool(attempt.pool).requeue(now, attempt.job, job.routed.submission, attempt.task);
+}
+
+void GroupDispatcher::recordCrashes(TimePoint now, UpstreamRuns &upstream)
+{
+    for (auto &it : upstream.takeCrashes())
+        m_crashes.observe(now, std::move(it));
+}
+
+void GroupDispatcher::applyCrashes(TimePoint now)
+{
+    if (std::exchange(m_appliedCrashes, m_crashes.version()) == m_crashes.version())
+        return;
+    std::vector<JobId> ids;
+    for (const auto &[id, job] : m_jobs) {
+        if (!job.isEnded)
+            ids.push_back(id);
+    }
+    for (const auto id : ids) {
+        auto &job = m_jobs.at(id);
+        if (const auto denied = findDeniedTask(job.routed))
+            answerJob(now, id, Outcome::Failed, Reason::TaskFailed,
+                      crashDetail(taskName(job.routed, *denied)));
+        else
+            releaseHeldTasks(now, job, id);
+    }
+    place(now);
+}
+
+void GroupDispatcher::releaseHeldTasks(TimePoint now, Job &job, JobId id)
+{
+    const bool hasHeldTask =
+        std::any_of(job.tasks.begin(), job.tasks.end(), [](const auto &it) { return it.isHeld; });
+    if (!hasHeldTask || areStartsForbidden(now))
+        return;
+    const auto isSuspect = [&](std::size_t i) { return m_crashes.isSuspect(taskName(job.routed, i)); };
+    std::size_t activeSuspects = 0;
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const auto &it = job.tasks[i];
+        activeSuspects += !it.isDone && !it.isHeld && isSuspect(i) ? 1 : 0;
+    }
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        auto &it = job.tasks[i];
+        if (!it.isHeld || m_crashes.permission(taskName(job.routed, i)) != StartPermission::Granted)
+            continue;
+        if (isSuspect(i)) {
+            if (job.runsSuspectsSingly && activeSuspects > 0)
+                continue;
+            ++activeSuspects;
+        }
+        it.isHeld = false;
+        pool(job.routed.pool).requeue(now, id, job.routed.submission, static_cast<std::uint32_t>(i));
+    }
+}
+
+std::string GroupDispatcher::taskName(const RoutedJob &routed, std::size_t task) const
+{
+    return m_options.nameTask(routed.submission.key, routed.firstTask + static_cast<std::uint32_t>(task));
+}
+
+std::optional<std::size_t> GroupDispatcher::findDeniedTask(const RoutedJob &routed) const
+{
+    if (m_crashes.size() == 0)
+        return std::nullopt;
+    for (std::size_t i = 0; i < routed.submission.tasks.size(); ++i) {
+        if (m_crashes.permission(taskName(routed, i)) == StartPermission::Denied)
+            return i;
+    }
+    return std::nullopt;
+}
+
+std::string GroupDispatcher::crashDetail(const std::string &task)
+{
+    return "task: upstreams crashed while they ran " + task;
 }
 
 void GroupDispatcher::answerJob(TimePoint now, JobId id, Outcome outcome, Reason reason,
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -36,13 +36,12 @@
 
 void UpstreamRuns::announced(TimePoint now, const FleetAnnouncement &announcement)
 {
-    const auto known = m_announcement.upstream.incarnation;
-    if (announcement.upstream.incarnation < known)
+    const auto known = m_announcement.upstream;
+    if (announcement.upstream.incarnation < known.incarnation)
         return;
-    const bool isNewIncarnation = announcement.upstream.incarnation > known;
     m_announcement = announcement;
-    if (isNewIncarnation)
-        resetForNewIncarnation();
+    if (announcement.upstream.incarnation > known.incarnation)
+        resetForNewIncarnation(known);
     updateClock(now, announcement.clockMs);
 }
 
@@ -118,6 +117,7 @@
     const bool isLeaseExpired = m_clockReadAt && m_leaseMs > 0 && clockLowerBound(now - lag) > m_leaseMs;
     if (isLeaseExpired && !m_runs.empty()) {
         m_isUnresponsive = true;
+        recordCrashes(m_announcement.upstream, CrashState::Suspected);
         loseAll(RunLoss::UpstreamSilent);
     }
     for (auto &[task, it] : m_runs) {
@@ -158,6 +158,11 @@
     return std::exchange(m_finished, {});
 }
 
+std::vector<TaskCrash> UpstreamRuns::takeCrashes()
+{
+    return std::exchange(m_crashes, {});
+}
+
 std::int64_t UpstreamRuns::clockLowerBound(TimePoint now) const
 {
     if (!m_clockReadAt)
@@ -290,8 +295,9 @@
         return;
     }
     if (result.incarnation > known) {
+        const auto previous = m_announcement.upstream;
         m_announcement.upstream.incarnation = result.incarnation;
-        resetForNewIncarnation();
+        resetForNewIncarnation(previous);
         return;
     }
     m_isFenceKnown = true;
@@ -369,8 +375,21 @@
         lose(m_runs.begin(), loss);
 }
 
-void UpstreamRuns::resetForNewIncarnation()
+void UpstreamRuns::recordCrashes(const UpstreamAnnouncement &announcement, CrashState state)
+{
+    // Runs that are counted already were ordered from an earlier incarnation.
+    for (const auto &[task, it] : m_runs) {
+        if (!it.hasUpstreamRestarted)
+            m_crashes.push_back({task, announcement.name, announcement.incarnation, state, {}});
+    }
+    for (const auto &[running, it] : m_foreignRuns)
+        m_crashes.push_back({running.task, announcement.name, announcement.incarnation, state, {}});
+}
+
+void UpstreamRuns::resetForNewIncarnation(const UpstreamAnnouncement &previous)
 {
+    if (!previous.leaving)
+        recordCrashes(previous, CrashState::Confirmed);
     m_clockReadAt.reset();
     m_clockMs = 0;
     m_leaseMs = 0;
--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -303,6 +303,9 @@
     case wire::Message::kAnnouncementTaken:
         announcementAcknowledged(vm, message.announcement_taken().request());
         break;
+    case wire::Message::kTaskCrashes:
+        m_groups.crashesReceived(vm, message.task_crashes());
+        break;
     case wire::Message::kRegistryRequest:
         sendRegistry(vm, message.registry_request());
         break;
@@ -428,6 +431,7 @@
         return;
     }
     m_aliveSince[name] = now();
+    m_groups.peerReachable(name);
     if (change.peer.role != VmRole::Control)
         return;
     m_nextRegistryRequestAt.erase(name);
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -165,6 +165,8 @@
     } else if (message.body_case() == wire::Message::kAnnouncementBatch) {
         announcementsReceived(message.announcement_batch());
         executeActions();
+    } else if (message.body_case() == wire::Message::kTaskCrashes) {
+        m_groups.crashesReceived(vm, message.task_crashes());
     } else if (message.body_case() == wire::Message::kJobReceived) {
         const auto &numbers = message.job_received().numbers();
         m_router.partsReceived(now(), vm, {numbers.begin(), numbers.end()});
@@ -280,8 +282,12 @@
 
 void FleetEntry::peerChanged(const PeerChange &change)
 {
-    if (change.isAlive)
+    if (change.isAlive) {
+        // A control VM that has restarted must know the crashes before it dispatches.
+        if (change.peer.role == VmRole::Control && change.peer.domain == m_settings.domain)
+            m_groups.peerReachable(change.peer.name);
         return;
+    }
     m_router.holderUnreachable(now(), change.peer.name);
     m_groups.peerUnreachable(change.peer.name);
     executeActions();
--- a/src/fleet/fleetwire.cpp
+++ b/src/fleet/fleetwire.cpp
@@ -76,6 +76,15 @@
     to->set_age_us((now - arrivedAt).count());
 }
 
+void toWire(TimePoint now, const TaskCrash &from, wire::TaskCrash *to)
+{
+    to->set_task(from.task);
+    to->set_upstream(from.upstream);
+    to->set_incarnation(from.incarnation);
+    to->set_state(static_cast<std::uint32_t>(from.state));
+    to->set_remaining_us((from.expiresAt - now).count());
+}
+
 void toWire(const GroupLoad &from, wire::GroupLoad *to)
 {
     to->set_group(from.group);
@@ -94,6 +103,14 @@
     }
 }
 
+std::optional<TaskCrash> fromWire(TimePoint now, const wire::TaskCrash &from)
+{
+    if (from.state() >= crashStateNames.size())
+        return std::nullopt;
+    return TaskCrash{from.task(), from.upstream(), from.incarnation(), static_cast<CrashState>(from.state()),
+                     now + std::min(Duration(from.remaining_us()), crashRetention)};
+}
+
 std::optional<RoutedJob> fromWire(TimePoint now, const wire::RunJob &from)
 {
     if (from.tasks_size() == 0 || static_cast<std::size_t>(from.tasks_size()) > maximumTasksPerJob)
--- a/src/fleet/fleetwire.h
+++ b/src/fleet/fleetwire.h
@@ -11,6 +11,7 @@
 class GroupLoad;
 class JobEnded;
 class RunJob;
+class TaskCrash;
 } // namespace citronpitch::wire::fleet
 
 namespace Citronpitch {
@@ -24,9 +25,11 @@
             citronpitch::wire::fleet::Announcement *to);
 void toWire(TimePoint now, TimePoint arrivedAt, const FleetAnnouncement &from,
             citronpitch::wire::fleet::Renewal *to);
+void toWire(TimePoint now, const TaskCrash &from, citronpitch::wire::fleet::TaskCrash *to);
 void toWire(const GroupLoad &from, citronpitch::wire::fleet::GroupLoad *to);
 
 /// Decodes a message that arrived at @p now; returns nothing if a field is out of range.
+std::optional<TaskCrash> fromWire(TimePoint now, const citronpitch::wire::fleet::TaskCrash &from);
 std::optional<RoutedJob> fromWire(TimePoint now, const citronpitch::wire::fleet::RunJob &from);
 std::optional<Answer> fromWire(TimePoint now, const citronpitch::wire::fleet::JobEnded &from);
 FleetAnnouncement fromWire(const citronpitch::wire::fleet::Announcement &from);
--- a/src/fleet/heldgroups.cpp
+++ b/src/fleet/heldgroups.cpp
@@ -28,6 +28,12 @@
 /// acknowledged within 20 ms.
 constexpr Duration receiptInterval = std::chrono::milliseconds(10);
 
+/// Minimum interval of messages with new records of crashes.
+constexpr Duration crashReportInterval = std::chrono::milliseconds(20);
+/// Largest number of records in one message.
+constexpr int maximumCrashBatch = 100;
+constexpr Duration crashExpiryInterval = std::chrono::seconds(1);
+
 /// Margin for a slow upstream clock and for the delay of the last renewal.
 constexpr Duration leaseSlack = std::chrono::milliseconds(80);
 constexpr Duration minimumLease = std::chrono::milliseconds(100);
@@ -201,6 +207,11 @@
         it->cancel(now(), origin);
 }
 
+void HeldGroups::peerReachable(const std::string &vm)
+{
+    sendCrashes(vm, m_crashes.records());
+}
+
 void HeldGroups::peerUnreachable(const std::string &vm)
 {
     m_reportedGroups.erase(vm);
@@ -220,6 +231,7 @@
         it->tick(now(), m_member.lag().lag(now()));
     removeReleasedGroups();
     sendReceipts();
+    sendNewCrashes();
 }
 
 void HeldGroups::updateOverload()
@@ -428,7 +440,7 @@
     options.upstreamLease = m_settings.announcementInterval * leaseAnnouncementIntervals;
     options.nameTask = m_hooks.nameTask;
     auto &it = m_groups[group];
-    it = std::make_unique<GroupDispatcher>(std::move(options));
+    it = std::make_unique<GroupDispatcher>(std::move(options), m_crashes);
     it->setClasses(m_classes);
     applyEvacuation(group, *it);
     it->setOverloaded(m_isOverloaded);
@@ -540,6 +552,62 @@
     m_receipts.clear();
 }
 
+void HeldGroups::crashesReceived(const std::string &vm, const wire::TaskCrashes &message)
+{
+    // An entry VM sends its records to control VMs alone, which pass them on.
+    const auto *peer = m_member.directory().find(vm);
+    const bool isFromEntryVm = peer != nullptr && peer->peer.role == VmRole::Entry;
+    for (const auto &it : message.crashes()) {
+        const auto crash = fromWire(now(), it);
+        if (crash && m_crashes.merge(*crash) && isFromEntryVm)
+            m_unsentCrashes.push_back(*crash);
+    }
+}
+
+void HeldGroups::sendNewCrashes()
+{
+    if (now() >= m_nextCrashExpiry) {
+        m_nextCrashExpiry = now() + crashExpiryInterval;
+        m_crashes.expire(now());
+    }
+    if (now() < m_nextCrashes)
+        return;
+    for (auto &it : m_crashes.takeNews()) {
+        const std::string state(enumName(crashStateNames, it.state));
+        m_metrics.increment(Metric::TaskCrashes, {state});
+        logEvent(Event::TaskCrash,
+                 {{"task", it.task},
+                  {"upstream", it.upstream},
+                  {"incarnation", std::to_string(it.incarnation)},
+                  {"state", state}});
+        m_unsentCrashes.push_back(std::move(it));
+    }
+    if (m_unsentCrashes.empty())
+        return;
+    m_nextCrashes = now() + crashReportInterval;
+    const auto crashes = std::exchange(m_unsentCrashes, {});
+    const bool isControlVm = m_member.self().role == VmRole::Control;
+    for (const auto &[name, it] : m_member.directory().peers()) {
+        if (it.isAlive && (isControlVm || it.peer.role == VmRole::Control))
+            sendCrashes(name, crashes);
+    }
+}
+
+void HeldGroups::sendCrashes(const std::string &vm, const std::vector<TaskCrash> &crashes)
+{
+    wire::Message message;
+    auto *batch = message.mutable_task_crashes();
+    for (const auto &it : crashes) {
+        toWire(now(), it, batch->add_crashes());
+        if (batch->crashes_size() < maximumCrashBatch)
+            continue;
+        m_member.send(vm, message);
+        batch->clear_crashes();
+    }
+    if (batch->crashes_size() > 0)
+        m_member.send(vm, message);
+}
+
 void HeldGroups::recordOrder(const std::string &group, const RunOrder &order, const OrderResult &result,
                              TimePoint sentAt)
 {
--- a/src/fleet/heldgroups.h
+++ b/src/fleet/heldgroups.h
@@ -12,6 +12,10 @@
 #include <string>
 #include <vector>
 
+namespace citronpitch::wire::fleet {
+class TaskCrashes;
+} // namespace citronpitch::wire::fleet
+
 namespace Citronpitch {
 
 /// Callbacks of a HeldGroups into the process that runs it.
@@ -63,8 +67,13 @@
     /// Starts a job that was reserved.
     void startReceived(const JobOrigin &origin);
 
+    /// Sends all records of crashes to @p vm.
+    void peerReachable(const std::string &vm);
     void peerUnreachable(const std::string &vm);
 
+    /// Handles records of crashes that @p vm has sent.
+    void crashesReceived(const std::string &vm, const citronpitch::wire::fleet::TaskCrashes &message);
+
     void tick();
 
     /// Sends the orders and answers that are due.
@@ -135,6 +144,9 @@
     void execute(const std::string &group, const FinishedJob &finished);
     void execute(const std::string &group, const ReservedJob &reserved);
     void execute(const std::string &group, const LostRun &lost);
+    /// Sends the records of crashes that are new since the last call to the other VMs.
+    void sendNewCrashes();
+    void sendCrashes(const std::string &vm, const std::vector<TaskCrash> &crashes);
     /// Acknowledges the jobs that were received and not answered yet.
     void sendReceipts();
     void recordOrder(const std::string &group, const RunOrder &order, const OrderResult &result,
@@ -146,6 +158,11 @@
     Metrics &m_metrics;
     HeldGroupsHooks m_hooks;
     std::vector<ClassDeclaration> m_classes;
+    CrashLedger m_crashes;
+    /// New records that other VMs may not have received.
+    std::vector<TaskCrash> m_unsentCrashes;
+    TimePoint m_nextCrashes;
+    TimePoint m_nextCrashExpiry;
     std::map<std::string, std::unique_ptr<GroupDispatcher>> m_groups;
     std::map<std::string, Takeover> m_takeovers;
     /// Groups that other VMs report to dispatch, by VM.
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -153,6 +153,12 @@
         "`loss` tells whether the upstream restarted, was silent until the lease had expired, left, or ended "
         "the run itself. The same task on several upstreams: it may crash them. See docs/OPERATIONS.md.",
         requestRepeatLimitMultiplier},
+    EventDefinition{
+        Event::TaskCrash, EventSeverity::Warning, "an upstream was lost while it ran a task",
+        "task upstream incarnation state",
+        "`state`: suspected while the upstream is silent, then confirmed if it has restarted, or refuted. A "
+        "task with two confirmed crashes is not started again, and its job fails. Check what the task does.",
+        requestRepeatLimitMultiplier},
     EventDefinition{
         Event::GroupStartsEnded, EventSeverity::Info, "no more starts in a group because of an evacuation",
         "group refused",
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -52,6 +52,7 @@
     JobNotCompleted = 620,
     OrderUnanswered = 621,
     RunLost = 622,
+    TaskCrash = 623,
     GroupStartsEnded = 630,
 };
 
--- a/src/log/metrics.cpp
+++ b/src/log/metrics.cpp
@@ -31,6 +31,9 @@
                      "order verdict", "Orders to upstreams, by what came back."},
     MetricDefinition{Metric::RunsLost, MetricKind::Counter, "citronpitch_runs_lost_total", "group loss",
                      "Runs that ended without a result, by reason."},
+    MetricDefinition{
+        Metric::TaskCrashes, MetricKind::Counter, "citronpitch_task_crashes_total", "state",
+        "Records of upstreams that were lost while they ran a task, by state, at the VM that saw it."},
     MetricDefinition{Metric::OrderDuration, MetricKind::Histogram, "citronpitch_order_seconds", "order",
                      "Time from an order to its answer; polls wait for ends on purpose."},
     MetricDefinition{Metric::JobsFinished, MetricKind::Counter, "citronpitch_jobs_finished_total",
--- a/src/log/metrics.h
+++ b/src/log/metrics.h
@@ -21,6 +21,7 @@
     JobsSplit,
     OrdersCompleted,
     RunsLost,
+    TaskCrashes,
     OrderDuration,
     JobsFinished,
     GroupFence,
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -44,7 +44,11 @@
     options.nameTask = [](const std::string &key, std::uint32_t task) {
         return key + "." + std::to_string(task);
     };
-    m_dispatcher = std::make_unique<GroupDispatcher>(std::move(options));
+    m_dispatcher.reset();
+    m_ledger = std::make_unique<CrashLedger>();
+    for (const auto &it : m_reportedCrashes)
+        m_ledger->merge(it);
+    m_dispatcher = std::make_unique<GroupDispatcher>(std::move(options), *m_ledger);
     m_dispatcher->setClasses({{"work", 990'000, std::chrono::milliseconds(300)}});
     for (const auto &[name, it] : m_upstreams)
         announce(name);
@@ -112,6 +116,8 @@
             handle(event);
         }
         m_dispatcher->tick(m_now);
+        for (auto &it : m_ledger->takeNews())
+            m_reportedCrashes.push_back(std::move(it));
         executeActions();
         checkRuns();
     }
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -102,6 +102,9 @@
     TimePoint m_now{std::chrono::seconds(1000)};
     std::mt19937_64 m_random;
     std::uint64_t m_fence = 0;
+    /// Of the present holder; a new holder has the records that were reported.
+    std::unique_ptr<CrashLedger> m_ledger;
+    std::vector<TaskCrash> m_reportedCrashes;
     std::unique_ptr<GroupDispatcher> m_dispatcher;
     std::map<std::string, std::unique_ptr<SimulatedUpstream>> m_upstreams;
     std::map<std::string, bool> m_unreachable;
--- a/tests/unit/crashingtasktest.cpp
+++ b/tests/unit/crashingtasktest.cpp
@@ -11,13 +11,14 @@
 constexpr auto callerRetryTime = std::chrono::milliseconds(1300);
 /// Starts after GroupHarness::crashLimit crashes with which a task exceeds its budget.
 constexpr unsigned excessStarts = 3;
+constexpr int upstreams = 12;
 
 class CrashingTaskTest : public testing::TestWithParam<std::chrono::milliseconds>
 {
 protected:
     CrashingTaskTest()
     {
-        for (int i = 0; i < 12; ++i)
+        for (int i = 0; i < upstreams; ++i)
             group.add({"u" + std::to_string(i)});
         group.downTime = GetParam();
         group.advance(settlingTime);
@@ -58,6 +59,10 @@
     EXPECT_EQ(group.answers.at(1).reason, Reason::TaskFailed);
     // The upstreams are used again.
     group.crashes = {};
+    // The harness does not renew announcements by itself.
+    for (int i = 0; i < upstreams; ++i)
+        group.announce("u" + std::to_string(i));
+    group.advance(settlingTime);
     group.submit("other", 2, 24);
     group.advance(settlingTime);
     EXPECT_EQ(group.answers.at(2).outcome, Outcome::Complete);
