PlatformCrashTest: crashes of a task are counted across killed VMs

Real processes: an executor that starts one task of a job crashes; the job is submitted again while control VMs and the entry VM are killed, one by one and all control VMs at once. At most five starts, the users' bound; the job is shown as failed each time.

--- a/tests/integration/platformtest.cpp
+++ b/tests/integration/platformtest.cpp
@@ -3,11 +3,15 @@
 #include "platform/jobcodec.h"
 #include "support/platformfleet.h"
 
+#include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <filesystem>
+#include <thread>
+#include <vector>
 
 using namespace Citronpitch;
 using Json = nlohmann::json;
@@ -65,6 +69,50 @@
     PlatformFleet fleet;
 };
 
+/// Runs a task that crashes each executor that starts it.
+class PlatformCrashTest : public PlatformTest
+{
+protected:
+    PlatformCrashTest()
+    {
+        for (std::size_t i = 0; i < fleet.executors(); ++i) {
+            boost::asio::post(fleet.executorLoop(), [this, i] {
+                fleet.executor(i).started = [this, i](const std::string &task) {
+                    if (task != deadlyTask)
+                        return;
+                    ++deadlyStarts;
+                    boost::asio::post(fleet.executorLoop(), [this, i] { fleet.executor(i).restart(); });
+                };
+            });
+        }
+    }
+
+    /// Submits the job as its caller does, again under the same id, until it is shown as failed.
+    bool isShownAsFailed()
+    {
+        return waitFor([&] {
+            const auto response = submit(deadlyId, platformJob(2));
+            return response.status == 200 && response.body == R"({"State":"failed"})";
+        });
+    }
+
+    void restart(const std::vector<std::size_t> &vms)
+    {
+        for (const auto it : vms) {
+            fleet.process(it).signal(SIGKILL);
+            fleet.process(it).wait();
+        }
+        for (const auto it : vms)
+            fleet.start(it, false);
+    }
+
+    static constexpr const char *deadlyId = "00000000deadbeef";
+    static constexpr const char *deadlyTask = "00000000deadbeef.0.0.0";
+    /// Two starts are allowed after three executors have crashed.
+    static constexpr unsigned maximumStarts = 5;
+    std::atomic<unsigned> deadlyStarts = 0;
+};
+
 /// Evacuates and restores failure domain "a".
 class PlatformEvacuationTest : public PlatformTest
 {
@@ -226,6 +274,42 @@
     EXPECT_EQ(callOnce(fleet.metrics(0), {"GET", "/"}).status, 404);
 }
 
+/// Guards against crashes that are forgotten when the VM that counted them is killed.
+TEST_F(PlatformCrashTest, crashesOfATaskAreCountedAcrossKilledVms)
+{
+    ASSERT_TRUE(becomesReady());
+    ASSERT_TRUE(isShownAsFailed());
+    const std::vector<std::vector<std::size_t>> victims{{0}, {1}, {2}, {entry}, {0, 1, 2}, {entry}};
+    for (const auto &it : victims) {
+        restart(it);
+        EXPECT_TRUE(isShownAsFailed());
+    }
+    EXPECT_LE(deadlyStarts, maximumStarts);
+    EXPECT_TRUE(waitFor([&] { return submit(jobId, platformJob(3)).status == 200; }));
+}
+
+/// Guards against a crash that is not counted as its holder is killed before it knows.
+TEST_F(PlatformCrashTest, holdersThatAreKilledWhileATaskCrashesDoNotExceedItsBudget)
+{
+    ASSERT_TRUE(becomesReady());
+    for (const std::size_t victim : {0, 1, 2}) {
+        const auto before = deadlyStarts.load();
+        std::atomic<bool> isAnswered = false;
+        std::thread kill([&] {
+            while (deadlyStarts == before && !isAnswered)
+                std::this_thread::yield();
+            fleet.process(victim).signal(SIGKILL);
+        });
+        submit(deadlyId, platformJob(2));
+        isAnswered = true;
+        kill.join();
+        fleet.process(victim).wait();
+        fleet.start(victim, false);
+    }
+    EXPECT_TRUE(isShownAsFailed());
+    EXPECT_LE(deadlyStarts, maximumStarts);
+}
+
 /// Guards against starts in an evacuated domain after the bound, against a domain that stays unused after its
 /// restore, and against answers to calls that are malformed.
 TEST_F(PlatformEvacuationTest, noStartsInADomainBetweenStartAndFinish)
