Soak: a job in forty crashes the executors that start it

The ledger counts crashes and starts of each task: three starts after three crashes fail the run, and so does a job shown as failed while fewer than two executors have crashed since it was submitted.

--- a/tests/soak/soakledger.cpp
+++ b/tests/soak/soakledger.cpp
@@ -13,6 +13,11 @@
 /// Within this time an accepted configuration is in force everywhere.
 constexpr Duration applyTime = std::chrono::milliseconds(2000);
 constexpr std::size_t longestList = 20;
+/// After this many crashes of executors under a task it may be started excessStarts - 1 times.
+constexpr unsigned crashLimit = 3;
+constexpr unsigned excessStarts = 3;
+/// A job may fail once this many executors have crashed under a task of it.
+constexpr std::uint64_t crashesToFail = 2;
 
 std::string idOf(const std::string &task)
 {
@@ -40,6 +45,20 @@
     }
     it->second.hasStarted = true;
     checkRefusal(it->first, it->second);
+    const auto crashing = m_crashingTasks.find(task);
+    if (crashing == m_crashingTasks.end() || crashing->second.crashes < crashLimit)
+        return;
+    if (++crashing->second.startsAfterLimit >= excessStarts)
+        failLocked("task " + task + " was started again and again, after "
+                   + std::to_string(crashing->second.crashes) + " executors had crashed under it");
+}
+
+void SoakLedger::crashed(const std::vector<std::string> &tasks)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_counts.crashes;
+    for (const auto &it : tasks)
+        ++m_crashingTasks[it].crashes;
 }
 
 void SoakLedger::done(const std::string &task)
@@ -52,7 +71,10 @@
 {
     const std::lock_guard lock(m_mutex);
     ++m_counts.submitted;
-    auto &job = m_jobs[id];
+    const auto [it, isNew] = m_jobs.try_emplace(id);
+    auto &job = it->second;
+    if (isNew)
+        job.crashesBefore = m_counts.crashes;
     job.tasks = tasks;
     ++job.open;
 }
@@ -80,6 +102,17 @@
     ++job.others;
 }
 
+void SoakLedger::failed(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_counts.failed;
+    auto &job = m_jobs.at(id);
+    --job.open;
+    ++job.others;
+    if (m_counts.crashes - job.crashesBefore < crashesToFail)
+        failLocked("job " + id + " is said to have failed, and executors did not crash");
+}
+
 void SoakLedger::cutOff(const std::string &id, const std::string &vm)
 {
     fail("request " + id + " was cut off by the shutdown of " + vm);
--- a/tests/soak/soakledger.h
+++ b/tests/soak/soakledger.h
@@ -21,6 +21,8 @@
     std::uint64_t starts = 0;
     std::uint64_t accepted = 0;
     std::uint64_t reads = 0;
+    std::uint64_t crashes = 0;
+    std::uint64_t failed = 0;
 };
 
 /**
@@ -34,10 +36,14 @@
     /// Executors.
     void started(const std::string &task, const std::vector<std::string> &alsoRunningOn);
     void done(const std::string &task);
+    /// An executor has crashed while it ran @p tasks.
+    void crashed(const std::vector<std::string> &tasks);
 
     /// Callers. A status of zero: no whole answer came.
     void submitted(const std::string &id, unsigned tasks);
     void answered(const std::string &id, int status);
+    /// A job was answered as failed, since a task of it crashes its executors.
+    void failed(const std::string &id);
     /// A request was cut off although nothing but planned work was going on.
     void cutOff(const std::string &id, const std::string &vm);
 
@@ -66,6 +72,15 @@
         unsigned refusals = 0;
         unsigned others = 0;
         unsigned open = 0;
+        /// Crashes of executors before the first submission.
+        std::uint64_t crashesBefore = 0;
+    };
+
+    /// Crashes of executors under one task, and its starts after the first crashLimit of them.
+    struct CrashingTask
+    {
+        unsigned crashes = 0;
+        unsigned startsAfterLimit = 0;
     };
 
     void failLocked(const std::string &text);
@@ -76,6 +91,7 @@
     std::map<std::uint64_t, std::string> m_ordered;
     std::map<std::uint64_t, TimePoint> m_acceptedAt;
     std::map<std::string, std::uint64_t> m_readByLife;
+    std::map<std::string, CrashingTask> m_crashingTasks;
     std::vector<std::string> m_failures;
     SoakCounts m_counts;
 };
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -36,7 +36,8 @@
               << plan.steps.size() << " faults, " << counts.submitted << " submissions, " << counts.completed
               << " completed, " << counts.refused << " refused, " << counts.unknown << " unknown, "
               << counts.starts << " starts, " << counts.accepted << " configurations accepted, "
-              << counts.reads << " reads\n";
+              << counts.reads << " reads, " << counts.crashes << " crashes of executors, " << counts.failed
+              << " failed\n";
     for (const auto &it : failures)
         std::cout << "  " << it << "\n";
     if (failures.empty())
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -1,7 +1,10 @@
 #include "soak/soakrun.h"
 
+#include <boost/asio/post.hpp>
+
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <utility>
 
 namespace Citronpitch {
@@ -40,6 +43,10 @@
 constexpr int lowestError = 400;
 constexpr int lowestServerError = 500;
 
+constexpr const char *failedBody = R"({"State":"failed"})";
+/// The first task of one in this many jobs crashes each executor that starts it.
+constexpr std::uint64_t deadlyJobPeriod = 40;
+
 /// Whether @p status ends an operator's order; after a timeout or under load the operator asks elsewhere.
 bool isRefusal(int status)
 {
@@ -68,7 +75,10 @@
                     others.push_back("executor " + std::to_string(other));
             }
             m_ledger.started(task, others);
+            if (isDeadly(task))
+                boost::asio::post(m_fleet.executorLoop(), [this, i] { m_fleet.executor(i).restart(); });
         };
+        m_fleet.executor(i).crashed = [this](const auto &tasks) { m_ledger.crashed(tasks); };
     }
     m_fleet.startExecutors();
 }
@@ -135,6 +145,13 @@
     submit(std::move(request));
 }
 
+bool SoakRun::isDeadly(const std::string &task) const
+{
+    // A planned shutdown must not cut off requests, so nothing crashes beside it.
+    const auto number = std::strtoull(task.substr(0, task.find('.')).c_str(), nullptr, 16);
+    return !m_plan.isPlannedOnly && number % deadlyJobPeriod == 0 && task.ends_with(".0.0.0");
+}
+
 void SoakRun::submit(Request request)
 {
     // As a balancer would: a VM that was seen to be gone or to shut down gets no new connections.
@@ -152,7 +169,10 @@
 {
     const bool isAnswered = response.outcome == ExchangeOutcome::Answered;
     const int status = isAnswered ? response.response.status : 0;
-    m_ledger.answered(request.id, status);
+    if (status == statusOk && response.response.body == failedBody)
+        m_ledger.failed(request.id);
+    else
+        m_ledger.answered(request.id, status);
     if (status == statusOk)
         m_isServing[request.vm] = true;
     if (!isAnswered && isCutByShutdown(request))
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -62,6 +62,8 @@
     TimePoint now() const;
 
     void submitNext();
+    /// Whether @p task crashes each executor that starts it.
+    bool isDeadly(const std::string &task) const;
     void submit(Request request);
     void ended(const Request &request, const ClientResponse &response);
     bool isCutByShutdown(const Request &request) const;
--- a/tests/support/fakeexecutor.cpp
+++ b/tests/support/fakeexecutor.cpp
@@ -76,7 +76,13 @@
 
 void FakeExecutor::restart()
 {
+    m_model.advance(now());
+    std::vector<std::string> tasks;
+    for (const auto &[task, run] : m_model.running())
+        tasks.push_back(task);
     m_model.restart(now());
+    if (crashed)
+        crashed(tasks);
     // Orders that were put off die with the process that had them.
     m_lateOrders.clear();
     m_sequence = 0;
--- a/tests/support/fakeexecutor.h
+++ b/tests/support/fakeexecutor.h
@@ -61,6 +61,9 @@
     std::function<void(const std::string &task)> started;
     std::function<void(const std::string &task)> done;
 
+    /// Called with the tasks that ran whenever the executor has crashed.
+    std::function<void(const std::vector<std::string> &tasks)> crashed;
+
 private:
     void announce(std::size_t control);
     void schedule();
