A job that fits no upstream since capacities shrank is told when to return

What callers saw: while upstreams offered less than before, a job that had run there until then was refused as one that never fits, without Retry-After.

Cause: admission compared the need with the present capacity alone. Now the largest capacity of each incarnation is kept, and the refusal is "overloaded" with a retry time where that sufficed.

--- a/src/core/dispatch/capacity.cpp
+++ b/src/core/dispatch/capacity.cpp
@@ -51,6 +51,14 @@
              std::min(left.resources.accelerators, right.resources.accelerators)}};
 }
 
+Capacity elementwiseMaximum(const Capacity &left, const Capacity &right)
+{
+    return {std::max(left.slots, right.slots),
+            {std::max(left.resources.millicores, right.resources.millicores),
+             std::max(left.resources.memoryBytes, right.resources.memoryBytes),
+             std::max(left.resources.accelerators, right.resources.accelerators)}};
+}
+
 Capacity capacityOf(const UpstreamAnnouncement &announcement)
 {
     return {announcement.slots, announcement.capacity};
--- a/src/core/dispatch/capacity.h
+++ b/src/core/dispatch/capacity.h
@@ -29,6 +29,9 @@
 /// Returns the minimum of two amounts in each dimension.
 Capacity elementwiseMinimum(const Capacity &left, const Capacity &right);
 
+/// Returns the larger of each component.
+Capacity elementwiseMaximum(const Capacity &left, const Capacity &right);
+
 /// Returns the total capacity in @p announcement.
 Capacity capacityOf(const UpstreamAnnouncement &announcement);
 
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -13,6 +13,9 @@
 /// Minimum retry delay of jobs that are refused before any upstream has announced itself.
 constexpr Duration noUpstreamsRetryDelay = std::chrono::seconds(1);
 
+/// Minimum retry delay of jobs that fit no upstream since capacities have shrunk.
+constexpr Duration shrunkCapacityRetryDelay = std::chrono::seconds(1);
+
 /// Returns @p teams with the quotas that one of @p entryVms entry VMs enforces, rounded up.
 std::vector<TeamDeclaration> quotasPerEntryVm(std::vector<TeamDeclaration> teams, std::uint32_t entryVms)
 {
@@ -120,9 +123,15 @@
         return Refusal{Reason::Overloaded, "admission: no upstream has announced itself here yet", retryAt};
     }
     if (const auto unfit = firstUnsatisfiableTask(upstreams, submission.tasks)) {
-        const auto text = "admission: task " + std::to_string(*unfit) + " needs "
-            + needText(submission.tasks[*unfit].need) + ", and no upstream here offers that";
-        return Refusal{Reason::NeverFits, text, {}};
+        const auto &need = submission.tasks[*unfit].need;
+        auto text = "admission: task " + std::to_string(*unfit) + " needs " + needText(need)
+            + ", and no upstream here offers that";
+        if (!upstreams.couldRunBefore(need))
+            return Refusal{Reason::NeverFits, std::move(text), {}};
+        // A capacity that has shrunk may grow again.
+        const auto retryAt =
+            jitteredRetryTime(now + shrunkCapacityRetryDelay, shrunkCapacityRetryDelay, submission);
+        return Refusal{Reason::Overloaded, text + " at present", retryAt};
     }
     const auto classIndex = classes.find(submission.className).value_or(0);
     AdmissionLoad load;
--- a/src/core/dispatch/upstreamtable.cpp
+++ b/src/core/dispatch/upstreamtable.cpp
@@ -26,6 +26,7 @@
         m_names.emplace(announcement.name, upstream);
         auto &entry = m_entries[upstream];
         entry = {announcement, capacityOf(announcement)};
+        entry.largest = entry.total;
         entry.rack = rackIndexOf(announcement.rack);
         addCapacity(entry.total);
         return {upstream, AnnouncementEffect::Added};
@@ -52,6 +53,7 @@
         entry.announcement.leaving = isLeaving;
     }
     entry.total = capacityOf(announcement);
+    entry.largest = elementwiseMaximum(entry.largest, entry.total);
     entry.rack = rackIndexOf(announcement.rack);
     addCapacity(entry.total);
     return {known->second, isNewIncarnation ? AnnouncementEffect::Added : AnnouncementEffect::Renewed};
@@ -104,6 +106,14 @@
                        [&](const auto &it) { return it.capacity.contains(costOf(need, it.capacity)); });
 }
 
+bool UpstreamTable::couldRunBefore(const Resources &need) const
+{
+    return std::any_of(m_names.begin(), m_names.end(), [&](const auto &it) {
+        const auto &largest = m_entries[it.second].largest;
+        return largest.contains(costOf(need, largest));
+    });
+}
+
 RackIndex UpstreamTable::rackIndexOf(const std::string &rack)
 {
     return m_racks.try_emplace(rack, static_cast<RackIndex>(m_racks.size())).first->second;
--- a/src/core/dispatch/upstreamtable.h
+++ b/src/core/dispatch/upstreamtable.h
@@ -20,6 +20,8 @@
 {
     UpstreamAnnouncement announcement;
     Capacity total;
+    /// Elementwise maximum of @ref total in this incarnation; the capacity may shrink and grow again.
+    Capacity largest;
     /// Part of @ref total that this entry VM may use, including loans.
     Capacity usable;
     /// Part of @ref usable that attempts on this incarnation occupy.
@@ -79,6 +81,9 @@
     /// Whether a task with @p need fits the total capacity of any known upstream.
     bool canEverRun(const Resources &need) const;
 
+    /// Whether a task with @p need fitted the capacity that any known upstream had in its incarnation.
+    bool couldRunBefore(const Resources &need) const;
+
 private:
     struct CapacityCount
     {
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -1,5 +1,7 @@
 #include "support/groupharness.h"
 
+#include "core/dispatch/capacity.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -61,7 +63,12 @@
     announcement.upstream.name = name;
     announcement.upstream.address = "10.0.0.1";
     announcement.upstream.port = 1;
-    announcement.upstream.slots = 2;
+    const auto slots = m_slots.find(name);
+    const auto n = slots == m_slots.end() ? 2 : slots->second;
+    if (countsResources)
+        announcement.upstream.capacity.millicores = n * defaultMillicores;
+    else
+        announcement.upstream.slots = n;
     announcement.upstream.incarnation = model.incarnation();
     announcement.upstream.leaseDeadline = m_now + lease;
     announcement.upstream.leaving = isLeaving;
@@ -73,6 +80,12 @@
     executeActions();
 }
 
+void GroupHarness::setSlots(const std::string &name, std::uint32_t slots)
+{
+    m_slots[name] = slots;
+    announce(name);
+}
+
 void GroupHarness::setUnreachable(const std::string &name, bool isUnreachable)
 {
     m_unreachable[name] = isUnreachable;
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -43,6 +43,12 @@
     /// Announces an upstream again, under a lease of @p lease.
     void announce(const std::string &name, bool isLeaving = false, Duration lease = announcementLease);
 
+    /// Announces another capacity of an upstream, which executes more all the same if its options say so.
+    void setSlots(const std::string &name, std::uint32_t slots);
+
+    /// Whether upstreams announce processors instead of slots; a task needs one slot's worth.
+    bool countsResources = false;
+
     /// Sets whether orders to @p name time out without reaching it.
     void setUnreachable(const std::string &name, bool isUnreachable);
 
@@ -107,6 +113,8 @@
     std::vector<TaskCrash> m_reportedCrashes;
     std::unique_ptr<GroupDispatcher> m_dispatcher;
     std::map<std::string, std::unique_ptr<SimulatedUpstream>> m_upstreams;
+    /// Announced slots, where they are not the usual two.
+    std::map<std::string, std::uint32_t> m_slots;
     std::map<std::string, bool> m_unreachable;
     /// Upstreams that a started task crashes before they answer.
     std::set<std::string> m_crashing;
