An upstream that has left and starts again under its name is used again

What callers saw: less capacity than was paid for. An upstream that left and started again under the same name, before its last announcement had expired, got no work for as long as it renewed its announcements.

Cause: UpstreamRuns kept "has left" across incarnations, and GroupDispatcher drops an upstream only once its announcement expires.

Evidence: GroupDispatcherTest.upstreamThatHasLeftIsUsedAgainAfterItsRestart failed without the change.

--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -40,8 +40,10 @@
     if (announcement.upstream.incarnation < known.incarnation)
         return;
     m_announcement = announcement;
-    if (announcement.upstream.incarnation > known.incarnation)
+    if (announcement.upstream.incarnation > known.incarnation) {
+        m_hasLeft = false;
         resetForNewIncarnation(known);
+    }
     updateClock(now, announcement.clockMs);
 }
 
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -56,7 +56,7 @@
         announce(name);
 }
 
-void GroupHarness::announce(const std::string &name, bool isLeaving, Duration lease)
+FleetAnnouncement GroupHarness::announcementOf(const std::string &name, Duration lease)
 {
     const auto &model = *m_upstreams.at(name);
     FleetAnnouncement announcement;
@@ -71,11 +71,26 @@
         announcement.upstream.slots = n;
     announcement.upstream.incarnation = model.incarnation();
     announcement.upstream.leaseDeadline = m_now + lease;
-    announcement.upstream.leaving = isLeaving;
     announcement.domain = "domain";
     announcement.pool = "pool";
     announcement.sequence = ++m_sequence;
     announcement.clockMs = model.clockMs(m_now);
+    return announcement;
+}
+
+void GroupHarness::announce(const std::string &name, bool isLeaving, Duration lease)
+{
+    auto announcement = announcementOf(name, lease);
+    announcement.upstream.leaving = isLeaving;
+    m_dispatcher->announce(m_now, announcement);
+    executeActions();
+}
+
+void GroupHarness::leave(const std::string &name)
+{
+    auto announcement = announcementOf(name, announcementLease);
+    announcement.upstream.leaving = true;
+    announcement.hasLeft = true;
     m_dispatcher->announce(m_now, announcement);
     executeActions();
 }
@@ -203,7 +218,10 @@
             m_events.emplace(m_now + event.order.timeout, answer);
         return;
     }
-    answer.result = m_upstreams.at(event.order.upstream)->execute(m_now, event.order);
+    if (m_replaced.contains(event.order.upstream))
+        answer.result.verdict = OrderVerdict::OtherIncarnation;
+    else
+        answer.result = m_upstreams.at(event.order.upstream)->execute(m_now, event.order);
     if (m_crashing.erase(event.order.upstream) > 0) {
         crash(event.order.upstream);
         answer.result = {};
@@ -231,8 +249,13 @@
             return;
         const auto name = it->first;
         m_backAt.erase(it);
-        m_upstreams.at(name)->restart(m_now);
         setUnreachable(name, false);
+        if (changesNameAfterCrash) {
+            m_replaced.insert(name);
+            add({name + "'"});
+            continue;
+        }
+        m_upstreams.at(name)->restart(m_now);
         announce(name);
     }
 }
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -43,6 +43,9 @@
     /// Announces an upstream again, under a lease of @p lease.
     void announce(const std::string &name, bool isLeaving = false, Duration lease = announcementLease);
 
+    /// Announces that an upstream has left.
+    void leave(const std::string &name);
+
     /// Announces another capacity of an upstream, which executes more all the same if its options say so.
     void setSlots(const std::string &name, std::uint32_t slots);
 
@@ -80,6 +83,8 @@
     std::function<bool(const std::string &task)> crashes;
     /// How long a crashed upstream is down.
     Duration downTime = std::chrono::seconds(3);
+    /// Whether a crashed upstream comes back under another name, at its address.
+    bool changesNameAfterCrash = false;
     /// Upstreams that have crashed while they ran a task, by task.
     std::map<std::string, unsigned> crashesUnder;
     /// Starts of a task after crashLimit upstreams have crashed under it.
@@ -97,6 +102,7 @@
         bool isAnswered = true;
     };
 
+    FleetAnnouncement announcementOf(const std::string &name, Duration lease);
     void executeActions();
     void sendOrder(const RunOrder &order);
     void handle(const Event &event);
@@ -120,6 +126,8 @@
     std::set<std::string> m_crashing;
     /// When crashed upstreams are back.
     std::map<std::string, TimePoint> m_backAt;
+    /// Names whose address another upstream has now.
+    std::set<std::string> m_replaced;
     std::multimap<TimePoint, Event> m_events;
     std::uint64_t m_sequence = 0;
 };
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -265,6 +265,22 @@
     EXPECT_EQ(group.starts["a.0"], 2U);
 }
 
+/// An upstream may start again under the name with which it has left, while its announcements are valid.
+TEST(GroupDispatcherTest, upstreamThatHasLeftIsUsedAgainAfterItsRestart)
+{
+    GroupHarness group;
+    auto &upstream = group.add({"u0"});
+    group.advance(settlingTime);
+    group.leave("u0");
+    group.submit("a", 1, 1);
+    group.advance(settlingTime);
+    EXPECT_TRUE(group.starts.empty());
+    upstream.restart(group.now());
+    group.announce("u0");
+    group.advance(settlingTime);
+    EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
+}
+
 /// Random unanswered orders, orders executed seconds late, and restarts and outages of upstreams.
 class GroupDispatcherFaultsTest : public testing::TestWithParam<std::uint64_t>
 {
