An upstream whose address another one has counts as crashed

What callers saw: jobs whose task crashes its upstreams ended with a 504 at their deadline instead of "failed" at once, and could exceed their budget.

Cause: a crash was confirmed by a later incarnation of the same upstream alone. An upstream may come back under another name at its old address; it answers orders for the old name with "other incarnation", which only counted as no answer. So suspicions were never resolved and runs there were lost after their lease, not at once.

Why this works: the answer comes from the process that has the address, so the earlier one is gone: its runs are lost at once and its suspicions confirmed. Runs whose start order is still open wait for its answer, which tells which of the two got the order.

--- a/include/citronpitch/crashledger.h
+++ b/include/citronpitch/crashledger.h
@@ -18,7 +18,7 @@
 enum class CrashState {
     /// It was silent until the lease of the run had expired: it may have crashed, or be unreachable.
     Suspected,
-    /// It has restarted since.
+    /// It has restarted since, or another upstream has its address.
     Confirmed,
     /// It has answered since without a restart.
     Refuted,
@@ -84,8 +84,8 @@
     /// Adds a record of another VM, with its expiry. Returns whether it is new.
     bool merge(const TaskCrash &crash);
 
-    /// An upstream runs in @p incarnation, so that earlier ones have ended.
-    void upstreamStarted(TimePoint now, const std::string &upstream, std::uint64_t incarnation);
+    /// The incarnations of an upstream before @p incarnation have ended.
+    void upstreamEnded(TimePoint now, const std::string &upstream, std::uint64_t incarnation);
 
     /// An upstream has answered in @p incarnation.
     void upstreamAnswered(TimePoint now, const std::string &upstream, std::uint64_t incarnation);
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -57,7 +57,7 @@
     StartUnanswered,
     /// The upstream did not answer until the lease had expired; it may have crashed or be unreachable.
     UpstreamSilent,
-    /// The upstream has restarted.
+    /// The upstream has restarted, or another one has its address.
     UpstreamRestarted,
     /// The upstream has left.
     UpstreamLeft,
@@ -156,6 +156,9 @@
         bool isStopAcknowledged = false;
         /// Whether the upstream has restarted since the start order was sent.
         bool hasUpstreamRestarted = false;
+        /// Earlier incarnation that had ended when the start order was unanswered. It has crashed under the
+        /// task unless the answer shows that it did not get the order.
+        std::optional<std::uint64_t> incarnationInDoubt;
         OrderId stopOrder = 0;
         TimePoint stopRetryAt;
         /// First poll sent after the stop was acknowledged; if it lists no such run, the run has ended.
@@ -198,6 +201,9 @@
     void resetForNewIncarnation(const UpstreamAnnouncement &previous);
     /// Records a crash under each run that the incarnation announced by @p announcement may have had.
     void recordCrashes(const UpstreamAnnouncement &announcement, CrashState state);
+    void recordCrash(const std::string &task, std::uint64_t incarnation, CrashState state);
+    /// Another upstream has the address of this one, which has ended.
+    void upstreamReplaced();
     bool hasWork() const;
 
     UpstreamRunsOptions m_options;
@@ -222,6 +228,7 @@
     bool m_isUnresponsive = false;
     bool m_isTakenOver = false;
     bool m_hasLeft = false;
+    bool m_isReplaced = false;
     std::vector<FinishedRun> m_finished;
     std::vector<TaskCrash> m_crashes;
 };
--- a/src/core/runs/crashledger.cpp
+++ b/src/core/runs/crashledger.cpp
@@ -34,7 +34,7 @@
     return true;
 }
 
-void CrashLedger::upstreamStarted(TimePoint now, const std::string &upstream, std::uint64_t incarnation)
+void CrashLedger::upstreamEnded(TimePoint now, const std::string &upstream, std::uint64_t incarnation)
 {
     auto it = m_suspicions.lower_bound({upstream, 0});
     while (it != m_suspicions.end() && it->first.first == upstream && it->first.second < incarnation) {
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -123,7 +123,7 @@
     it.isPaused = mustPause(now, it);
     dispatcher.setPaused(now, name, it.isPaused);
     recordCrashes(now, *it.runs);
-    m_crashes.upstreamStarted(now, name, it.runs->announcement().upstream.incarnation);
+    m_crashes.upstreamEnded(now, name, it.runs->announcement().upstream.incarnation);
     if (it.runs->hasFinished())
         m_touched.insert(name);
     reschedule(now);
@@ -276,9 +276,11 @@
     auto &runs = *it->second.runs;
     runs.orderEnded(now, id, result);
     recordCrashes(now, runs);
-    if (result.incarnation != 0) {
-        const auto incarnation = runs.announcement().upstream.incarnation;
-        m_crashes.upstreamStarted(now, it->first, incarnation);
+    const auto incarnation = runs.announcement().upstream.incarnation;
+    if (result.verdict == OrderVerdict::OtherIncarnation) {
+        m_crashes.upstreamEnded(now, it->first, incarnation + 1);
+    } else if (result.incarnation != 0) {
+        m_crashes.upstreamEnded(now, it->first, incarnation);
         if (result.incarnation == incarnation)
             m_crashes.upstreamAnswered(now, it->first, incarnation);
     }
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -40,6 +40,10 @@
     if (announcement.upstream.incarnation < known.incarnation)
         return;
     m_announcement = announcement;
+    const bool hasMoved =
+        announcement.upstream.address != known.address || announcement.upstream.port != known.port;
+    if (announcement.upstream.incarnation > known.incarnation || hasMoved)
+        m_isReplaced = false;
     if (announcement.upstream.incarnation > known.incarnation) {
         m_hasLeft = false;
         resetForNewIncarnation(known);
@@ -108,18 +112,21 @@
         pollEnded(now, open, result);
         break;
     }
+    if (result.verdict == OrderVerdict::OtherIncarnation && !m_hasLeft)
+        upstreamReplaced();
 }
 
 void UpstreamRuns::tick(TimePoint now, Duration lag)
 {
     m_lag = lag;
-    if (m_isTakenOver || m_hasLeft)
+    if (m_isTakenOver || m_hasLeft || m_isReplaced)
         return;
     // The upstream may have reported the end of a run, or a later clock, in an answer that was not read yet.
     const bool isLeaseExpired = m_clockReadAt && m_leaseMs > 0 && clockLowerBound(now - lag) > m_leaseMs;
     if (isLeaseExpired && !m_runs.empty()) {
         m_isUnresponsive = true;
-        recordCrashes(m_announcement.upstream, CrashState::Suspected);
+        if (!m_announcement.upstream.leaving)
+            recordCrashes(m_announcement.upstream, CrashState::Suspected);
         loseAll(RunLoss::UpstreamSilent);
     }
     for (auto &[task, it] : m_runs) {
@@ -137,7 +144,8 @@
 
 bool UpstreamRuns::isReady() const
 {
-    return m_isFenceKnown && !m_isUnresponsive && !m_isTakenOver && !m_hasLeft && m_foreignRuns.empty();
+    return m_isFenceKnown && !m_isUnresponsive && !m_isTakenOver && !m_hasLeft && !m_isReplaced
+        && m_foreignRuns.empty();
 }
 
 bool UpstreamRuns::isIdle() const
@@ -243,7 +251,19 @@
 void UpstreamRuns::startEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
 {
     const auto it = m_runs.find(open.task);
-    if (it == m_runs.end() || it->second.run != open.run || it->second.phase != Phase::Starting)
+    if (it == m_runs.end() || it->second.run != open.run)
+        return;
+    // The next incarnation may have accepted the order, but not another upstream.
+    const bool mayHaveRun = result.verdict == OrderVerdict::NoAnswer
+        || (m_isReplaced && result.verdict == OrderVerdict::Accepted);
+    if (const auto inDoubt = std::exchange(it->second.incarnationInDoubt, std::nullopt);
+        inDoubt && mayHaveRun)
+        recordCrash(open.task, *inDoubt, CrashState::Confirmed);
+    if (m_isReplaced && mayHaveRun) {
+        lose(it, RunLoss::UpstreamRestarted);
+        return;
+    }
+    if (it->second.phase != Phase::Starting)
         return;
     switch (result.verdict) {
     case OrderVerdict::Accepted:
@@ -286,7 +306,7 @@
 void UpstreamRuns::pollEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
 {
     m_isPolling = false;
-    if (m_isTakenOver || m_hasLeft)
+    if (m_isTakenOver || m_hasLeft || m_isReplaced)
         return;
     const auto known = m_announcement.upstream.incarnation;
     const bool isAnswered = result.verdict == OrderVerdict::Accepted;
@@ -379,13 +399,38 @@
 
 void UpstreamRuns::recordCrashes(const UpstreamAnnouncement &announcement, CrashState state)
 {
-    // Runs that are counted already were ordered from an earlier incarnation.
-    for (const auto &[task, it] : m_runs) {
-        if (!it.hasUpstreamRestarted)
-            m_crashes.push_back({task, announcement.name, announcement.incarnation, state, {}});
+    for (auto &[task, it] : m_runs) {
+        // Ordered from an earlier incarnation.
+        if (it.hasUpstreamRestarted)
+            continue;
+        if (it.phase == Phase::Starting && state == CrashState::Confirmed)
+            it.incarnationInDoubt = announcement.incarnation;
+        else
+            recordCrash(task, announcement.incarnation, state);
     }
     for (const auto &[running, it] : m_foreignRuns)
-        m_crashes.push_back({running.task, announcement.name, announcement.incarnation, state, {}});
+        recordCrash(running.task, announcement.incarnation, state);
+}
+
+void UpstreamRuns::recordCrash(const std::string &task, std::uint64_t incarnation, CrashState state)
+{
+    m_crashes.push_back({task, m_announcement.upstream.name, incarnation, state, {}});
+}
+
+void UpstreamRuns::upstreamReplaced()
+{
+    if (std::exchange(m_isReplaced, true))
+        return;
+    if (!m_announcement.upstream.leaving)
+        recordCrashes(m_announcement.upstream, CrashState::Confirmed);
+    m_foreignRuns.clear();
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        const auto next = std::next(it);
+        // The answer to a start order will tell which upstream got it.
+        if (it->second.phase != Phase::Starting)
+            lose(it, RunLoss::UpstreamRestarted);
+        it = next;
+    }
 }
 
 void UpstreamRuns::resetForNewIncarnation(const UpstreamAnnouncement &previous)
--- a/tests/unit/crashingtasktest.cpp
+++ b/tests/unit/crashingtasktest.cpp
@@ -13,14 +13,21 @@
 constexpr unsigned excessStarts = 3;
 constexpr int upstreams = 12;
 
-class CrashingTaskTest : public testing::TestWithParam<std::chrono::milliseconds>
+struct CrashKind
+{
+    std::chrono::milliseconds downTime;
+    bool changesName = false;
+};
+
+class CrashingTaskTest : public testing::TestWithParam<CrashKind>
 {
 protected:
     CrashingTaskTest()
     {
         for (int i = 0; i < upstreams; ++i)
             group.add({"u" + std::to_string(i)});
-        group.downTime = GetParam();
+        group.downTime = GetParam().downTime;
+        group.changesNameAfterCrash = GetParam().changesName;
         group.advance(settlingTime);
         group.crashes = [](const std::string &task) { return task == "deadly.0"; };
     }
@@ -61,7 +68,7 @@
     group.crashes = {};
     // The harness does not renew announcements by itself.
     for (int i = 0; i < upstreams; ++i)
-        group.announce("u" + std::to_string(i));
+        group.add({"new" + std::to_string(i)});
     group.advance(settlingTime);
     group.submit("other", 2, 24);
     group.advance(settlingTime);
@@ -81,10 +88,16 @@
     EXPECT_LT(group.startsAfterCrashes["deadly.0"], excessStarts);
 }
 
-INSTANTIATE_TEST_SUITE_P(DownTimes, CrashingTaskTest,
-                         testing::Values(std::chrono::milliseconds(5), std::chrono::milliseconds(400),
-                                         std::chrono::milliseconds(3000), std::chrono::milliseconds(9000)),
-                         [](const auto &it) { return std::to_string(it.param.count()) + "ms"; });
+INSTANTIATE_TEST_SUITE_P(
+    DownTimes, CrashingTaskTest,
+    testing::Values(CrashKind{std::chrono::milliseconds(5)}, CrashKind{std::chrono::milliseconds(400)},
+                    CrashKind{std::chrono::milliseconds(3000)}, CrashKind{std::chrono::milliseconds(9000)},
+                    CrashKind{std::chrono::milliseconds(5), true},
+                    CrashKind{std::chrono::milliseconds(400), true},
+                    CrashKind{std::chrono::milliseconds(3000), true}),
+    [](const auto &it) {
+        return std::to_string(it.param.downTime.count()) + "ms" + (it.param.changesName ? "OtherName" : "");
+    });
 
 /// An upstream that is only silent has not crashed: its tasks are not given up.
 TEST(CrashCountTest, silentUpstreamsDoNotCountAsCrashed)
--- a/tests/unit/crashledgertest.cpp
+++ b/tests/unit/crashledgertest.cpp
@@ -54,7 +54,7 @@
     ledger.observe(start, crashOn("u0", CrashState::Suspected));
     ledger.observe(start, crashOn("u1", CrashState::Suspected));
     EXPECT_EQ(ledger.permission("task"), StartPermission::Pending);
-    ledger.upstreamStarted(start, "u0", 2);
+    ledger.upstreamEnded(start, "u0", 2);
     EXPECT_EQ(ledger.permission("task"), StartPermission::Pending);
     ledger.upstreamAnswered(start, "u1", 1);
     EXPECT_EQ(ledger.permission("task"), StartPermission::Granted);
@@ -74,6 +74,6 @@
     ledger.expire(start + std::chrono::seconds(3) + crashRetention);
     EXPECT_EQ(ledger.size(), 1U);
     EXPECT_TRUE(ledger.isSuspect("task4"));
-    ledger.upstreamStarted(start, "u0", 2);
+    ledger.upstreamEnded(start, "u0", 2);
     EXPECT_EQ(ledger.size(), 1U);
 }
