A reserved job with a task that crashes upstreams fails when it is started

What callers saw: nothing until the deadline. A part that was reserved before two upstreams had crashed under a task of it was started later, and its task then waited for a permission that does not come.

Cause: the crashes were checked when a job arrives and not when it is added, as after a reservation or behind another submission of the same key. Found by reading the change.

Evidence: CrashCountTest.reservedJobFailsAtOnceAfterTheCrashes failed without the check in addJob().

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -287,6 +287,8 @@
     std::string taskName(const RoutedJob &routed, std::size_t task) const;
     /// Returns the first task of @p routed that must not be started again, or nothing.
     std::optional<std::size_t> findDeniedTask(const RoutedJob &routed) const;
+    /// Answers a job with a task that must not be started again. Returns whether it has one.
+    bool failIfDenied(TimePoint now, const RoutedJob &routed);
     static std::string crashDetail(const std::string &task);
     void runFinished(TimePoint now, const FinishedRun &run);
     void answerJob(TimePoint now, JobId id, Outcome outcome, Reason reason, const std::string &detail);
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -140,15 +140,8 @@
         reply(now, job.origin, formerHolderAnswer());
         return;
     }
-    if (const auto denied = findDeniedTask(job); denied && !isKnown(job.origin)) {
-        Answer answer;
-        answer.key = job.submission.key;
-        answer.outcome = Outcome::Failed;
-        answer.reason = Reason::TaskFailed;
-        answer.detail = crashDetail(taskName(job, *denied));
-        reply(now, job.origin, std::move(answer));
+    if (!isKnown(job.origin) && failIfDenied(now, job))
         return;
-    }
     if (job.reserve)
         reserve(now, job);
     else
@@ -470,6 +463,9 @@
         refuse(now, routed.origin, *refusal);
         return;
     }
+    // Upstreams may have crashed since the job was reserved.
+    if (failIfDenied(now, routed))
+        return;
     auto &dispatcher = pool(routed.pool);
     const auto id = m_nextJob++;
     auto &job = m_jobs[id];
@@ -666,6 +662,20 @@
     return std::nullopt;
 }
 
+bool GroupDispatcher::failIfDenied(TimePoint now, const RoutedJob &routed)
+{
+    const auto denied = findDeniedTask(routed);
+    if (!denied)
+        return false;
+    Answer answer;
+    answer.key = routed.submission.key;
+    answer.outcome = Outcome::Failed;
+    answer.reason = Reason::TaskFailed;
+    answer.detail = crashDetail(taskName(routed, *denied));
+    reply(now, routed.origin, std::move(answer));
+    return true;
+}
+
 std::string GroupDispatcher::crashDetail(const std::string &task)
 {
     return "task: upstreams crashed while they ran " + task;
--- a/tests/unit/crashingtasktest.cpp
+++ b/tests/unit/crashingtasktest.cpp
@@ -145,3 +145,26 @@
     EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
     EXPECT_EQ(group.answers.at(2).reason, Reason::TaskFailed);
 }
+
+/// Guards against a reserved job that waits for its deadline, as it was admitted before the crashes.
+TEST(CrashCountTest, reservedJobFailsAtOnceAfterTheCrashes)
+{
+    GroupHarness group;
+    group.downTime = std::chrono::milliseconds(5);
+    for (int i = 0; i < 4; ++i)
+        group.add({"u" + std::to_string(i)});
+    group.advance(settlingTime);
+    group.crashes = [](const std::string &task) { return task == "deadly.0"; };
+    group.submit("deadly", 1, 1);
+    std::uint64_t reservation = 1;
+    while (!group.answers.contains(1)) {
+        group.submit("deadly", ++reservation, 1, std::chrono::seconds(5), {}, true);
+        group.advance(std::chrono::milliseconds(1));
+    }
+    ASSERT_EQ(group.answers.at(1).reason, Reason::TaskFailed);
+    ASSERT_TRUE(group.start(reservation));
+    // The last run of the first submission is being stopped.
+    group.advance(settlingTime);
+    ASSERT_TRUE(group.answers.contains(reservation));
+    EXPECT_EQ(group.answers.at(reservation).reason, Reason::TaskFailed);
+}
