Crashes count only under tasks that are known to have run there

Cause: a run whose start order was not answered counted as a crash when its upstream restarted. While upstreams crash, starts are still sent to those that are down already, until polls stay unanswered; the tasks never ran there.

Why this works: a record now says whether the run was accepted or listed. If not, it becomes inconclusive when the upstream has ended, and fails no job. Four upstreams in all still stop the task, so that one that crashes upstreams before they answer stays within the budget of five starts.

--- a/include/citronpitch/crashledger.h
+++ b/include/citronpitch/crashledger.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -16,16 +17,23 @@
 
 /// What is known of an upstream that was lost while it ran a task. A later state replaces an earlier one.
 enum class CrashState {
-    /// It was silent until the lease of the run had expired: it may have crashed, or be unreachable.
+    /// It did not answer the start order and was silent until the lease had expired: it may be unreachable,
+    /// or have crashed, and the task may not have run there.
+    StartUnanswered,
+    /// As above, and the task was running there.
     Suspected,
-    /// It has restarted since, or another upstream has its address.
+    /// It has ended since, and it is not known whether the task ran there.
+    Inconclusive,
+    /// It has ended since, as it has restarted or another upstream has its address; the task was running.
     Confirmed,
     /// It has answered since without a restart.
     Refuted,
 };
 
 inline constexpr std::array crashStateNames{
+    EnumName<CrashState>{CrashState::StartUnanswered, "startUnanswered"},
     EnumName<CrashState>{CrashState::Suspected, "suspected"},
+    EnumName<CrashState>{CrashState::Inconclusive, "inconclusive"},
     EnumName<CrashState>{CrashState::Confirmed, "confirmed"},
     EnumName<CrashState>{CrashState::Refuted, "refuted"},
 };
@@ -46,7 +54,7 @@
 /// Whether a task may be started once more.
 enum class StartPermission {
     Granted,
-    /// Not until it is known whether the upstreams that were lost have crashed.
+    /// Not until fewer of the upstreams that were lost may have crashed under it.
     Pending,
     /// Upstreams have crashed under it; its job fails.
     Denied,
@@ -60,9 +68,12 @@
 {
     /// Number of crashed upstreams after which a task is not started again.
     std::size_t maximumCrashes = 2;
-    /// Number of crashed and possibly crashed upstreams after which a task is started again only once fewer
-    /// are in doubt.
+    /// Number of crashed and silent upstreams after which a task is started again only once fewer are in
+    /// doubt.
     std::size_t maximumUnresolved = 2;
+    /// Number of upstreams that may have crashed under a task, among them those of which that will never be
+    /// known, after which it is not started again while they are remembered.
+    std::size_t maximumPossible = 4;
     /// Number of tasks above which those with the oldest crashes are dropped.
     std::size_t maximumTasks = 10'000;
 };
@@ -120,14 +131,15 @@
     };
 
     std::size_t count(const Entry &entry, CrashState state) const;
-    /// Replaces the state of the suspicions about @p life.
-    void resolve(TimePoint now, const UpstreamLife &life, CrashState state);
+    /// Replaces the states of the records in doubt about @p life by what @p resolved returns for them.
+    void resolve(TimePoint now, const UpstreamLife &life,
+                 const std::function<CrashState(CrashState)> &resolved);
     void dropOldest();
 
     CrashLedgerOptions m_options;
     std::map<std::string, Entry> m_tasks;
-    /// Tasks with suspicions, by the life of the upstream that is in doubt.
-    std::map<UpstreamLife, std::set<std::string>> m_suspicions;
+    /// Tasks with records in doubt, by the life of the upstream.
+    std::map<UpstreamLife, std::set<std::string>> m_doubts;
     std::vector<TaskCrash> m_news;
     std::uint64_t m_version = 0;
 };
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -154,6 +154,8 @@
         /// Whether stop() requested it, as opposed to a start order without an answer.
         bool isStopRequested = false;
         bool isStopAcknowledged = false;
+        /// Whether the upstream has accepted the start order, or listed the run.
+        bool hasRun = false;
         /// Whether the upstream has restarted since the start order was sent.
         bool hasUpstreamRestarted = false;
         /// Earlier incarnation that had ended when the start order was unanswered. It has crashed under the
@@ -199,8 +201,9 @@
     void loseAll(RunLoss loss);
     /// Continues with a new incarnation; @p previous is what the earlier one announced.
     void resetForNewIncarnation(const UpstreamAnnouncement &previous);
-    /// Records a crash under each run that the incarnation announced by @p announcement may have had.
-    void recordCrashes(const UpstreamAnnouncement &announcement, CrashState state);
+    /// Records for each run that the incarnation announced by @p announcement may have had that it has ended,
+    /// or only been silent.
+    void recordCrashes(const UpstreamAnnouncement &announcement, bool hasEnded);
     void recordCrash(const std::string &task, std::uint64_t incarnation, CrashState state);
     /// Another upstream has the address of this one, which has ended.
     void upstreamReplaced();
--- a/src/core/runs/crashledger.cpp
+++ b/src/core/runs/crashledger.cpp
@@ -5,6 +5,15 @@
 
 namespace Citronpitch {
 
+namespace {
+
+bool isInDoubt(CrashState state)
+{
+    return state == CrashState::StartUnanswered || state == CrashState::Suspected;
+}
+
+} // namespace
+
 CrashLedger::CrashLedger(const CrashLedgerOptions &options)
     : m_options(options)
 {
@@ -25,8 +34,8 @@
     if (!isNew && it->second >= crash.state)
         return false;
     it->second = crash.state;
-    if (crash.state == CrashState::Suspected)
-        m_suspicions[life].insert(crash.task);
+    if (isInDoubt(crash.state))
+        m_doubts[life].insert(crash.task);
     entry.expiresAt = std::max(entry.expiresAt, crash.expiresAt);
     ++m_version;
     if (m_tasks.size() > m_options.maximumTasks)
@@ -36,29 +45,36 @@
 
 void CrashLedger::upstreamEnded(TimePoint now, const std::string &upstream, std::uint64_t incarnation)
 {
-    auto it = m_suspicions.lower_bound({upstream, 0});
-    while (it != m_suspicions.end() && it->first.first == upstream && it->first.second < incarnation) {
+    auto it = m_doubts.lower_bound({upstream, 0});
+    while (it != m_doubts.end() && it->first.first == upstream && it->first.second < incarnation) {
         const auto life = it->first;
         ++it;
-        resolve(now, life, CrashState::Confirmed);
+        resolve(now, life, [](CrashState state) {
+            return state == CrashState::Suspected ? CrashState::Confirmed : CrashState::Inconclusive;
+        });
     }
 }
 
 void CrashLedger::upstreamAnswered(TimePoint now, const std::string &upstream, std::uint64_t incarnation)
 {
-    resolve(now, {upstream, incarnation}, CrashState::Refuted);
+    resolve(now, {upstream, incarnation}, [](CrashState) { return CrashState::Refuted; });
 }
 
-void CrashLedger::resolve(TimePoint now, const UpstreamLife &life, CrashState state)
+void CrashLedger::resolve(TimePoint now, const UpstreamLife &life,
+                          const std::function<CrashState(CrashState)> &resolved)
 {
-    const auto it = m_suspicions.find(life);
-    if (it == m_suspicions.end())
+    const auto it = m_doubts.find(life);
+    if (it == m_doubts.end())
         return;
     const auto tasks = std::move(it->second);
-    m_suspicions.erase(it);
+    m_doubts.erase(it);
     for (const auto &task : tasks) {
-        if (m_tasks.contains(task))
-            observe(now, {task, life.first, life.second, state, {}});
+        const auto entry = m_tasks.find(task);
+        if (entry == m_tasks.end())
+            continue;
+        const auto record = entry->second.crashes.find(life);
+        if (record != entry->second.crashes.end() && isInDoubt(record->second))
+            observe(now, {task, life.first, life.second, resolved(record->second), {}});
     }
 }
 
@@ -70,9 +86,11 @@
     const auto crashes = count(it->second, CrashState::Confirmed);
     if (crashes >= m_options.maximumCrashes)
         return StartPermission::Denied;
-    return crashes + count(it->second, CrashState::Suspected) >= m_options.maximumUnresolved
-        ? StartPermission::Pending
-        : StartPermission::Granted;
+    const auto unresolved =
+        crashes + count(it->second, CrashState::Suspected) + count(it->second, CrashState::StartUnanswered);
+    const bool mustWait = unresolved >= m_options.maximumUnresolved
+        || unresolved + count(it->second, CrashState::Inconclusive) >= m_options.maximumPossible;
+    return mustWait ? StartPermission::Pending : StartPermission::Granted;
 }
 
 bool CrashLedger::isSuspect(const std::string &task) const
@@ -111,9 +129,9 @@
     if (std::erase_if(m_tasks, [&](const auto &it) { return it.second.expiresAt <= now; }) == 0)
         return;
     ++m_version;
-    for (auto &[life, tasks] : m_suspicions)
+    for (auto &[life, tasks] : m_doubts)
         std::erase_if(tasks, [this](const auto &task) { return !m_tasks.contains(task); });
-    std::erase_if(m_suspicions, [](const auto &it) { return it.second.empty(); });
+    std::erase_if(m_doubts, [](const auto &it) { return it.second.empty(); });
 }
 
 std::size_t CrashLedger::count(const Entry &entry, CrashState state) const
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -126,7 +126,7 @@
     if (isLeaseExpired && !m_runs.empty()) {
         m_isUnresponsive = true;
         if (!m_announcement.upstream.leaving)
-            recordCrashes(m_announcement.upstream, CrashState::Suspected);
+            recordCrashes(m_announcement.upstream, false);
         loseAll(RunLoss::UpstreamSilent);
     }
     for (auto &[task, it] : m_runs) {
@@ -258,7 +258,9 @@
         || (m_isReplaced && result.verdict == OrderVerdict::Accepted);
     if (const auto inDoubt = std::exchange(it->second.incarnationInDoubt, std::nullopt);
         inDoubt && mayHaveRun)
-        recordCrash(open.task, *inDoubt, CrashState::Confirmed);
+        recordCrash(open.task, *inDoubt,
+                    result.verdict == OrderVerdict::Accepted ? CrashState::Confirmed
+                                                             : CrashState::Inconclusive);
     if (m_isReplaced && mayHaveRun) {
         lose(it, RunLoss::UpstreamRestarted);
         return;
@@ -268,6 +270,7 @@
     switch (result.verdict) {
     case OrderVerdict::Accepted:
         it->second.phase = Phase::Running;
+        it->second.hasRun = true;
         return;
     case OrderVerdict::NoAnswer:
         m_isUnresponsive = true;
@@ -336,6 +339,8 @@
         const auto own = m_runs.find(it.task);
         if (own == m_runs.end() || own->second.run != it.run)
             m_foreignRuns.try_emplace(it);
+        else
+            own->second.hasRun = true;
     }
     std::erase_if(m_foreignRuns, [&](const auto &it) { return !running.contains(it.first); });
     for (auto it = m_runs.begin(); it != m_runs.end();) {
@@ -397,19 +402,21 @@
         lose(m_runs.begin(), loss);
 }
 
-void UpstreamRuns::recordCrashes(const UpstreamAnnouncement &announcement, CrashState state)
+void UpstreamRuns::recordCrashes(const UpstreamAnnouncement &announcement, bool hasEnded)
 {
+    const auto ofRunning = hasEnded ? CrashState::Confirmed : CrashState::Suspected;
+    const auto ofUnanswered = hasEnded ? CrashState::Inconclusive : CrashState::StartUnanswered;
     for (auto &[task, it] : m_runs) {
         // Ordered from an earlier incarnation.
         if (it.hasUpstreamRestarted)
             continue;
-        if (it.phase == Phase::Starting && state == CrashState::Confirmed)
+        if (it.phase == Phase::Starting && hasEnded)
             it.incarnationInDoubt = announcement.incarnation;
         else
-            recordCrash(task, announcement.incarnation, state);
+            recordCrash(task, announcement.incarnation, it.hasRun ? ofRunning : ofUnanswered);
     }
     for (const auto &[running, it] : m_foreignRuns)
-        recordCrash(running.task, announcement.incarnation, state);
+        recordCrash(running.task, announcement.incarnation, ofRunning);
 }
 
 void UpstreamRuns::recordCrash(const std::string &task, std::uint64_t incarnation, CrashState state)
@@ -422,7 +429,7 @@
     if (std::exchange(m_isReplaced, true))
         return;
     if (!m_announcement.upstream.leaving)
-        recordCrashes(m_announcement.upstream, CrashState::Confirmed);
+        recordCrashes(m_announcement.upstream, true);
     m_foreignRuns.clear();
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
@@ -436,7 +443,7 @@
 void UpstreamRuns::resetForNewIncarnation(const UpstreamAnnouncement &previous)
 {
     if (!previous.leaving)
-        recordCrashes(previous, CrashState::Confirmed);
+        recordCrashes(previous, true);
     m_clockReadAt.reset();
     m_clockMs = 0;
     m_leaseMs = 0;
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -156,8 +156,10 @@
     EventDefinition{
         Event::TaskCrash, EventSeverity::Warning, "an upstream was lost while it ran a task",
         "task upstream incarnation state",
-        "`state`: suspected while the upstream is silent, then confirmed if it has restarted, or refuted. A "
-        "task with two confirmed crashes is not started again, and its job fails. Check what the task does.",
+        "`state`: suspected (startUnanswered if the task may not have run there) while the upstream is "
+        "silent, "
+        "then confirmed (inconclusive) if it has ended, or refuted. A task with two confirmed crashes is not "
+        "started again, and its job fails. Check what the task does.",
         requestRepeatLimitMultiplier},
     EventDefinition{
         Event::GroupStartsEnded, EventSeverity::Info, "no more starts in a group because of an evacuation",
--- a/tests/unit/crashledgertest.cpp
+++ b/tests/unit/crashledgertest.cpp
@@ -61,6 +61,20 @@
     EXPECT_EQ(ledger.takeNews().size(), 4U);
 }
 
+TEST(CrashLedgerTest, startsWithoutAnAnswerNeverCountAsCrashes)
+{
+    CrashLedger ledger;
+    for (int i = 0; i < 3; ++i) {
+        const auto upstream = "u" + std::to_string(i);
+        ledger.observe(start, crashOn(upstream, CrashState::StartUnanswered));
+        ledger.upstreamEnded(start, upstream, 2);
+    }
+    EXPECT_EQ(ledger.permission("task"), StartPermission::Granted);
+    // A fourth one may be the last that the budget allows.
+    ledger.observe(start, crashOn("u3", CrashState::Inconclusive));
+    EXPECT_EQ(ledger.permission("task"), StartPermission::Pending);
+}
+
 TEST(CrashLedgerTest, recordsExpireAndTheirNumberIsLimited)
 {
     CrashLedgerOptions options;
