Three upstreams that may have crashed stop a task, not four

A task that crashes upstreams before they answer its start was started four times by one holder, which left the budget of five no room for a holder that is killed. With three, two killed holders are within it. Tasks that are merely unlucky need three unanswered starts on upstreams that then end, within two minutes, to wait for their deadline.

--- a/include/citronpitch/crashledger.h
+++ b/include/citronpitch/crashledger.h
@@ -73,7 +73,7 @@
     std::size_t maximumUnresolved = 2;
     /// Number of upstreams that may have crashed under a task, among them those of which that will never be
     /// known, after which it is not started again while they are remembered.
-    std::size_t maximumPossible = 4;
+    std::size_t maximumPossible = 3;
     /// Number of tasks above which those with the oldest crashes are dropped.
     std::size_t maximumTasks = 10'000;
 };
