Links deliver no message before their owner is constructed

What callers saw: seconds without a control VM after a restart. A VM could end with a segmentation fault at its start, when messages of others had arrived already.

Cause: PeerLinks read pending messages in its constructor. FleetMember hands it a handler that uses members declared after it. Reading is posted to the event loop now, which runs once the VM is complete.

--- a/src/net/peerlinks.cpp
+++ b/src/net/peerlinks.cpp
@@ -47,7 +47,8 @@
         configurePeerSocket(m_inbound);
         retryOnInterrupt([&] { m_inbound.bind("tcp://" + own.text()); });
         m_descriptor.assign(m_inbound.get(zmq::sockopt::fd));
-        readMessages();
+        // Messages may have arrived already, while the owner of the handler is still being constructed.
+        readMessagesLater();
     }
 
     void connect(const VmSettings &vm)
@@ -97,6 +98,11 @@
             if (hasBody)
                 m_received(body.to_string_view());
         }
+        readMessagesLater();
+    }
+
+    void readMessagesLater()
+    {
         boost::asio::post(m_descriptor.get_executor(), [this, isAlive = m_isAlive] {
             if (*isAlive)
                 readMessages();
--- a/src/net/peerlinks.h
+++ b/src/net/peerlinks.h
@@ -40,6 +40,7 @@
 {
 public:
     /// Binds @p own and connects to all @p vms except @p name; throws zmq::error_t if @p own can't be bound.
+    /// Calls @p received only from the event loop.
     PeerLinks(boost::asio::io_context &io, const std::string &name, const Endpoint &own,
               const std::vector<VmSettings> &vms, PeerMessageHandler received, const PeerLinkHandler &changed,
               const PeerLinkLimits &limits = {});
