A job that has started is not refused when its entry VM is reachable again

Cause: when an entry VM is unreachable, its jobs are ended without an answer. If it was so only for a while, it resends the job under the same number; the holder took it for a new one, and admission refused it. Now the holder keeps "outcome unknown" for jobs that had started.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -267,6 +267,8 @@
 
     Dispatcher &pool(const std::string &name);
     void reply(TimePoint now, const JobOrigin &origin, Answer answer);
+    /// Keeps the answer for an entry VM that resends the job.
+    void retainAnswer(TimePoint now, const JobOrigin &origin, const Answer &answer);
     /// Whether a job is reserved or in flight, or waits for the end of one with the same key.
     bool isKnown(const JobOrigin &origin) const;
     void reserve(TimePoint now, const RoutedJob &routed);
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -63,6 +63,16 @@
     return {Reason::DomainEvacuated, "dispatch: the failure domain is evacuated", now + closedRetryDelay};
 }
 
+/// Answer to a job that was cancelled after a start, as its entry VM was unreachable.
+Answer abandonedAnswer()
+{
+    Answer answer;
+    answer.outcome = Outcome::Unknown;
+    answer.reason = Reason::TaskOutcomeUnknown;
+    answer.detail = "dispatch: the job was cancelled after a start, as its entry VM was unreachable";
+    return answer;
+}
+
 } // namespace
 
 Answer formerHolderAnswer()
@@ -246,8 +256,12 @@
         if (it->first.incarnation != incarnation || it->first.number < lowestOpen)
             abandoned.push_back(it->second);
     }
-    for (const auto id : abandoned)
+    for (const auto id : abandoned) {
+        // The entry VM may only have been unreachable for a while, and resend the job.
+        if (const auto &job = m_jobs.at(id); job.hasStarted)
+            retainAnswer(now, job.routed.origin, abandonedAnswer());
         endJob(now, id);
+    }
     if (!abandoned.empty())
         reschedule(now);
 }
@@ -784,10 +798,15 @@
     reply(now, origin, std::move(answer));
 }
 
-void GroupDispatcher::reply(TimePoint now, const JobOrigin &origin, Answer answer)
+void GroupDispatcher::retainAnswer(TimePoint now, const JobOrigin &origin, const Answer &answer)
 {
     m_answers[origin] = answer;
     m_answerExpiries.push_back({now + m_options.answerRetention, origin});
+}
+
+void GroupDispatcher::reply(TimePoint now, const JobOrigin &origin, Answer answer)
+{
+    retainAnswer(now, origin, answer);
     m_actions.emplace_back(FinishedJob{origin, std::move(answer)});
 }
 
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -281,6 +281,23 @@
     EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
 }
 
+/// Guards against "not run" for a job that ran until its entry VM was unreachable for a while and resent it.
+TEST(GroupDispatcherTest, resentJobOfAnEntryVmThatWasUnreachableIsNotRefusedAfterAStart)
+{
+    GroupHarness group;
+    addUpstreams(group, 1);
+    group.advance(settlingTime);
+    group.submit("a", 1, 1);
+    group.advance(std::chrono::milliseconds(20));
+    ASSERT_EQ(group.starts["a.0"], 1U);
+    group.dispatcher().entryVmUnreachable(group.now(), "entry");
+    group.dispatcher().setOverloaded(true);
+    group.submit("a", 1, 1);
+    group.advance(settlingTime);
+    ASSERT_TRUE(group.answers.contains(1));
+    EXPECT_EQ(group.answers.at(1).outcome, Outcome::Unknown);
+}
+
 /// Random unanswered orders, orders executed seconds late, and restarts and outages of upstreams.
 class GroupDispatcherFaultsTest : public testing::TestWithParam<std::uint64_t>
 {
