Upstreams on trial don't hold up the queue

Cause: an upstream on trial is ranked first with an expected time of zero. The Placer took it for one that is faster than every other by any ratio, with a throughput of a task per microsecond, so that waiting for it always seemed better. Jobs of several tasks are not allowed on it for 5 s, so they waited for an upstream that they could not use; later, while the trial ran, for its end.

Change: upstreams on trial add no throughput to the ranking.

The test fails without the change (no task of the job is placed).

--- a/src/core/dispatch/upstreamranking.cpp
+++ b/src/core/dispatch/upstreamranking.cpp
@@ -58,11 +58,13 @@
     m_rankOf.assign(upstreams.empty() ? 0 : highest + 1, notRanked);
     for (const auto &it : keys) {
         const auto &upstream = upstreams[it.position];
-        const double time = std::max(static_cast<double>(upstream.time.count()), 1.0);
         m_rankOf[upstream.upstream] = m_ranked.size();
         m_ranked.push_back(upstream);
         m_timeBuckets.push_back(it.bucket);
-        m_throughputs.push_back(m_throughputs.back() + upstream.parallelTasks / time);
+        const double throughput = upstream.time > Duration()
+            ? upstream.parallelTasks / static_cast<double>(upstream.time.count())
+            : 0;
+        m_throughputs.push_back(m_throughputs.back() + throughput);
         setFree(upstream.upstream, upstream.isFree);
     }
 }
--- a/src/core/dispatch/upstreamranking.h
+++ b/src/core/dispatch/upstreamranking.h
@@ -12,7 +12,7 @@
 struct RankedUpstream
 {
     UpstreamIndex upstream = 0;
-    /// Expected time of a task.
+    /// Expected time of a task; zero while the upstream is on trial, so that it is chosen first.
     Duration time{};
     RackIndex rack = 0;
     /// Number of tasks that it runs concurrently for this entry VM.
@@ -54,7 +54,8 @@
     /// Returns the number of leading ranks with times in a bucket below that of @p time.
     std::size_t countFasterThan(Duration time) const;
 
-    /// Returns the throughput of the first @p ranks ranks at full load, in tasks per microsecond.
+    /// Returns the throughput of the first @p ranks ranks at full load, in tasks per microsecond. Upstreams
+    /// on trial add nothing, since no job may wait for them.
     double throughputOf(std::size_t ranks) const;
 
 private:
--- a/tests/unit/dispatchertest.cpp
+++ b/tests/unit/dispatchertest.cpp
@@ -483,6 +483,25 @@
     EXPECT_GT(startsOnA(12), 1) << "readmitted after two successes";
 }
 
+// Guards against a queue that stands still while upstreams are idle: an upstream on trial, whose time is not
+// known, counted as one that it pays to wait for.
+TEST_F(DispatcherTest, startsLargeJobsWhileAnUpstreamIsOnTrial)
+{
+    for (const auto *name : {"a", "b", "c"})
+        dispatcher.announce(now, upstream(name, 4));
+    for (int i = 0; i < 20; ++i) {
+        const auto job = add(submission(12));
+        const auto placed = place();
+        now += 100ms;
+        for (const auto &it : placed)
+            dispatcher.finish(now, it.attempt, it.upstream == "a" ? failure : success);
+        dispatcher.remove(now, job);
+    }
+    now += 3s;
+    add(submission(4));
+    EXPECT_EQ(place().size(), 4U);
+}
+
 // Guards against retries that amplify an overload: without starts, the budget has to be exhausted.
 TEST_F(DispatcherTest, retriesStayWithinABudget)
 {
