A fleet that restarts elects its leader as soon as its VMs are connected

Each VM sends its first pre-votes 150 to 450 ms after its start. Those that are sent before the other VMs are connected are lost, and the next follow after 500 to 1000 ms.

Change: until a VM has known a leader since its start, further pre-votes follow after 150 to 300 ms. A pre-vote disturbs no active leader.

--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -90,7 +90,8 @@
     /// Minimum election timeout; the maximum is twice as long.
     Duration electionTimeout = std::chrono::milliseconds(600);
     /// Minimum delay from the start of a process to its first election; the maximum is three times as long.
-    /// It does not disturb an active leader, because a pre-vote precedes each election.
+    /// Until a leader is known, it replaces electionTimeout in further elections, too. They don't disturb an
+    /// active leader, because a pre-vote precedes each election.
     Duration firstElectionTimeout = std::chrono::milliseconds(600);
     Duration proposalResendInterval = std::chrono::milliseconds(300);
     /// How long an operator's request waits for its answer.
@@ -404,6 +405,8 @@
     std::string m_leader;
     std::set<std::string> m_grantedVotes;
     TimePoint m_electionDeadline;
+    /// Whether a leader was known at any time since the start of the process.
+    bool m_hasSeenLeader = false;
     TimePoint m_lastLeaderContact;
     std::uint64_t m_randomCounter = 0;
 
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -423,9 +423,11 @@
 
 void ConfigurationNode::setElectionDeadline(TimePoint now)
 {
-    const auto spread = static_cast<std::uint64_t>(m_options.electionTimeout.count());
+    // After a start of the whole fleet the VMs connect one after the other, so that early pre-votes are lost.
+    const auto timeout = m_hasSeenLeader ? m_options.electionTimeout : m_options.firstElectionTimeout;
+    const auto spread = static_cast<std::uint64_t>(timeout.count());
     const auto offset = splitMix64(m_options.seed + splitMix64(++m_randomCounter)) % spread;
-    m_electionDeadline = now + m_options.electionTimeout + Duration(static_cast<std::int64_t>(offset));
+    m_electionDeadline = now + timeout + Duration(static_cast<std::int64_t>(offset));
 }
 
 void ConfigurationNode::setFirstElectionDeadline(TimePoint now)
@@ -479,12 +481,14 @@
         m_upToDateAt = now - quorumAge(now);
     m_role = ConfigurationRole::Follower;
     m_leader = leader;
+    m_hasSeenLeader = m_hasSeenLeader || !leader.empty();
     m_progress.clear();
 }
 
 void ConfigurationNode::becomeLeader(TimePoint now)
 {
     m_role = ConfigurationRole::Leader;
+    m_hasSeenLeader = true;
     m_leader = m_options.self;
     m_progress.clear();
     for (const auto &it : m_options.members)
--- a/tests/fuzz/configurationcluster.cpp
+++ b/tests/fuzz/configurationcluster.cpp
@@ -275,6 +275,7 @@
     options.seed = m_random();
     options.initial.teams = {{"founding", 1}};
     options.retainedEntries = m_plan.retainedEntries;
+    options.firstElectionTimeout = m_plan.firstElectionTimeout;
     options.faults = m_plan.faults;
     options.toleratedLosses = m_plan.toleratedLosses;
     for (std::size_t i = 0;
--- a/tests/fuzz/configurationcluster.h
+++ b/tests/fuzz/configurationcluster.h
@@ -35,6 +35,7 @@
     std::size_t documentBytes = 0;
     std::size_t learners = 2;
     std::uint64_t retainedEntries = 20;
+    Duration firstElectionTimeout = ConfigurationNodeOptions().firstElectionTimeout;
     /// Number of VMs that may lose their disks at once, under dynamic membership: the group has
     /// 2 * toleratedLosses + 1 voters, at the start the first three VMs. Zero: static membership.
     std::size_t toleratedLosses = 0;
--- a/tests/unit/configurationnodetest.cpp
+++ b/tests/unit/configurationnodetest.cpp
@@ -42,6 +42,30 @@
         EXPECT_EQ(cluster.node(i).activeConfiguration().version, 1U);
 }
 
+// Guards against a fleet that serves nothing for another second after a power failure, since the pre-votes
+// that its VMs sent before they were connected were lost.
+TEST(ConfigurationNodeTest, restartedFleetElectsALeaderSoonAfterItsVmsAreConnected)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto plan = clusterPlan(4, 1);
+        plan.seed = seed;
+        plan.firstElectionTimeout = std::chrono::milliseconds(150);
+        ConfigurationCluster cluster(plan);
+        cluster.advance(settlingTime);
+        for (std::size_t i = 0; i < cluster.size(); ++i)
+            cluster.kill(i);
+        for (std::size_t i = 0; i < cluster.size(); ++i) {
+            cluster.isolate(i);
+            cluster.restart(i);
+        }
+        cluster.advance(3 * plan.firstElectionTimeout);
+        cluster.healPartitions();
+        cluster.advance(4 * plan.firstElectionTimeout);
+        EXPECT_TRUE(cluster.leader()) << "seed " << seed;
+        EXPECT_EQ(cluster.failure(), "");
+    }
+}
+
 // Guards against a resent change that is applied twice, because the retained answers were lost in a change
 // of the leader, a restart or a snapshot.
 TEST(ConfigurationNodeTest, resentChangeGetsItsFirstAnswerAfterLeaderChangeRestartAndSnapshot)
