Answers of an upstream renew its lease

What callers saw: when a core VM is cut off, upstreams that send their announcements there get no tasks from the holder of their group 4 to 6 s later, until the cut ends, though they answer each start, stop and poll. Jobs were refused as "overloaded" with these upstreams free.

Cause: the lease of an upstream was renewed by announcements alone. Silence on one path counted as absence while the upstream was heard on another.

Change: an answer of the announced incarnation, under this holder's fencing token, renews the lease from the time at which its order was sent (not from when the answer was read, as this process may have been paused meanwhile). Idle upstreams are probed when half of the lease has passed without an announcement; usually announcements come each quarter of it. Excluded are upstreams that leave, and pools that don't refuse overload: there only announcements show that a capacity has shrunk. E624 and citronpitch_upstreams_expired_total tell when an upstream drops out of use.

Ruled out: renewal without the guard for pools that accept more than their capacity (LIMIT), and from the time of reading.

upstreamThatAnswersIsUsedWithoutAnnouncements fails without the change.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -24,7 +24,7 @@
 {
     std::string group;
     UpstreamRunsOptions runs;
-    /// Time without an announcement after which an upstream gets no new work.
+    /// Time without an announcement or the answer to an order after which an upstream gets no new work.
     Duration upstreamLease = std::chrono::seconds(6);
     /// How long the answer to a job is retained for an entry VM that resends the job.
     Duration answerRetention = std::chrono::seconds(10);
@@ -90,6 +90,12 @@
     RunLoss loss = RunLoss::None;
 };
 
+/// An upstream gets no new tasks, as it has neither announced itself nor answered an order in time.
+struct ExpiredUpstream
+{
+    std::string upstream;
+};
+
 /// Free capacity of a group for jobs of one class.
 struct ClassLoad
 {
@@ -121,7 +127,7 @@
 };
 
 /// An action that the owner of a GroupDispatcher has to execute, in order.
-using GroupAction = std::variant<RunOrder, FinishedJob, ReservedJob, LostRun>;
+using GroupAction = std::variant<RunOrder, FinishedJob, ReservedJob, LostRun, ExpiredUpstream>;
 
 /**
  * @brief Dispatches best-effort jobs to the upstreams of one group, as the only holder of the group.
@@ -141,6 +147,10 @@
     /// Replaces the classes of work and their targets.
     void setClasses(const std::vector<ClassDeclaration> &classes);
 
+    /// Sets the pools whose upstreams accept tasks beyond their capacity. Only announcements renew the leases
+    /// there, since an answer doesn't tell that the capacity has shrunk.
+    void setUnguardedPools(std::set<std::string> pools);
+
     /// Handles an announcement of an upstream of the group, also that it is leaving or has left.
     void announce(TimePoint now, const FleetAnnouncement &announcement);
 
@@ -296,6 +306,15 @@
     void answerJob(TimePoint now, JobId id, Outcome outcome, Reason reason, const std::string &detail);
     void endJob(TimePoint now, JobId id);
     void removeIfFinished(TimePoint now, JobId id);
+    /// Tells the pool the lease of an upstream, and what it has announced.
+    void offer(TimePoint now, const Upstream &upstream, bool isLeaving);
+    /// Extends the lease of an upstream that has answered an order: its announcements may go to VMs that this
+    /// one can't reach.
+    void renewLease(TimePoint now, Upstream &upstream);
+    /// Whether answers renew the lease of @p upstream.
+    bool isRenewedByAnswers(const Upstream &upstream) const;
+    /// Removes the idle upstreams whose lease has expired.
+    void removeExpired(TimePoint now);
     void updatePause(TimePoint now, Upstream &upstream);
     /// Whether the pool's Dispatcher must place no tasks on @p upstream.
     bool mustPause(TimePoint now, const Upstream &upstream) const;
@@ -310,6 +329,7 @@
     /// Version of the ledger that was applied last.
     std::uint64_t m_appliedCrashes = 0;
     std::vector<ClassDeclaration> m_classes;
+    std::set<std::string> m_unguardedPools;
     std::map<std::string, Dispatcher> m_pools;
     std::map<std::string, Upstream> m_upstreams;
     std::map<JobId, Job> m_jobs;
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -129,6 +129,13 @@
     bool isIdle() const;
     const FleetAnnouncement &announcement() const;
 
+    /// Asks an upstream without runs for an answer, unless a poll is in flight.
+    void probe(TimePoint now);
+
+    /// Returns when the latest order was sent that the announced incarnation has answered under this holder's
+    /// fencing token; the earliest time point if there is none.
+    TimePoint confirmedAt() const;
+
     bool hasFinished() const;
     std::vector<FinishedRun> takeFinished();
 
@@ -180,11 +187,12 @@
         std::string task;
         std::uint32_t run = 0;
         std::uint64_t poll = 0;
+        TimePoint sentAt;
     };
 
     std::int64_t clockLowerBound(TimePoint now) const;
     void updateClock(TimePoint now, std::int64_t clockMs);
-    void recordAnswer(TimePoint now, const OrderResult &result);
+    void recordAnswer(TimePoint now, const OpenOrder &open, const OrderResult &result);
     RunOrder newOrder(OrderKind kind) const;
     OrderId send(RunOrder order, OpenOrder open);
     void sendPoll(TimePoint now);
@@ -227,6 +235,7 @@
     Duration m_pollDelay{};
     TimePoint m_nextPollAt;
     std::optional<TimePoint> m_lastAnswerAt;
+    TimePoint m_confirmedAt;
     bool m_isFenceKnown = false;
     bool m_isUnresponsive = false;
     bool m_isTakenOver = false;
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -17,6 +17,11 @@
 /// jobs.
 constexpr Duration closedRetryDelay = std::chrono::seconds(1);
 
+/// A lease is renewed by answers when this fraction of it has passed, and idle upstreams are probed for an
+/// answer when half of it has.
+constexpr int leaseRenewalDivisor = 4;
+constexpr int probeDivisor = 2;
+
 /// Unit of Upstream::warmUpPosition.
 constexpr std::int64_t thousand = 1000;
 /// Retry delay for jobs that are refused because this VM is overloaded; load reports reach entry VMs sooner.
@@ -99,6 +104,11 @@
         it.setConfiguration({0, m_classes, {}, {}, {}, {}});
 }
 
+void GroupDispatcher::setUnguardedPools(std::set<std::string> pools)
+{
+    m_unguardedPools = std::move(pools);
+}
+
 void GroupDispatcher::announce(TimePoint now, const FleetAnnouncement &announcement)
 {
     const auto &name = announcement.upstream.name;
@@ -125,13 +135,9 @@
     it.leaseDeadline = std::max(it.leaseDeadline, announcement.upstream.leaseDeadline);
     if (announcement.hasLeft)
         it.runs->upstreamLeft();
-    auto offered = it.runs->announcement().upstream;
-    offered.leaving = announcement.upstream.leaving || announcement.hasLeft;
-    offered.leaseDeadline = it.leaseDeadline;
-    auto &dispatcher = pool(announcement.pool);
-    dispatcher.announce(now, offered);
+    offer(now, it, announcement.upstream.leaving || announcement.hasLeft);
     it.isPaused = mustPause(now, it);
-    dispatcher.setPaused(now, name, it.isPaused);
+    pool(announcement.pool).setPaused(now, name, it.isPaused);
     recordCrashes(now, *it.runs);
     m_crashes.upstreamEnded(now, name, it.runs->announcement().upstream.incarnation);
     if (it.runs->hasFinished())
@@ -291,6 +297,7 @@
         if (result.incarnation == incarnation)
             m_crashes.upstreamAnswered(now, it->first, incarnation);
     }
+    renewLease(now, it->second);
     if (runs.hasFinished())
         m_touched.insert(it->first);
     updatePause(now, it->second);
@@ -305,6 +312,8 @@
         if (it.runs->hasFinished())
             m_touched.insert(name);
         updatePause(now, it);
+        if (it.leaseDeadline - now < m_options.upstreamLease / probeDivisor && isRenewedByAnswers(it))
+            it.runs->probe(now);
     }
     while (!m_answerExpiries.empty() && m_answerExpiries.front().expiresAt <= now) {
         m_answers.erase(m_answerExpiries.front().origin);
@@ -320,10 +329,7 @@
         answerJob(now, id, Outcome::Failed, Reason::DeadlinePassed, "dispatch: the deadline passed");
     reschedule(now);
     applyCrashes(now);
-    // An upstream without announcements is no longer polled once no run can be left there; its next
-    // announcement adds it again.
-    std::erase_if(m_upstreams,
-                  [&](const auto &it) { return it.second.leaseDeadline <= now && it.second.runs->isIdle(); });
+    removeExpired(now);
 }
 
 void GroupDispatcher::setOverloaded(bool isOverloaded)
@@ -735,6 +741,44 @@
         addJob(now, *successor, false);
 }
 
+void GroupDispatcher::offer(TimePoint now, const Upstream &upstream, bool isLeaving)
+{
+    const auto &known = upstream.runs->announcement();
+    auto offered = known.upstream;
+    offered.leaving = isLeaving;
+    offered.leaseDeadline = upstream.leaseDeadline;
+    pool(known.pool).announce(now, offered);
+}
+
+void GroupDispatcher::renewLease(TimePoint now, Upstream &upstream)
+{
+    const auto leaseDeadline = upstream.runs->confirmedAt() + m_options.upstreamLease;
+    if (leaseDeadline - upstream.leaseDeadline < m_options.upstreamLease / leaseRenewalDivisor
+        || !isRenewedByAnswers(upstream))
+        return;
+    upstream.leaseDeadline = leaseDeadline;
+    offer(now, upstream, false);
+}
+
+bool GroupDispatcher::isRenewedByAnswers(const Upstream &upstream) const
+{
+    const auto &known = upstream.runs->announcement();
+    return !known.upstream.leaving && !known.hasLeft && !m_unguardedPools.contains(known.pool);
+}
+
+void GroupDispatcher::removeExpired(TimePoint now)
+{
+    // It is no longer polled once no run can be left there; its next announcement adds it again.
+    std::erase_if(m_upstreams, [&](const auto &it) {
+        const auto &[name, upstream] = it;
+        if (upstream.leaseDeadline > now || !upstream.runs->isIdle())
+            return false;
+        if (!upstream.runs->announcement().upstream.leaving)
+            m_actions.emplace_back(ExpiredUpstream{name});
+        return true;
+    });
+}
+
 void GroupDispatcher::updatePause(TimePoint now, Upstream &upstream)
 {
     const bool isPaused = mustPause(now, upstream);
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -70,7 +70,7 @@
     order.run = run;
     order.payload = payload;
     order.leaseMs = clockLowerBound(now) + toMilliseconds(m_options.lease);
-    send(std::move(order), {OrderKind::Start, task, run, 0});
+    send(std::move(order), {OrderKind::Start, task, run, 0, now});
     if (!m_isPolling)
         sendPoll(now);
 }
@@ -95,7 +95,7 @@
         return;
     const auto open = it->second;
     m_orders.erase(it);
-    recordAnswer(now, result);
+    recordAnswer(now, open, result);
     if (result.verdict == OrderVerdict::StaleFence) {
         m_isTakenOver = true;
         while (!m_runs.empty())
@@ -158,6 +158,18 @@
     return m_announcement;
 }
 
+void UpstreamRuns::probe(TimePoint now)
+{
+    if (!m_isPolling && m_runs.empty() && !m_isTakenOver && !m_hasLeft && !m_isReplaced
+        && now >= m_nextPollAt)
+        sendPoll(now);
+}
+
+TimePoint UpstreamRuns::confirmedAt() const
+{
+    return m_confirmedAt;
+}
+
 bool UpstreamRuns::hasFinished() const
 {
     return !m_finished.empty();
@@ -188,7 +200,7 @@
     m_clockReadAt = now;
 }
 
-void UpstreamRuns::recordAnswer(TimePoint now, const OrderResult &result)
+void UpstreamRuns::recordAnswer(TimePoint now, const OpenOrder &open, const OrderResult &result)
 {
     if (result.verdict == OrderVerdict::NoAnswer || result.verdict == OrderVerdict::NotSent
         || result.verdict == OrderVerdict::Limited)
@@ -198,6 +210,9 @@
         result.incarnation == 0 || result.incarnation == m_announcement.upstream.incarnation;
     if (result.clockMs && isSameIncarnation && result.verdict != OrderVerdict::OtherIncarnation)
         updateClock(now, *result.clockMs);
+    if (result.incarnation != 0 && isSameIncarnation && result.verdict != OrderVerdict::OtherIncarnation
+        && result.verdict != OrderVerdict::StaleFence)
+        m_confirmedAt = std::max(m_confirmedAt, open.sentAt);
 }
 
 RunOrder UpstreamRuns::newOrder(OrderKind kind) const
@@ -235,7 +250,7 @@
         order.wait = m_options.longPollTimeout;
     order.timeout = m_options.orderTimeout + order.wait;
     m_isPolling = true;
-    send(std::move(order), {OrderKind::Poll, {}, 0, m_nextPoll++});
+    send(std::move(order), {OrderKind::Poll, {}, 0, m_nextPoll++, now});
 }
 
 void UpstreamRuns::sendStop(TimePoint now, const std::string &task, std::uint32_t run, OrderId &order,
@@ -245,7 +260,7 @@
     stop.task = task;
     stop.run = run;
     retryAt = now + m_options.retryDelay;
-    order = send(std::move(stop), {OrderKind::Stop, task, run, 0});
+    order = send(std::move(stop), {OrderKind::Stop, task, run, 0, now});
 }
 
 void UpstreamRuns::startEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -440,9 +440,8 @@
 
 void FleetControl::configurationChanged(const Configuration &configuration)
 {
-    if (m_activeDeclaration.update(configuration.document)) {
-        m_groups.setClasses(classesOf(*m_activeDeclaration.declaration()));
-    }
+    if (m_activeDeclaration.update(configuration.document))
+        m_groups.setDeclaration(*m_activeDeclaration.declaration());
     m_partitions = configuration.partitions;
     m_entryHolders.clear();
     for (const auto &it : configuration.holders) {
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -298,7 +298,7 @@
     m_router.setHolders(configuration.holders);
     m_router.setEvacuations(configuration.evacuations);
     if (m_activeDeclaration.update(configuration.document))
-        m_groups.setClasses(classesOf(*m_activeDeclaration.declaration()));
+        m_groups.setDeclaration(*m_activeDeclaration.declaration());
     const auto &self = m_member.self();
     m_groups.setEvacuations(configuration.evacuations);
     m_groups.setConfiguration(configuration, m_shutdown.hasBegun());
--- a/src/fleet/heldgroups.cpp
+++ b/src/fleet/heldgroups.cpp
@@ -62,11 +62,18 @@
 {
 }
 
-void HeldGroups::setClasses(const std::vector<ClassDeclaration> &classes)
+void HeldGroups::setDeclaration(const WorkDeclaration &declaration)
 {
-    m_classes = classes;
-    for (const auto &[group, it] : m_groups)
+    m_classes = classesOf(declaration);
+    m_unguardedPools.clear();
+    for (const auto &it : declaration.pools) {
+        if (!it.refusesOverload)
+            m_unguardedPools.insert(it.name);
+    }
+    for (const auto &[group, it] : m_groups) {
         it->setClasses(m_classes);
+        it->setUnguardedPools(m_unguardedPools);
+    }
 }
 
 void HeldGroups::setConfiguration(const Configuration &configuration, bool isShuttingDown)
@@ -442,6 +449,7 @@
     auto &it = m_groups[group];
     it = std::make_unique<GroupDispatcher>(std::move(options), m_crashes);
     it->setClasses(m_classes);
+    it->setUnguardedPools(m_unguardedPools);
     applyEvacuation(group, *it);
     it->setOverloaded(m_isOverloaded);
     for (const auto &[name, upstream] : m_registry.upstreams())
@@ -524,6 +532,12 @@
               {"group", group}});
 }
 
+void HeldGroups::execute(const std::string &group, const ExpiredUpstream &expired)
+{
+    m_metrics.increment(Metric::UpstreamsExpired, {group});
+    logEvent(Event::GroupUpstreamExpired, {{"upstream", expired.upstream}, {"group", group}});
+}
+
 void HeldGroups::startReceived(const JobOrigin &origin)
 {
     if (origin.vm != m_member.self().name)
--- a/src/fleet/heldgroups.h
+++ b/src/fleet/heldgroups.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronpitch/groupdispatcher.h"
+#include "citronpitch/workdeclaration.h"
 #include "fleet/fleetmember.h"
 #include "fleet/upstreamregistry.h"
 
@@ -42,7 +43,8 @@
     HeldGroups(const FleetSettings &settings, FleetMember &member, const UpstreamRegistry &registry,
                Metrics &metrics, HeldGroupsHooks hooks);
 
-    void setClasses(const std::vector<ClassDeclaration> &classes);
+    /// Applies the declared classes of work and pools.
+    void setDeclaration(const WorkDeclaration &declaration);
 
     /// Applies the holders and partitions of the active configuration. A VM that shuts down,
     /// @p isShuttingDown, takes over no group.
@@ -144,6 +146,7 @@
     void execute(const std::string &group, const FinishedJob &finished);
     void execute(const std::string &group, const ReservedJob &reserved);
     void execute(const std::string &group, const LostRun &lost);
+    void execute(const std::string &group, const ExpiredUpstream &expired);
     /// Sends the records of crashes that are new since the last call to the other VMs.
     void sendNewCrashes();
     void sendCrashes(const std::string &vm, const std::vector<TaskCrash> &crashes);
@@ -158,6 +161,8 @@
     Metrics &m_metrics;
     HeldGroupsHooks m_hooks;
     std::vector<ClassDeclaration> m_classes;
+    /// Pools whose upstreams accept tasks beyond their capacity.
+    std::set<std::string> m_unguardedPools;
     CrashLedger m_crashes;
     /// New records that other VMs may not have received.
     std::vector<TaskCrash> m_unsentCrashes;
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -161,6 +161,10 @@
         "then confirmed (inconclusive) if it has ended, or refuted. A task with two confirmed crashes is not "
         "started again, and its job fails. Check what the task does.",
         requestRepeatLimitMultiplier},
+    EventDefinition{Event::GroupUpstreamExpired, EventSeverity::Warning, "an upstream gets no new tasks",
+                    "upstream group",
+                    "It has neither announced itself nor answered an order for four announcement intervals. "
+                    "Check the upstream and its network; it is used again with its next announcement."},
     EventDefinition{
         Event::GroupStartsEnded, EventSeverity::Info, "no more starts in a group because of an evacuation",
         "group refused",
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -53,6 +53,7 @@
     OrderUnanswered = 621,
     RunLost = 622,
     TaskCrash = 623,
+    GroupUpstreamExpired = 624,
     GroupStartsEnded = 630,
 };
 
--- a/src/log/metrics.cpp
+++ b/src/log/metrics.cpp
@@ -34,6 +34,8 @@
     MetricDefinition{
         Metric::TaskCrashes, MetricKind::Counter, "citronpitch_task_crashes_total", "state",
         "Records of upstreams that were lost while they ran a task, by state, at the VM that saw it."},
+    MetricDefinition{Metric::UpstreamsExpired, MetricKind::Counter, "citronpitch_upstreams_expired_total",
+                     "group", "Upstreams that neither announced themselves nor answered in time."},
     MetricDefinition{Metric::OrderDuration, MetricKind::Histogram, "citronpitch_order_seconds", "order",
                      "Time from an order to its answer; polls wait for ends on purpose."},
     MetricDefinition{Metric::JobsFinished, MetricKind::Counter, "citronpitch_jobs_finished_total",
--- a/src/log/metrics.h
+++ b/src/log/metrics.h
@@ -22,6 +22,7 @@
     OrdersCompleted,
     RunsLost,
     TaskCrashes,
+    UpstreamsExpired,
     OrderDuration,
     JobsFinished,
     GroupFence,
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -615,3 +615,42 @@
     group.advance(std::chrono::seconds(1));
     EXPECT_TRUE(group.starts.empty());
 }
+
+/// Announcements may go to VMs that the holder can't reach, while the upstream answers each of its orders.
+/// Idle ones must not be forgotten either.
+TEST(GroupDispatcherTest, upstreamThatAnswersIsUsedWithoutAnnouncements)
+{
+    for (const bool isBusy : {false, true}) {
+        GroupHarness group;
+        addUpstreams(group, 1);
+        std::uint64_t number = 0;
+        for (int i = 0; isBusy && i < 120; ++i, group.advance(std::chrono::milliseconds(250)))
+            group.submit("busy" + std::to_string(i), ++number, 2);
+        if (!isBusy)
+            group.advance(std::chrono::seconds(30));
+        group.submit("a", ++number, 1);
+        group.advance(settlingTime);
+        ASSERT_TRUE(group.answers.contains(number));
+        EXPECT_EQ(group.answers.at(number).outcome, Outcome::Complete);
+        EXPECT_EQ(group.concurrentRuns, 0U);
+    }
+}
+
+/// An answer shows neither that a silent upstream is back, nor that the capacity of one that accepts more
+/// than it has is still there. The lease starts with the order, as the answer may have waited to be read.
+TEST(GroupDispatcherTest, upstreamIsNotUsedWithoutAnnouncementsWhereAnswersDoNotSuffice)
+{
+    enum class Case { Unreachable, Unguarded, Leaving };
+    for (const auto it : {Case::Unreachable, Case::Unguarded, Case::Leaving}) {
+        GroupHarness group;
+        if (it == Case::Unguarded)
+            group.dispatcher().setUnguardedPools({"pool"});
+        addUpstreams(group, 1);
+        group.advance(settlingTime);
+        group.setUnreachable("u0", it == Case::Unreachable);
+        if (it == Case::Leaving)
+            group.announce("u0", true);
+        group.advance(std::chrono::seconds(10));
+        EXPECT_EQ(group.dispatcher().upstreams(), 0U) << static_cast<int>(it);
+    }
+}
