A superseded holder refuses its waiting jobs, which the new one gets

What callers saw: jobs that waited at a holder when it was cut off from the leader and its group went to another VM were answered at their deadlines.

Cause: the holder learns of its successor from the configuration, which does not reach it, and from its upstreams, one by one: the runs there end as unknown, but the jobs without runs stayed in a queue that no upstream serves.

Change: once more than half of the upstreams of a group report a higher fencing token, the holder closes the group, as it does when the configuration says so. The entry VM may place a refused job in the same group again if it has a later holder by now.

Both tests fail without the change.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -311,6 +311,8 @@
     /// Extends the lease of an upstream that has answered an order: its announcements may go to VMs that this
     /// one can't reach.
     void renewLease(TimePoint now, Upstream &upstream);
+    /// Whether most upstreams have seen the fencing token of a later holder. A single one may be wrong.
+    bool isSuperseded() const;
     /// Whether answers renew the lease of @p upstream.
     bool isRenewedByAnswers(const Upstream &upstream) const;
     /// Removes the idle upstreams whose lease has expired.
--- a/include/citronpitch/jobrouter.h
+++ b/include/citronpitch/jobrouter.h
@@ -133,7 +133,8 @@
     /// What is known from the groups that refused a part.
     struct Refusals
     {
-        std::set<std::string> groups;
+        /// Groups with the fencing tokens of the holders that refused; a later holder may accept the part.
+        std::map<std::string, std::uint64_t> groups;
         /// Earliest retry time of the refusals.
         std::optional<TimePoint> retryAt;
         /// Whether the part was sent to a group without free capacity after a refusal; done at most once.
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -127,6 +127,8 @@
     /// answered the last order.
     bool isReady() const;
     bool isIdle() const;
+    /// Whether the upstream has seen the fencing token of a later holder.
+    bool isTakenOver() const;
     const FleetAnnouncement &announcement() const;
 
     /// Asks an upstream without runs for an answer, unless a poll is in flight.
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -298,6 +298,9 @@
             m_crashes.upstreamAnswered(now, it->first, incarnation);
     }
     renewLease(now, it->second);
+    // This VM may be cut off from those that could tell it.
+    if (result.verdict == OrderVerdict::StaleFence && isSuperseded())
+        close(now);
     if (runs.hasFinished())
         m_touched.insert(it->first);
     updatePause(now, it->second);
@@ -760,6 +763,13 @@
     offer(now, upstream, false);
 }
 
+bool GroupDispatcher::isSuperseded() const
+{
+    const auto n = std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                                 [](const auto &it) { return it.second.runs->isTakenOver(); });
+    return 2 * static_cast<std::size_t>(n) > m_upstreams.size();
+}
+
 bool GroupDispatcher::isRenewedByAnswers(const Upstream &upstream) const
 {
     const auto &known = upstream.runs->announcement();
--- a/src/core/runs/jobrouter.cpp
+++ b/src/core/runs/jobrouter.cpp
@@ -147,7 +147,7 @@
     if (auto *group = findReport(part.vm, part.group); group != nullptr && part.sends == 1)
         group->refusedTasks += static_cast<std::uint32_t>(part.routed.submission.tasks.size());
     auto elsewhere = part;
-    elsewhere.refusals.groups.insert(part.group);
+    elsewhere.refusals.groups[part.group] = part.routed.fence;
     if (placeAgain(now, std::move(elsewhere))) {
         ++m_totals.placedAfterDeliveryFailure;
         return;
@@ -293,7 +293,7 @@
     if (auto *group = findReport(part.vm, part.group))
         (isRefused ? group->refusedTasks : group->endedTasks) += tasks;
     if (isRefused) {
-        part.refusals.groups.insert(part.group);
+        part.refusals.groups[part.group] = part.routed.fence;
         if (answer.retryAt)
             part.refusals.retryAt =
                 std::min(part.refusals.retryAt.value_or(*answer.retryAt), *answer.retryAt);
@@ -598,7 +598,8 @@
     auto groups = candidates(now, part.routed.submission.className);
     // A group gets at most one part of a job.
     std::erase_if(groups, [&](const auto &it) {
-        return part.refusals.groups.contains(it.group)
+        const auto refused = part.refusals.groups.find(it.group);
+        return (refused != part.refusals.groups.end() && refused->second >= it.fence)
             || std::any_of(job.parts.begin(), job.parts.end(),
                            [&](const auto number) { return m_parts.at(number).group == it.group; });
     });
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -153,6 +153,11 @@
     return m_runs.empty();
 }
 
+bool UpstreamRuns::isTakenOver() const
+{
+    return m_isTakenOver;
+}
+
 const FleetAnnouncement &UpstreamRuns::announcement() const
 {
     return m_announcement;
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -654,3 +654,31 @@
         EXPECT_EQ(group.dispatcher().upstreams(), 0U) << static_cast<int>(it);
     }
 }
+
+/// A holder that is cut off from the leader learns of its successor from the upstreams alone. Jobs that it
+/// can't start any more waited for their deadlines. One upstream that reports a higher fencing token may be
+/// wrong.
+TEST(GroupDispatcherTest, holderThatMostUpstreamsHaveLeftRefusesItsWaitingJobs)
+{
+    constexpr std::uint64_t waiting = 7;
+    GroupHarness group;
+    for (int i = 0; i < 3; ++i) {
+        SimulatedUpstreamOptions slow{"u" + std::to_string(i)};
+        slow.taskTime = std::chrono::seconds(20);
+        group.add(slow);
+    }
+    group.advance(settlingTime);
+    for (std::uint64_t number = 1; number <= waiting; ++number)
+        group.submit("job" + std::to_string(number), number, 1, std::chrono::seconds(30));
+    RunOrder ofSuccessor;
+    ofSuccessor.fence = 1000;
+    group.upstream("u0").execute(group.now(), ofSuccessor);
+    group.advance(std::chrono::milliseconds(300));
+    EXPECT_TRUE(group.dispatcher().load(group.now()).isOpen);
+    EXPECT_FALSE(group.answers.contains(waiting));
+    group.upstream("u1").execute(group.now(), ofSuccessor);
+    group.advance(std::chrono::milliseconds(300));
+    EXPECT_FALSE(group.dispatcher().load(group.now()).isOpen);
+    ASSERT_TRUE(group.answers.contains(waiting));
+    EXPECT_EQ(group.answers.at(waiting).outcome, Outcome::Refused);
+}
--- a/tests/unit/jobroutertest.cpp
+++ b/tests/unit/jobroutertest.cpp
@@ -293,6 +293,22 @@
     EXPECT_EQ(answers[0].answer.reason, Reason::DeadlinePassed);
 }
 
+/// The former holder of a group refuses what it has not started, and the new one can run it.
+TEST(JobRouterTest, jobThatAFormerHolderRefusesGoesToTheNewOne)
+{
+    auto router = routerWithGroups({8});
+    router.submit(start, 1, jobOf("k", 4));
+    const auto sent = actionsOf<SendJob>(router.takeActions());
+    ASSERT_EQ(sent.size(), 1U);
+    router.setHolders({{"a", "vm-b", 1, 2}});
+    router.holderAlive("vm-b", 1, false);
+    router.loadReported(start, "vm-b", {{"a", 2, true, 8, 100, {}}});
+    router.holderAnswered(start, "vm-a", sent[0].job.origin.number, answerOf(Outcome::Refused));
+    const auto again = actionsOf<SendJob>(router.takeActions());
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].vm, "vm-b");
+}
+
 /// A job must not be refused while a group that was not asked reports room. Each group is asked once, and the
 /// caller gets the earliest of the retry times.
 TEST(JobRouterTest, refusedJobIsTriedInEachGroupWithFreeCapacity)
