A queued job is given up by its longest task and the margin of admission

Change: a job that has not started is refused under load once its longest task is expected to end after latestExpectedEnd(), the bound of admission.

The test fails without the change.

--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -577,7 +577,7 @@
 {
     if (head.deadline <= now)
         return true;
-    const auto usefulUntil = queue.findJob(head.job)->usefulUntil;
+    const auto &job = *queue.findJob(head.job);
     const bool isUnderContention =
         isContended(head.job) || (contention.isInEffect() && scalesWithJob(head.subqueue.classIndex));
     if (isBaseline() || !isUnderContention || !serviceTimes.isLearned(head.subqueue.classIndex)
@@ -585,9 +585,10 @@
         return false;
     if (head.isLate && scalesWithJob(head.subqueue.classIndex))
         return true;
-    const auto one = serviceTimes.expected(head.subqueue.classIndex, {});
-    if (usefulUntil < head.deadline && now + one > usefulUntil)
+    // The longest task decides when the job ends, and as at admission a margin covers slow upstreams.
+    if (job.usefulUntil < head.deadline && now + job.longestTask > latestExpectedEnd(job))
         return true;
+    const auto one = serviceTimes.expected(head.subqueue.classIndex, {});
     return now + one * infeasibleNumerator / infeasibleDenominator > head.deadline;
 }
 
--- a/tests/unit/dispatchertest.cpp
+++ b/tests/unit/dispatchertest.cpp
@@ -544,6 +544,29 @@
     EXPECT_EQ(dispatcher.queuedTasks(), 0U);
 }
 
+// Guards against slots that go to jobs which are mostly late by then while others could still be in time.
+TEST_F(DispatcherTest, jobWithoutMarginLeavesItsSlotToOthersUnderLoad)
+{
+    auto configuration = twoClasses();
+    configuration.classes[0].targetTime = 60ms;
+    configuration.classes[0].targetStretch = 1600;
+    dispatcher.setConfiguration(configuration);
+    dispatcher.announce(now, upstream("a", 1));
+    runOneByOne(20, {{"a", 100ms}});
+    add(submission(1));
+    const auto running = place();
+    ASSERT_EQ(running.size(), 1U);
+    const auto old = add(submission(1));
+    // The target is 220 ms after the arrival, of which nine tenths count.
+    now += 105ms;
+    const auto fresh = add(submission(1));
+    dispatcher.finish(now, running[0].attempt, success);
+    const auto placed = place();
+    ASSERT_EQ(placed.size(), 1U);
+    EXPECT_EQ(placed[0].job, fresh);
+    EXPECT_EQ(dispatcher.takeShedJobs(), std::vector<JobId>{old});
+}
+
 namespace {
 
 /// Upstreams "slow" and "fast" with four slots each and learned service times of both classes.
