--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -50,6 +50,13 @@
     return value ^ (value >> 31);
 }
 
+/// Returns the random delay number @p counter: at least @p minimum, and shorter than it plus @p spread.
+Duration randomDelay(std::uint64_t seed, std::uint64_t counter, Duration minimum, Duration spread)
+{
+    const auto offset = splitMix64(seed + splitMix64(counter)) % static_cast<std::uint64_t>(spread.count());
+    return minimum + Duration(static_cast<std::int64_t>(offset));
+}
+
 /// Approximate size of an entry in a message.
 std::size_t sizeOf(const LogEntry &entry)
 {
@@ -425,16 +432,13 @@
 {
     // After a start of the whole fleet the VMs connect one after the other, so that early pre-votes are lost.
     const auto timeout = m_hasSeenLeader ? m_options.electionTimeout : m_options.firstElectionTimeout;
-    const auto spread = static_cast<std::uint64_t>(timeout.count());
-    const auto offset = splitMix64(m_options.seed + splitMix64(++m_randomCounter)) % spread;
-    m_electionDeadline = now + timeout + Duration(static_cast<std::int64_t>(offset));
+    m_electionDeadline = now + randomDelay(m_options.seed, ++m_randomCounter, timeout, timeout);
 }
 
 void ConfigurationNode::setFirstElectionDeadline(TimePoint now)
 {
-    const auto spread = static_cast<std::uint64_t>(2 * m_options.firstElectionTimeout.count());
-    const auto offset = splitMix64(m_options.seed + splitMix64(++m_randomCounter)) % spread;
-    m_electionDeadline = now + m_options.firstElectionTimeout + Duration(static_cast<std::int64_t>(offset));
+    const auto timeout = m_options.firstElectionTimeout;
+    m_electionDeadline = now + randomDelay(m_options.seed, ++m_randomCounter, timeout, 2 * timeout);
 }
 
 void ConfigurationNode::startElection(TimePoint now, bool isPreVote)
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -17,9 +17,9 @@
 /// jobs.
 constexpr Duration closedRetryDelay = std::chrono::seconds(1);
 
-/// A lease is renewed by answers when this fraction of it has passed, and idle upstreams are probed for an
-/// answer when half of it has.
+/// An answer renews a lease of which at least one part in this many has passed.
 constexpr int leaseRenewalDivisor = 4;
+/// An idle upstream is probed for an answer when less than one part in this many of its lease is left.
 constexpr int probeDivisor = 2;
 
 /// Unit of Upstream::warmUpPosition.
@@ -755,6 +755,8 @@
 
 void GroupDispatcher::renewLease(TimePoint now, Upstream &upstream)
 {
+    // Counted from the order, as its answer may have waited to be read, in a process that was paused for
+    // example.
     const auto leaseDeadline = upstream.runs->confirmedAt() + m_options.upstreamLease;
     if (leaseDeadline - upstream.leaseDeadline < m_options.upstreamLease / leaseRenewalDivisor
         || !isRenewedByAnswers(upstream))
@@ -778,7 +780,7 @@
 
 void GroupDispatcher::removeExpired(TimePoint now)
 {
-    // It is no longer polled once no run can be left there; its next announcement adds it again.
+    // An upstream is no longer polled once no run can be left there; its next announcement adds it again.
     std::erase_if(m_upstreams, [&](const auto &it) {
         const auto &[name, upstream] = it;
         if (upstream.leaseDeadline > now || !upstream.runs->isIdle())
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -211,12 +211,12 @@
         || result.verdict == OrderVerdict::Limited)
         return;
     m_lastAnswerAt = now;
-    const bool isSameIncarnation =
-        result.incarnation == 0 || result.incarnation == m_announcement.upstream.incarnation;
-    if (result.clockMs && isSameIncarnation && result.verdict != OrderVerdict::OtherIncarnation)
+    const bool isStated = result.incarnation != 0;
+    const bool isOther = result.verdict == OrderVerdict::OtherIncarnation
+        || (isStated && result.incarnation != m_announcement.upstream.incarnation);
+    if (result.clockMs && !isOther)
         updateClock(now, *result.clockMs);
-    if (result.incarnation != 0 && isSameIncarnation && result.verdict != OrderVerdict::OtherIncarnation
-        && result.verdict != OrderVerdict::StaleFence)
+    if (isStated && !isOther && result.verdict != OrderVerdict::StaleFence)
         m_confirmedAt = std::max(m_confirmedAt, open.sentAt);
 }
 
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -636,8 +636,8 @@
     }
 }
 
-/// An answer shows neither that a silent upstream is back, nor that the capacity of one that accepts more
-/// than it has is still there. The lease starts with the order, as the answer may have waited to be read.
+/// A silent or leaving upstream must not stay in use, and neither one that accepts more than its capacity, as
+/// an answer doesn't show that the capacity has shrunk.
 TEST(GroupDispatcherTest, upstreamIsNotUsedWithoutAnnouncementsWhereAnswersDoNotSuffice)
 {
     enum class Case { Unreachable, Unguarded, Leaving };
@@ -662,11 +662,8 @@
 {
     constexpr std::uint64_t waiting = 7;
     GroupHarness group;
-    for (int i = 0; i < 3; ++i) {
-        SimulatedUpstreamOptions slow{"u" + std::to_string(i)};
-        slow.taskTime = std::chrono::seconds(20);
-        group.add(slow);
-    }
+    for (const auto *name : {"u0", "u1", "u2"})
+        group.add(slowUpstream(name, std::chrono::seconds(20)));
     group.advance(settlingTime);
     for (std::uint64_t number = 1; number <= waiting; ++number)
         group.submit("job" + std::to_string(number), number, 1, std::chrono::seconds(30));
