GroupDispatcherRestartsTest: a task runs twice after a restart of its upstream

A poll that was meant for an earlier incarnation of an upstream is executed late by the present one and extends its lease beyond what the holder assumes.

--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -348,6 +348,72 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, GroupDispatcherFaultsTest, testing::Range<std::uint64_t>(1, 13));
 
+/// Long tasks, so that runs are in progress while an upstream restarts behind a partition, executes late orders
+/// that were meant for its earlier incarnation, and is partitioned again.
+class GroupDispatcherRestartsTest : public testing::TestWithParam<std::uint64_t>
+{
+protected:
+    void partition(const std::string &name)
+    {
+        if (!m_reachableAt.try_emplace(name, group.now() + randomTime(50, 1550)).second)
+            return;
+        group.setUnreachable(name, true);
+        if (random() % 2 == 0)
+            group.upstream(name).restart(group.now());
+    }
+
+    void healPartitions()
+    {
+        std::erase_if(m_reachableAt, [&](const auto &it) {
+            const auto &[name, reachableAt] = it;
+            if (reachableAt > group.now())
+                return false;
+            group.setUnreachable(name, false);
+            if (random() % 2 == 0)
+                group.announce(name);
+            return true;
+        });
+    }
+
+    std::chrono::milliseconds randomTime(unsigned lowest, unsigned highest)
+    {
+        return std::chrono::milliseconds(lowest + random() % (highest - lowest));
+    }
+
+    GroupHarness group{GetParam()};
+    std::mt19937_64 random{GetParam() * 91};
+
+private:
+    std::map<std::string, TimePoint> m_reachableAt;
+};
+
+TEST_P(GroupDispatcherRestartsTest, lateOrdersOfAnEarlierIncarnationCauseNoConcurrentRuns)
+{
+    constexpr std::uint64_t jobs = 400;
+    constexpr std::uint64_t announcementInterval = 30;
+    constexpr unsigned upstreams = 6;
+    for (unsigned i = 0; i < upstreams; ++i) {
+        SimulatedUpstreamOptions options{"u" + std::to_string(i)};
+        options.taskTime = randomTime(200, 2500);
+        options.clockRate = i % 2 == 0 ? 1000 : 980;
+        group.add(options);
+    }
+    group.advance(settlingTime);
+    group.faults = {30, 100};
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        group.submit("job" + std::to_string(number), number, 1 + random() % 3, std::chrono::seconds(3));
+        group.advance(randomTime(20, 100));
+        if (random() % 8 == 0)
+            partition("u" + std::to_string(random() % upstreams));
+        healPartitions();
+        for (unsigned i = 0; number % announcementInterval == 0 && i < upstreams; ++i)
+            group.announce("u" + std::to_string(i));
+    }
+    EXPECT_EQ(group.concurrentRuns, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, GroupDispatcherRestartsTest, testing::Range<std::uint64_t>(1, 41));
+
 /// A reserved job must not run before its other parts are certain of their places, and must not keep a slot
 /// idle meanwhile.
 TEST(GroupDispatcherTest, reservedJobRunsOnlyOnceItIsStarted)
