Orders carry a fencing token of the upstream's incarnation

Cause: an order that gets no answer may be executed seconds later. What makes it harmless (the lease that it carries, the highest fencing token and the stops that the upstream knows) is forgotten when the upstream restarts. Polls meant for the earlier incarnation then extended the lease of the present one to maximumLease, with a time of the old clock, while the holder counted its own 600 ms: when the upstream was partitioned again, the holder concluded that its runs had ended, and started them elsewhere, up to 400 ms too early. Starts meant for the earlier incarnation ran, and answers to orders sent before the restart were taken for the present one: their clocks expired its leases, and a rejected fencing token would have counted as a takeover.

Change: a number that rises with each incarnation is part of the token. Once an incarnation has answered an order with it, it rejects the older orders. The lease of an incarnation counts from the latest that one of them can have given, and an incarnation that has not answered yet has no expired lease until such orders are not executed any more. Runs that the earlier incarnation has listed end with it at once.

The two tests of UpstreamRuns fail if all incarnations get the same token.

HeldGroups logs E613 for the takeover of an upstream, not for each rejected order, as those of an earlier incarnation are rejected as well.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -23,6 +23,9 @@
 struct GroupDispatcherOptions
 {
     std::string group;
+    /// Fencing token of this holder.
+    std::uint64_t fence = 0;
+    /// UpstreamRunsOptions::takeFence is set by the GroupDispatcher.
     UpstreamRunsOptions runs;
     /// Time without an announcement or the answer to an order after which an upstream gets no new work.
     Duration upstreamLease = std::chrono::seconds(6);
@@ -126,8 +129,15 @@
     std::vector<ClassLoad> classes;
 };
 
+/// An upstream has seen the fencing token of a later holder.
+struct SupersededUpstream
+{
+    std::string upstream;
+};
+
 /// An action that the owner of a GroupDispatcher has to execute, in order.
-using GroupAction = std::variant<RunOrder, FinishedJob, ReservedJob, LostRun, ExpiredUpstream>;
+using GroupAction =
+    std::variant<RunOrder, FinishedJob, ReservedJob, LostRun, ExpiredUpstream, SupersededUpstream>;
 
 /**
  * @brief Dispatches best-effort jobs to the upstreams of one group, as the only holder of the group.
@@ -349,6 +359,7 @@
     JobId m_nextJob = 1;
     std::uint64_t m_nextAttempt = 1;
     OrderId m_nextOrder = 1;
+    std::uint32_t m_nextFenceSequence = 0;
     bool m_isClosed = false;
     /// While the group is evacuated: when the last queued task may start.
     std::optional<TimePoint> m_startDeadline;
--- a/include/citronpitch/runorder.h
+++ b/include/citronpitch/runorder.h
@@ -13,6 +13,17 @@
 
 using OrderId = std::uint64_t;
 
+/// Number of low bits of an order's fencing token that distinguish the incarnations of one upstream under one
+/// holder. JSON parsers that read numbers as doubles leave 21 bits for the tokens of holders.
+inline constexpr int incarnationFenceBits = 32;
+
+/// Returns the fencing token of orders to an incarnation of an upstream. It increases with the token of the
+/// holder, and with @p sequence under one holder.
+constexpr std::uint64_t orderFence(std::uint64_t holderFence, std::uint32_t sequence)
+{
+    return (holderFence << incarnationFenceBits) | sequence;
+}
+
 /// Kind of an order to an upstream.
 enum class OrderKind {
     Start,
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -17,12 +17,18 @@
 /// Time limits of UpstreamRuns.
 struct UpstreamRunsOptions
 {
-    std::uint64_t fence = 0;
+    /// Returns a higher fencing token with each call. One is taken for each incarnation of the upstream, so
+    /// that orders that were meant for an earlier incarnation are rejected.
+    std::function<std::uint64_t()> takeFence = [] { return std::uint64_t{0}; };
     /// How long runs continue on an upstream without a renewal. Short enough that the runs of an unreachable
     /// VM end before its callers retry their jobs.
     Duration lease = std::chrono::milliseconds(600);
     /// How long an upstream may delay the answer to a poll while no run ends.
     Duration longPollTimeout = std::chrono::milliseconds(100);
+    /// The upstream shortens longer leases to this.
+    Duration maximumLease = std::chrono::milliseconds(1000);
+    /// Time after which an unanswered order is not executed any more.
+    Duration maximumOrderDelay = std::chrono::seconds(15);
     /// Time after which an order counts as unanswered, beyond the delay that it allows.
     Duration orderTimeout = std::chrono::milliseconds(80);
     /// Delay before an unanswered order is repeated; doubles with each unanswered poll in a row.
@@ -165,6 +171,8 @@
         bool isStopAcknowledged = false;
         /// Whether the upstream has accepted the start order, or listed the run.
         bool hasRun = false;
+        /// Whether the announced incarnation has listed the run.
+        bool isListed = false;
         /// Whether the upstream has restarted since the start order was sent.
         bool hasUpstreamRestarted = false;
         /// Earlier incarnation that had ended when the start order was unanswered. It has crashed under the
@@ -190,9 +198,12 @@
         std::uint32_t run = 0;
         std::uint64_t poll = 0;
         TimePoint sentAt;
+        std::uint64_t fence = 0;
     };
 
     std::int64_t clockLowerBound(TimePoint now) const;
+    /// Whether the runs have ended although the upstream did not report it.
+    bool isLeaseExpired(TimePoint now) const;
     void updateClock(TimePoint now, std::int64_t clockMs);
     void recordAnswer(TimePoint now, const OpenOrder &open, const OrderResult &result);
     RunOrder newOrder(OrderKind kind) const;
@@ -210,7 +221,7 @@
     void lose(std::map<std::string, Run>::iterator it, RunLoss loss);
     void loseAll(RunLoss loss);
     /// Continues with a new incarnation; @p previous is what the earlier one announced.
-    void resetForNewIncarnation(const UpstreamAnnouncement &previous);
+    void resetForNewIncarnation(TimePoint now, const UpstreamAnnouncement &previous);
     /// Records for each run that the incarnation announced by @p announcement may have had that it has ended,
     /// or only been silent.
     void recordCrashes(const UpstreamAnnouncement &announcement, bool hasEnded);
@@ -227,8 +238,12 @@
     std::map<OrderId, OpenOrder> m_orders;
     std::int64_t m_clockMs = 0;
     std::optional<TimePoint> m_clockReadAt;
-    /// Latest lease sent in any order, including unanswered ones.
+    std::uint64_t m_fence = 0;
+    /// Latest lease sent in any order, including unanswered ones, or that an order with an earlier fencing
+    /// token may have given.
     std::int64_t m_leaseMs = 0;
+    /// When the last order to an earlier incarnation can't be executed any more.
+    TimePoint m_earlierOrdersEndAt;
     std::uint64_t m_lastSeenEnd = 0;
     std::uint64_t m_acknowledgedThrough = 0;
     std::uint64_t m_nextPoll = 1;
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -93,6 +93,7 @@
     : m_options(std::move(options))
     , m_crashes(crashes)
 {
+    m_options.runs.takeFence = [this] { return orderFence(m_options.fence, m_nextFenceSequence++); };
 }
 
 GroupDispatcher::~GroupDispatcher() = default;
@@ -152,7 +153,7 @@
         m_actions.emplace_back(FinishedJob{job.origin, it->second});
         return;
     }
-    if (job.isResent && job.fence < m_options.runs.fence && !isKnown(job.origin)) {
+    if (job.isResent && job.fence < m_options.fence && !isKnown(job.origin)) {
         reply(now, job.origin, formerHolderAnswer());
         return;
     }
@@ -287,7 +288,10 @@
     if (it == m_upstreams.end())
         return;
     auto &runs = *it->second.runs;
+    const bool wasTakenOver = runs.isTakenOver();
     runs.orderEnded(now, id, result);
+    if (runs.isTakenOver() && !wasTakenOver)
+        m_actions.emplace_back(SupersededUpstream{it->first});
     recordCrashes(now, runs);
     const auto incarnation = runs.announcement().upstream.incarnation;
     if (result.verdict == OrderVerdict::OtherIncarnation) {
@@ -387,7 +391,7 @@
 GroupLoad GroupDispatcher::load(TimePoint now) const
 {
     const bool isOpen = !m_isClosed && !m_startDeadline && !m_isOverloaded;
-    GroupLoad load{m_options.group, m_options.runs.fence, isOpen, 0, 0, {}, {}};
+    GroupLoad load{m_options.group, m_options.fence, isOpen, 0, 0, {}, {}};
     if (m_startDeadline)
         return load;
     for (const auto &[name, it] : m_pools) {
@@ -425,7 +429,7 @@
 
 std::uint64_t GroupDispatcher::fence() const
 {
-    return m_options.runs.fence;
+    return m_options.fence;
 }
 
 bool GroupDispatcher::isIdle() const
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -29,6 +29,7 @@
     , m_announcement(announcement)
     , m_send(std::move(send))
     , m_foreignRuns(isBefore)
+    , m_fence(m_options.takeFence())
 {
     updateClock(now, announcement.clockMs);
     sendPoll(now);
@@ -46,7 +47,7 @@
         m_isReplaced = false;
     if (announcement.upstream.incarnation > known.incarnation) {
         m_hasLeft = false;
-        resetForNewIncarnation(known);
+        resetForNewIncarnation(now, known);
     }
     updateClock(now, announcement.clockMs);
 }
@@ -96,7 +97,7 @@
     const auto open = it->second;
     m_orders.erase(it);
     recordAnswer(now, open, result);
-    if (result.verdict == OrderVerdict::StaleFence) {
+    if (result.verdict == OrderVerdict::StaleFence && open.fence == m_fence) {
         m_isTakenOver = true;
         while (!m_runs.empty())
             finish(m_runs.begin(), RunOutcome::TakenOver);
@@ -122,8 +123,7 @@
     if (m_isTakenOver || m_hasLeft || m_isReplaced)
         return;
     // The upstream may have reported the end of a run, or a later clock, in an answer that was not read yet.
-    const bool isLeaseExpired = m_clockReadAt && m_leaseMs > 0 && clockLowerBound(now - lag) > m_leaseMs;
-    if (isLeaseExpired && !m_runs.empty()) {
+    if (!m_runs.empty() && isLeaseExpired(now - lag)) {
         m_isUnresponsive = true;
         if (!m_announcement.upstream.leaving)
             recordCrashes(m_announcement.upstream, false);
@@ -197,6 +197,14 @@
     return m_clockMs + toMilliseconds((now - *m_clockReadAt) * m_options.minimumClockRatePermille / thousand);
 }
 
+bool UpstreamRuns::isLeaseExpired(TimePoint now) const
+{
+    // An incarnation that has not seen its fencing token may still execute orders to the earlier ones.
+    if (!m_isFenceKnown)
+        return now > m_earlierOrdersEndAt;
+    return m_clockReadAt && m_leaseMs > 0 && clockLowerBound(now) > m_leaseMs;
+}
+
 void UpstreamRuns::updateClock(TimePoint now, std::int64_t clockMs)
 {
     if (m_clockReadAt && clockMs < clockLowerBound(now))
@@ -214,7 +222,7 @@
     const bool isStated = result.incarnation != 0;
     const bool isOther = result.verdict == OrderVerdict::OtherIncarnation
         || (isStated && result.incarnation != m_announcement.upstream.incarnation);
-    if (result.clockMs && !isOther)
+    if (result.clockMs && !isOther && open.fence == m_fence)
         updateClock(now, *result.clockMs);
     if (isStated && !isOther && result.verdict != OrderVerdict::StaleFence)
         m_confirmedAt = std::max(m_confirmedAt, open.sentAt);
@@ -227,7 +235,7 @@
     order.upstream = m_announcement.upstream.name;
     order.address = m_announcement.upstream.address;
     order.port = m_announcement.upstream.port;
-    order.fence = m_options.fence;
+    order.fence = m_fence;
     order.timeout = m_options.orderTimeout;
     return order;
 }
@@ -235,6 +243,7 @@
 OrderId UpstreamRuns::send(RunOrder order, OpenOrder open)
 {
     m_leaseMs = std::max(m_leaseMs, order.leaseMs);
+    open.fence = order.fence;
     const auto id = m_send(std::move(order));
     m_orders.emplace(id, std::move(open));
     return id;
@@ -342,10 +351,16 @@
     if (result.incarnation > known) {
         const auto previous = m_announcement.upstream;
         m_announcement.upstream.incarnation = result.incarnation;
-        resetForNewIncarnation(previous);
+        resetForNewIncarnation(now, previous);
         return;
     }
-    m_isFenceKnown = true;
+    if (open.fence != m_fence) {
+        m_nextPollAt = now;
+        return;
+    }
+    // Until this answer, orders with earlier fencing tokens may have given a lease.
+    if (!std::exchange(m_isFenceKnown, true) && result.clockMs)
+        m_leaseMs = std::max(m_leaseMs, *result.clockMs + toMilliseconds(m_options.maximumLease));
     m_isUnresponsive = false;
     m_pollDelay = {};
     m_acknowledgedThrough = std::max(m_acknowledgedThrough, m_lastSeenEnd);
@@ -360,7 +375,7 @@
         if (own == m_runs.end() || own->second.run != it.run)
             m_foreignRuns.try_emplace(it);
         else
-            own->second.hasRun = true;
+            own->second.hasRun = own->second.isListed = true;
     }
     std::erase_if(m_foreignRuns, [&](const auto &it) { return !running.contains(it.first); });
     for (auto it = m_runs.begin(); it != m_runs.end();) {
@@ -460,10 +475,12 @@
     }
 }
 
-void UpstreamRuns::resetForNewIncarnation(const UpstreamAnnouncement &previous)
+void UpstreamRuns::resetForNewIncarnation(TimePoint now, const UpstreamAnnouncement &previous)
 {
     if (!previous.leaving)
         recordCrashes(previous, true);
+    m_fence = m_options.takeFence();
+    m_earlierOrdersEndAt = now + m_options.maximumOrderDelay + m_options.maximumLease;
     m_clockReadAt.reset();
     m_clockMs = 0;
     m_leaseMs = 0;
@@ -471,8 +488,15 @@
     m_acknowledgedThrough = 0;
     m_isFenceKnown = false;
     m_foreignRuns.clear();
+    m_pollDelay = {};
     m_nextPollAt = {};
-    // An order in flight may have reached the new incarnation, so each run has to be stopped there.
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        const auto next = std::next(it);
+        if (it->second.isListed)
+            lose(it, RunLoss::UpstreamRestarted);
+        it = next;
+    }
+    // An order in flight may have reached the new incarnation, so each other run has to be stopped there.
     for (auto &[task, it] : m_runs) {
         it.phase = Phase::Unconfirmed;
         it.isStopNeeded = true;
--- a/src/fleet/heldgroups.cpp
+++ b/src/fleet/heldgroups.cpp
@@ -441,7 +441,8 @@
 {
     GroupDispatcherOptions options;
     options.group = group;
-    options.runs.fence = fence;
+    options.fence = fence;
+    options.runs.maximumLease = m_settings.maximumLease;
     options.runs.lease =
         std::min({options.runs.lease, m_settings.maximumLease, leaseWithinRetryTime(m_settings)});
     options.upstreamLease = m_settings.announcementInterval * leaseAnnouncementIntervals;
@@ -475,15 +476,16 @@
 
 void HeldGroups::execute(const std::string &group, const RunOrder &order)
 {
-    m_hooks.sendOrder(order,
-                      [this, group, fence = order.fence, order, sentAt = now()](const OrderResult &result) {
-                          recordOrder(group, order, result, sentAt);
-                          const auto it = m_groups.find(group);
-                          if (it == m_groups.end() || it->second->fence() != fence)
-                              return;
-                          it->second->orderEnded(now(), order.id, result);
-                          executeActions();
-                      });
+    m_hooks.sendOrder(
+        order,
+        [this, group, fence = m_groups.at(group)->fence(), order, sentAt = now()](const OrderResult &result) {
+            recordOrder(group, order, result, sentAt);
+            const auto it = m_groups.find(group);
+            if (it == m_groups.end() || it->second->fence() != fence)
+                return;
+            it->second->orderEnded(now(), order.id, result);
+            executeActions();
+        });
 }
 
 void HeldGroups::execute(const std::string &group, const FinishedJob &finished)
@@ -538,6 +540,14 @@
     logEvent(Event::GroupUpstreamExpired, {{"upstream", expired.upstream}, {"group", group}});
 }
 
+void HeldGroups::execute(const std::string &group, const SupersededUpstream &superseded)
+{
+    logEvent(Event::UpstreamFenceSuperseded,
+             {{"group", group},
+              {"fence", std::to_string(m_groups.at(group)->fence())},
+              {"upstream", superseded.upstream}});
+}
+
 void HeldGroups::startReceived(const JobOrigin &origin)
 {
     if (origin.vm != m_member.self().name)
@@ -636,9 +646,6 @@
                   {"task", order.task},
                   {"run", std::to_string(order.run)},
                   {"group", group}});
-    if (result.verdict == OrderVerdict::StaleFence)
-        logEvent(Event::UpstreamFenceSuperseded,
-                 {{"group", group}, {"fence", std::to_string(order.fence)}, {"upstream", order.upstream}});
 }
 
 } // namespace Citronpitch
--- a/src/fleet/heldgroups.h
+++ b/src/fleet/heldgroups.h
@@ -147,6 +147,7 @@
     void execute(const std::string &group, const ReservedJob &reserved);
     void execute(const std::string &group, const LostRun &lost);
     void execute(const std::string &group, const ExpiredUpstream &expired);
+    void execute(const std::string &group, const SupersededUpstream &superseded);
     /// Sends the records of crashes that are new since the last call to the other VMs.
     void sendNewCrashes();
     void sendCrashes(const std::string &vm, const std::vector<TaskCrash> &crashes);
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -44,7 +44,7 @@
 {
     GroupDispatcherOptions options;
     options.group = "domain";
-    options.runs.fence = ++m_fence;
+    options.fence = ++m_fence;
     options.nameTask = [](const std::string &key, std::uint32_t task) {
         return key + "." + std::to_string(task);
     };
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -348,8 +348,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, GroupDispatcherFaultsTest, testing::Range<std::uint64_t>(1, 13));
 
-/// Long tasks, so that runs are in progress while an upstream restarts behind a partition, executes late orders
-/// that were meant for its earlier incarnation, and is partitioned again.
+/// Long tasks, so that runs are in progress while an upstream restarts behind a partition, executes late
+/// orders that were meant for its earlier incarnation, and is partitioned again.
 class GroupDispatcherRestartsTest : public testing::TestWithParam<std::uint64_t>
 {
 protected:
@@ -734,7 +734,7 @@
     for (std::uint64_t number = 1; number <= waiting; ++number)
         group.submit("job" + std::to_string(number), number, 1, std::chrono::seconds(30));
     RunOrder ofSuccessor;
-    ofSuccessor.fence = 1000;
+    ofSuccessor.fence = orderFence(1000, 0);
     group.upstream("u0").execute(group.now(), ofSuccessor);
     group.advance(std::chrono::milliseconds(300));
     EXPECT_TRUE(group.dispatcher().load(group.now()).isOpen);
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 using namespace Citronpitch;
@@ -19,12 +20,13 @@
         announcement.upstream.name = "u";
         announcement.upstream.incarnation = 1;
         announcement.clockMs = 1000;
-        m_runs = std::make_unique<UpstreamRuns>(m_now, UpstreamRunsOptions{}, announcement,
-                                                [this](RunOrder order) {
-                                                    order.id = m_orders.size() + 1;
-                                                    m_orders.push_back(std::move(order));
-                                                    return m_orders.back().id;
-                                                });
+        UpstreamRunsOptions options;
+        options.takeFence = [this] { return ++m_lastFence; };
+        m_runs = std::make_unique<UpstreamRuns>(m_now, options, announcement, [this](RunOrder order) {
+            order.id = m_orders.size() + 1;
+            m_orders.push_back(std::move(order));
+            return m_orders.back().id;
+        });
         answer(m_orders.back().id);
         m_runs->start(m_now, 1, "task", 1, {});
         answer(m_orders[1].id);
@@ -41,7 +43,21 @@
         m_runs->orderEnded(m_now, order, result);
     }
 
+    /// The upstream announces its next incarnation, whose clock is at @p clockMs, and is polled.
+    void announceRestart(std::int64_t clockMs)
+    {
+        auto announcement = m_runs->announcement();
+        ++announcement.upstream.incarnation;
+        announcement.clockMs = clockMs;
+        m_runs->announced(m_now, announcement);
+        const auto inFlight = std::find_if(m_orders.rbegin(), m_orders.rend(),
+                                           [](const auto &it) { return it.kind == OrderKind::Poll; });
+        answer(inFlight->id);
+        m_runs->tick(m_now);
+    }
+
     static constexpr TimePoint start{1000s};
+    std::uint64_t m_lastFence = 0;
     TimePoint m_now = start;
     std::vector<RunOrder> m_orders;
     std::unique_ptr<UpstreamRuns> m_runs;
@@ -90,3 +106,38 @@
     EXPECT_EQ(finished[0].verdict, OrderVerdict::Limited);
     EXPECT_FALSE(m_runs->isReady());
 }
+
+// A restarted upstream rejects orders that were meant for its earlier incarnation; that is no takeover.
+TEST_F(UpstreamRunsTest, rejectedOrderToAnEarlierIncarnationIsNoTakeover)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    const auto start = m_orders.back();
+    announceRestart(50);
+    EXPECT_GT(m_orders.back().fence, start.fence);
+    OrderResult rejected;
+    rejected.verdict = OrderVerdict::StaleFence;
+    m_runs->orderEnded(m_now, start.id, rejected);
+    EXPECT_FALSE(m_runs->isTakenOver());
+}
+
+// The clock of an ended incarnation is far ahead of that of the present one, whose leases seemed to have
+// expired.
+TEST_F(UpstreamRunsTest, clockOfAnEarlierIncarnationExpiresNoLeaseOfThePresentOne)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    const auto startToEarlier = m_orders.back().id;
+    announceRestart(50);
+    OrderResult listing;
+    listing.verdict = OrderVerdict::Accepted;
+    listing.clockMs = 60;
+    listing.incarnation = 2;
+    m_runs->orderEnded(m_now, m_orders.back().id, listing);
+    m_runs->takeFinished();
+    m_runs->start(m_now, 3, "third", 1, {});
+    OrderResult ofEarlier;
+    ofEarlier.verdict = OrderVerdict::Accepted;
+    ofEarlier.clockMs = 500'000;
+    m_runs->orderEnded(m_now, startToEarlier, ofEarlier);
+    m_runs->tick(m_now);
+    EXPECT_TRUE(m_runs->takeFinished().empty());
+}
