--- a/bench/decisions/groupcost.cpp
+++ b/bench/decisions/groupcost.cpp
@@ -111,7 +111,7 @@
     TimePoint now{1000s};
     GroupDispatcherOptions options;
     options.group = "domain";
-    options.runs.fence = 1;
+    options.fence = 1;
     options.nameTask = [](const std::string &key, std::uint32_t task) {
         return key + "." + std::to_string(task);
     };
