UpstreamRuns: a run whose stop is unanswered ends with its lease

A caller retries after 1,300 ms elsewhere, while the first run goes on although its holder has been stopping it.

Cause: the lease is one for all runs of an upstream, and each poll and each start extends it. While the stop orders of a run get lost, orders for the other runs extend the lease of that run too, without limit.

Fix: the first stop order of a run, also of one of another holder, sets the time at which the run must have ended, one lease later. No order carries a lease beyond the earliest such time. It is dropped with the run, when the end is confirmed or the lease has expired. An upstream with such a run gets no starts once less than half of the lease is left, which takes a stop that is unanswered for 300 ms; one lost answer is repeated after 120 ms. Runs that expire with the stopped one are reported as lost by stopUnanswered, or as lapsed by the upstream, and start elsewhere as before.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -209,7 +209,7 @@
     /// Whether no job is in flight.
     bool isIdle() const;
     /// Number of upstreams on which runs may be started, see UpstreamRuns::isReady().
-    std::size_t readyUpstreams() const;
+    std::size_t readyUpstreams(TimePoint now) const;
     /// Number of all known upstreams.
     std::size_t upstreams() const;
 
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -55,6 +55,8 @@
     None,
     /// Its start order was not answered, and it was stopped.
     StartUnanswered,
+    /// The upstream answered other orders, but not the stop of a run until the lease had expired.
+    StopUnanswered,
     /// The upstream did not answer until the lease had expired; it may have crashed or be unreachable.
     UpstreamSilent,
     /// The upstream has restarted, or another one has its address.
@@ -68,6 +70,7 @@
 inline constexpr std::array runLossNames{
     EnumName<RunLoss>{RunLoss::None, "none"},
     EnumName<RunLoss>{RunLoss::StartUnanswered, "startUnanswered"},
+    EnumName<RunLoss>{RunLoss::StopUnanswered, "stopUnanswered"},
     EnumName<RunLoss>{RunLoss::UpstreamSilent, "upstreamSilent"},
     EnumName<RunLoss>{RunLoss::UpstreamRestarted, "upstreamRestarted"},
     EnumName<RunLoss>{RunLoss::UpstreamLeft, "upstreamLeft"},
@@ -123,9 +126,9 @@
     /// not longer than usual without it.
     void tick(TimePoint now, Duration lag = {});
 
-    /// Whether runs may be started: the upstream knows the fencing token, runs nothing of another holder, and
-    /// answered the last order.
-    bool isReady() const;
+    /// Whether runs may be started: the upstream knows the fencing token, runs nothing of another holder,
+    /// answered the last order, and has no stop that was unanswered for half of the lease.
+    bool isReady(TimePoint now) const;
     bool isIdle() const;
     /// Whether the upstream has seen the fencing token of a later holder.
     bool isTakenOver() const;
@@ -153,7 +156,17 @@
         Unconfirmed,
     };
 
-    struct Run
+    /// The stop orders of a run.
+    struct Stop
+    {
+        OrderId stopOrder = 0;
+        TimePoint stopRetryAt;
+        /// When the run must have ended, which bounds the lease in all orders: one lease after the first stop
+        /// order.
+        std::optional<TimePoint> endDeadline;
+    };
+
+    struct Run : Stop
     {
         std::uint64_t attempt = 0;
         std::uint32_t run = 0;
@@ -170,17 +183,13 @@
         /// Earlier incarnation that had ended when the start order was unanswered. It has crashed under the
         /// task unless the answer shows that it did not get the order.
         std::optional<std::uint64_t> incarnationInDoubt;
-        OrderId stopOrder = 0;
-        TimePoint stopRetryAt;
         /// First poll sent after the stop was acknowledged; if it lists no such run, the run has ended.
         std::uint64_t confirmingPoll = 0;
     };
 
     /// A run that another holder started.
-    struct ForeignRun
+    struct ForeignRun : Stop
     {
-        OrderId stopOrder = 0;
-        TimePoint stopRetryAt;
     };
 
     struct OpenOrder
@@ -194,12 +203,17 @@
 
     std::int64_t clockLowerBound(TimePoint now) const;
     void updateClock(TimePoint now, std::int64_t clockMs);
+    /// Returns the earliest time at which a run that is being stopped must have ended, if there is one.
+    std::optional<TimePoint> endDeadline() const;
+    /// Returns the lease for an order sent now, on the upstream's clock.
+    std::int64_t newLeaseMs(TimePoint now) const;
+    /// Whether the upstream has answered an order within the renewal timeout.
+    bool isAnswering(TimePoint now) const;
     void recordAnswer(TimePoint now, const OpenOrder &open, const OrderResult &result);
     RunOrder newOrder(OrderKind kind) const;
     OrderId send(RunOrder order, OpenOrder open);
     void sendPoll(TimePoint now);
-    void sendStop(TimePoint now, const std::string &task, std::uint32_t run, OrderId &order,
-                  TimePoint &retryAt);
+    void sendStop(TimePoint now, const std::string &task, std::uint32_t run, Stop &stop);
     void startEnded(TimePoint now, const OpenOrder &open, const OrderResult &result);
     void stopEnded(TimePoint now, const OpenOrder &open, OrderId id, const OrderResult &result);
     void pollEnded(TimePoint now, const OpenOrder &open, const OrderResult &result);
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -433,10 +433,11 @@
     return m_jobs.empty();
 }
 
-std::size_t GroupDispatcher::readyUpstreams() const
+std::size_t GroupDispatcher::readyUpstreams(TimePoint now) const
 {
-    return static_cast<std::size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(),
-                                                  [](const auto &it) { return it.second.runs->isReady(); }));
+    return static_cast<std::size_t>(
+        std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                      [=](const auto &it) { return it.second.runs->isReady(now); }));
 }
 
 std::size_t GroupDispatcher::upstreams() const
@@ -803,7 +804,7 @@
 
 bool GroupDispatcher::mustPause(TimePoint now, const Upstream &upstream) const
 {
-    if (!upstream.runs->isReady())
+    if (!upstream.runs->isReady(now))
         return true;
     if (now >= m_warmUpEnd)
         return false;
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -11,6 +11,9 @@
 
 constexpr int thousand = 1000;
 
+/// Runs are started only while more than one part in this many of the lease is left.
+constexpr int shortLeaseDivisor = 2;
+
 bool isBefore(const RunId &left, const RunId &right)
 {
     return std::tie(left.task, left.run) < std::tie(right.task, right.run);
@@ -69,7 +72,7 @@
     order.task = task;
     order.run = run;
     order.payload = payload;
-    order.leaseMs = clockLowerBound(now) + toMilliseconds(m_options.lease);
+    order.leaseMs = newLeaseMs(now);
     send(std::move(order), {OrderKind::Start, task, run, 0, now});
     if (!m_isPolling)
         sendPoll(now);
@@ -83,7 +86,7 @@
         it.isStopRequested = true;
         it.isStopNeeded = true;
         if (it.stopOrder == 0 && !it.isStopAcknowledged)
-            sendStop(now, task, it.run, it.stopOrder, it.stopRetryAt);
+            sendStop(now, task, it.run, it);
         return;
     }
 }
@@ -127,25 +130,27 @@
         m_isUnresponsive = true;
         if (!m_announcement.upstream.leaving)
             recordCrashes(m_announcement.upstream, false);
-        loseAll(RunLoss::UpstreamSilent);
+        loseAll(isAnswering(now) ? RunLoss::StopUnanswered : RunLoss::UpstreamSilent);
     }
     for (auto &[task, it] : m_runs) {
         const bool isDue = it.isStopNeeded && !it.isStopAcknowledged && it.stopOrder == 0;
         if (isDue && now >= it.stopRetryAt)
-            sendStop(now, task, it.run, it.stopOrder, it.stopRetryAt);
+            sendStop(now, task, it.run, it);
     }
     for (auto &[running, it] : m_foreignRuns) {
         if (it.stopOrder == 0 && now >= it.stopRetryAt)
-            sendStop(now, running.task, running.run, it.stopOrder, it.stopRetryAt);
+            sendStop(now, running.task, running.run, it);
     }
     if (!m_isPolling && hasWork() && now >= m_nextPollAt)
         sendPoll(now);
 }
 
-bool UpstreamRuns::isReady() const
+bool UpstreamRuns::isReady(TimePoint now) const
 {
+    const auto deadline = endDeadline();
+    const bool isLeaseShort = deadline && *deadline - now < m_options.lease / shortLeaseDivisor;
     return m_isFenceKnown && !m_isUnresponsive && !m_isTakenOver && !m_hasLeft && !m_isReplaced
-        && m_foreignRuns.empty();
+        && m_foreignRuns.empty() && !isLeaseShort;
 }
 
 bool UpstreamRuns::isIdle() const
@@ -205,6 +210,33 @@
     m_clockReadAt = now;
 }
 
+std::optional<TimePoint> UpstreamRuns::endDeadline() const
+{
+    std::optional<TimePoint> earliest;
+    const auto apply = [&](const Stop &stop) {
+        if (stop.endDeadline)
+            earliest = std::min(*stop.endDeadline, earliest.value_or(*stop.endDeadline));
+    };
+    for (const auto &[task, it] : m_runs)
+        apply(it);
+    for (const auto &[running, it] : m_foreignRuns)
+        apply(it);
+    return earliest;
+}
+
+std::int64_t UpstreamRuns::newLeaseMs(TimePoint now) const
+{
+    // The lease applies to all runs of the upstream, also to those that it must not extend.
+    const auto end = std::min(now + m_options.lease, endDeadline().value_or(TimePoint::max()));
+    return std::max<std::int64_t>(0, clockLowerBound(now) + toMilliseconds(end - now));
+}
+
+bool UpstreamRuns::isAnswering(TimePoint now) const
+{
+    return m_lastAnswerAt
+        && now - *m_lastAnswerAt <= m_options.renewalTimeout + std::min(m_lag, m_options.renewalTimeout);
+}
+
 void UpstreamRuns::recordAnswer(TimePoint now, const OpenOrder &open, const OrderResult &result)
 {
     if (result.verdict == OrderVerdict::NoAnswer || result.verdict == OrderVerdict::NotSent
@@ -244,11 +276,9 @@
 {
     auto order = newOrder(OrderKind::Poll);
     order.acknowledgedThrough = m_lastSeenEnd;
-    const bool isAnswering = m_lastAnswerAt
-        && now - *m_lastAnswerAt <= m_options.renewalTimeout + std::min(m_lag, m_options.renewalTimeout);
     // The lease of an unresponsive upstream must expire soon, so that its tasks can run elsewhere.
-    if (isAnswering && !m_runs.empty())
-        order.leaseMs = clockLowerBound(now) + toMilliseconds(m_options.lease);
+    if (isAnswering(now) && !m_runs.empty())
+        order.leaseMs = newLeaseMs(now);
     const bool isConfirming = std::any_of(m_runs.begin(), m_runs.end(),
                                           [](const auto &it) { return it.second.isStopAcknowledged; });
     if (m_isFenceKnown && !m_isUnresponsive && !isConfirming && !m_runs.empty())
@@ -258,14 +288,14 @@
     send(std::move(order), {OrderKind::Poll, {}, 0, m_nextPoll++, now});
 }
 
-void UpstreamRuns::sendStop(TimePoint now, const std::string &task, std::uint32_t run, OrderId &order,
-                            TimePoint &retryAt)
+void UpstreamRuns::sendStop(TimePoint now, const std::string &task, std::uint32_t run, Stop &stop)
 {
-    auto stop = newOrder(OrderKind::Stop);
-    stop.task = task;
-    stop.run = run;
-    retryAt = now + m_options.retryDelay;
-    order = send(std::move(stop), {OrderKind::Stop, task, run, 0, now});
+    auto order = newOrder(OrderKind::Stop);
+    order.task = task;
+    order.run = run;
+    stop.stopRetryAt = now + m_options.retryDelay;
+    stop.endDeadline = stop.endDeadline.value_or(now + m_options.lease);
+    stop.stopOrder = send(std::move(order), {OrderKind::Stop, task, run, 0, now});
 }
 
 void UpstreamRuns::startEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
@@ -297,7 +327,7 @@
         it->second.phase = Phase::Unconfirmed;
         it->second.isStopNeeded = true;
         if (it->second.stopOrder == 0 && !it->second.isStopAcknowledged)
-            sendStop(now, it->first, it->second.run, it->second.stopOrder, it->second.stopRetryAt);
+            sendStop(now, it->first, it->second.run, it->second);
         return;
     case OrderVerdict::NotSent:
     case OrderVerdict::Limited:
--- a/src/fleet/heldgroups.cpp
+++ b/src/fleet/heldgroups.cpp
@@ -307,7 +307,7 @@
         metrics.setGauge(Metric::GroupParallelTasks, {group}, load.parallelTasks);
         metrics.setGauge(Metric::GroupWaitingTime, {group},
                          std::chrono::duration<double>(load.waitingWork).count());
-        const auto ready = it->readyUpstreams();
+        const auto ready = it->readyUpstreams(now());
         metrics.setGauge(Metric::GroupUpstreams, {group, "ready"}, static_cast<double>(ready));
         metrics.setGauge(Metric::GroupUpstreams, {group, "heldBack"},
                          static_cast<double>(it->upstreams() - ready));
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -150,8 +150,9 @@
     EventDefinition{
         Event::RunLost, EventSeverity::Warning, "a run ended without a result",
         "task run upstream loss group",
-        "`loss` tells whether the upstream restarted, was silent until the lease had expired, left, or ended "
-        "the run itself. The same task on several upstreams: it may crash them. See docs/OPERATIONS.md.",
+        "`loss` tells whether the upstream restarted, was silent or answered no stop until the lease had "
+        "expired, left, or ended the run itself. The same task on several upstreams: it may crash them. See "
+        "docs/OPERATIONS.md.",
         requestRepeatLimitMultiplier},
     EventDefinition{
         Event::TaskCrash, EventSeverity::Warning, "an upstream was lost while it ran a task",
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -13,6 +13,8 @@
 constexpr Duration delay = std::chrono::milliseconds(1);
 /// Time from a start to the crash of its upstream; the answer to the start arrives before.
 constexpr Duration crashDelay = std::chrono::milliseconds(3);
+/// One lease on a clock that is 2 % slow, and the step of the harness.
+constexpr Duration longestStop = UpstreamRunsOptions{}.lease * 1000 / 980 + step;
 constexpr unsigned thousand = 1000;
 constexpr int minimumLateMs = 2000;
 constexpr int maximumLateMs = 12000;
@@ -188,7 +190,10 @@
     const auto draw = m_random() % thousand;
     const auto timeout = m_now + order.timeout;
     Event event{Event::Kind::Execute, m_fence, order, {}, true};
-    if (m_unreachable[order.upstream]) {
+    if (order.kind == OrderKind::Stop)
+        m_stopDeadlines.try_emplace({order.upstream, order.task, order.run}, m_now + longestStop);
+    const bool isLostStop = order.kind == OrderKind::Stop && draw < faults.lostStops;
+    if (m_unreachable[order.upstream] || isLostStop) {
         event.kind = Event::Kind::Answer;
         m_events.emplace(timeout, event);
         return;
@@ -283,6 +288,11 @@
         for (const auto &[task, run] : it->running()) {
             if (++runs[task] == 2)
                 ++concurrentRuns;
+            const auto stop = m_stopDeadlines.find({name, task, run});
+            if (stop != m_stopDeadlines.end() && stop->second < m_now) {
+                ++overdueRuns;
+                m_stopDeadlines.erase(stop);
+            }
         }
     }
 }
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Citronpitch {
@@ -20,6 +21,8 @@
     unsigned lostAnswers = 0;
     /// The order gets no answer and is executed 2 to 12 s later.
     unsigned lateOrders = 0;
+    /// Of the stop orders only: the order is not executed and gets no answer.
+    unsigned lostStops = 0;
 };
 
 /**
@@ -77,6 +80,8 @@
     std::map<std::string, unsigned> starts;
     /// Tasks that ran on two upstreams at the same time.
     unsigned concurrentRuns = 0;
+    /// Runs that continued for longer than one lease after their first stop order.
+    unsigned overdueRuns = 0;
     GroupFaults faults;
 
     /// Whether the start of @p task crashes its upstream; none does if it is not set.
@@ -131,6 +136,8 @@
     std::map<std::string, TimePoint> m_backAt;
     /// Names whose address another upstream has now.
     std::set<std::string> m_replaced;
+    /// Upstream and task of each run with a stop order, and when the run must have ended.
+    std::map<std::tuple<std::string, std::string, std::uint32_t>, TimePoint> m_stopDeadlines;
     std::multimap<TimePoint, Event> m_events;
     std::uint64_t m_sequence = 0;
 };
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -148,6 +148,31 @@
     EXPECT_TRUE(upstream.running().empty());
 }
 
+/// Guards against a cancelled run that continues as polls for another run extend its lease while its stops
+/// are lost, and against the loss of that other run's job.
+TEST(GroupDispatcherTest, runWhoseStopsAreLostEndsWithItsLease)
+{
+    GroupHarness group;
+    auto options = SimulatedUpstreamOptions{"u0"};
+    options.taskTime = std::chrono::seconds(20);
+    options.clockRate = 980;
+    auto &upstream = group.add(options);
+    group.advance(settlingTime);
+    group.submit("abandoned", 1, 1, std::chrono::seconds(30));
+    group.submit("other", 2, 1, std::chrono::seconds(30));
+    group.advance(std::chrono::milliseconds(50));
+    ASSERT_EQ(upstream.running().size(), 2U);
+    group.add({"u1"});
+    group.faults.lostStops = 1000;
+    group.dispatcher().cancel(group.now(), {"entry", 1, 1});
+    group.advance(std::chrono::milliseconds(615));
+    EXPECT_FALSE(upstream.running().contains("abandoned.0"));
+    group.advance(settlingTime);
+    ASSERT_TRUE(group.answers.contains(2));
+    EXPECT_EQ(group.answers.at(2).outcome, Outcome::Complete);
+    EXPECT_EQ(group.concurrentRuns, 0U);
+}
+
 TEST(GroupDispatcherTest, leavingUpstreamGetsNoStarts)
 {
     GroupHarness group;
@@ -346,10 +371,40 @@
     EXPECT_TRUE(group.dispatcher().isIdle());
 }
 
+/// Guards against runs that continue for longer than callers wait after their job was cancelled or their
+/// start was unanswered.
+TEST_P(GroupDispatcherFaultsTest, stoppedRunsEndWithinOneLease)
+{
+    GroupHarness group(GetParam());
+    std::mt19937_64 random(GetParam() * 53);
+    for (int i = 0; i < 4; ++i) {
+        SimulatedUpstreamOptions options{"u" + std::to_string(i)};
+        options.taskTime = std::chrono::milliseconds(200 + 600 * i);
+        options.clockRate = i % 2 == 0 ? 1000 : 980;
+        group.add(options);
+    }
+    group.advance(settlingTime);
+    group.faults = {60, 60, 700};
+    for (std::uint64_t number = 1; number <= 300; ++number) {
+        group.submit("job" + std::to_string(number), number, 1 + random() % 4, std::chrono::seconds(2));
+        group.advance(std::chrono::milliseconds(10 + random() % 60));
+        group.dispatcher().cancel(group.now(), {"entry", 1, 1 + random() % number});
+        if (number % 50 == 0)
+            for (int i = 0; i < 4; ++i)
+                group.announce("u" + std::to_string(i));
+    }
+    EXPECT_EQ(group.overdueRuns, 0U);
+    EXPECT_EQ(group.concurrentRuns, 0U);
+    group.faults = {};
+    group.advance(std::chrono::seconds(3));
+    EXPECT_EQ(group.answers.size(), 300U);
+    EXPECT_TRUE(group.dispatcher().isIdle());
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, GroupDispatcherFaultsTest, testing::Range<std::uint64_t>(1, 13));
 
-/// Long tasks, so that runs are in progress while an upstream restarts behind a partition, executes late orders
-/// that were meant for its earlier incarnation, and is partitioned again.
+/// Long tasks, so that runs are in progress while an upstream restarts behind a partition, executes late
+/// orders that were meant for its earlier incarnation, and is partitioned again.
 class GroupDispatcherRestartsTest : public testing::TestWithParam<std::uint64_t>
 {
 protected:
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+#include <utility>
 #include <vector>
 
 using namespace Citronpitch;
@@ -27,6 +29,7 @@
                                                 });
         answer(m_orders.back().id);
         m_runs->start(m_now, 1, "task", 1, {});
+        m_running = {{"task", 1}};
         answer(m_orders[1].id);
     }
 
@@ -34,16 +37,40 @@
     {
         OrderResult result;
         result.verdict = OrderVerdict::Accepted;
-        result.clockMs = 1000 + std::chrono::duration_cast<std::chrono::milliseconds>(m_now - start).count();
+        result.clockMs = clockMs();
         if (ended.empty())
-            result.running = {{"task", 1}};
+            result.running = m_running;
         result.ended = std::move(ended);
         m_runs->orderEnded(m_now, order, result);
     }
 
+    std::int64_t clockMs() const
+    {
+        return 1000 + std::chrono::duration_cast<std::chrono::milliseconds>(m_now - start).count();
+    }
+
+    /// Answers the orders sent since the last call, except that the first @p lostStops stops time out.
+    void answerOrders(unsigned lostStops)
+    {
+        for (const auto n = m_orders.size(); m_seen < n; ++m_seen) {
+            const auto order = m_orders[m_seen];
+            if (order.kind == OrderKind::Stop && ++m_stops <= lostStops)
+                m_stopTimeouts.emplace_back(m_now + order.timeout, order.id);
+            else
+                answer(order.id);
+        }
+        for (; !m_stopTimeouts.empty() && m_stopTimeouts.front().first <= m_now; m_stopTimeouts.pop_front())
+            m_runs->orderEnded(m_now, m_stopTimeouts.front().second, {});
+    }
+
     static constexpr TimePoint start{1000s};
+    static constexpr unsigned allStops = 1'000'000;
     TimePoint m_now = start;
     std::vector<RunOrder> m_orders;
+    std::size_t m_seen = 0;
+    unsigned m_stops = 0;
+    std::deque<std::pair<TimePoint, OrderId>> m_stopTimeouts;
+    std::vector<RunId> m_running;
     std::unique_ptr<UpstreamRuns> m_runs;
 };
 
@@ -88,5 +115,60 @@
     ASSERT_EQ(finished.size(), 1U);
     EXPECT_EQ(finished[0].outcome, RunOutcome::NotSent);
     EXPECT_EQ(finished[0].verdict, OrderVerdict::Limited);
-    EXPECT_FALSE(m_runs->isReady());
+    EXPECT_FALSE(m_runs->isReady(m_now));
+}
+
+// Orders for other runs extended the lease of a run whose stop orders were lost.
+TEST_F(UpstreamRunsTest, noOrderExtendsTheLeaseOfARunWhoseStopIsUnanswered)
+{
+    const auto leaseEnd = clockMs() + 600;
+    m_runs->stop(m_now, 1);
+    std::vector<FinishedRun> finished;
+    for (std::uint64_t attempt = 2; finished.empty() && m_now < start + 5s; ++attempt) {
+        if (m_runs->isReady(m_now))
+            m_runs->start(m_now, attempt, "other" + std::to_string(attempt), 1, {});
+        answerOrders(allStops);
+        for (const auto &it : m_orders)
+            ASSERT_LE(it.leaseMs, leaseEnd) << clockMs();
+        m_now += 10ms;
+        m_runs->tick(m_now);
+        finished = m_runs->takeFinished();
+    }
+    EXPECT_GT(clockMs(), leaseEnd);
+    EXPECT_LE(m_now, start + 650ms);
+    ASSERT_GT(finished.size(), 2U);
+    for (const auto &it : finished)
+        EXPECT_EQ(it.loss, RunLoss::StopUnanswered) << it.task;
+}
+
+// Runs of an earlier holder were extended by the runs that had been started before they were listed.
+TEST_F(UpstreamRunsTest, noOrderExtendsTheLeaseOfAForeignRunWhoseStopIsUnanswered)
+{
+    const auto leaseEnd = clockMs() + 610;
+    m_running.push_back({"foreign", 1});
+    while (m_now < start + 1s) {
+        answerOrders(allStops);
+        m_now += 10ms;
+        m_runs->tick(m_now);
+        ASSERT_LE(m_orders.back().leaseMs, leaseEnd) << clockMs();
+    }
+}
+
+// A bounded lease must cost the other runs nothing when a stop is repeated after a lost answer.
+TEST_F(UpstreamRunsTest, oneLostStopAnswerNeitherDelaysStartsNorEndsOtherRuns)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    m_runs->stop(m_now, 1);
+    while (m_now < start + 2s) {
+        if (m_stops == 1)
+            m_running = {{"other", 1}};
+        answerOrders(1);
+        m_now += 10ms;
+        m_runs->tick(m_now);
+        ASSERT_TRUE(m_runs->isReady(m_now)) << clockMs();
+    }
+    const auto finished = m_runs->takeFinished();
+    ASSERT_EQ(finished.size(), 1U);
+    EXPECT_EQ(finished[0].outcome, RunOutcome::Stopped);
+    EXPECT_GT(m_orders.back().leaseMs, clockMs() + 550);
 }
