GroupDispatcher: all parts that wait for a job in flight are answered

Seen by callers: a job whose parts wait for an earlier submission with the same key gets its answer late.

Cause: a job in flight has one successor. A second one, as of another part of the caller's job, replaces it without an answer.

Evidence: allPartsThatWaitForAJobInFlightAreAnswered failed before: part 2 had no answer (groupdispatchertest.cpp: group.answers.contains(number), actual false, number 2).

Fix: successors are a list; only the same part replaces an earlier submission, as for a job in flight. They are submitted in their order once the job is removed, so the second one waits for the first where they can't run together.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -239,8 +239,8 @@
         bool runsSuspectsSingly = false;
         /// Answered or cancelled; the job is kept until its runs have ended.
         bool isEnded = false;
-        /// A job with the same key that is added once this one is removed.
-        std::unique_ptr<RoutedJob> successor;
+        /// Jobs with the same key that are submitted once this one is removed: repeats of it, or other parts.
+        std::vector<RoutedJob> successors;
     };
 
     struct Attempt
@@ -281,8 +281,11 @@
     void retainAnswer(TimePoint now, const JobOrigin &origin, const Answer &answer);
     /// Whether a job is reserved or in flight, or waits for the end of one with the same key.
     bool isKnown(const JobOrigin &origin) const;
+    static bool isSamePart(const RoutedJob &left, const RoutedJob &right);
     void reserve(TimePoint now, const RoutedJob &routed);
     void submitJob(TimePoint now, const RoutedJob &job, bool isAdmitted);
+    /// Adds a job, or keeps it as a successor of the one with the same key.
+    void enqueue(TimePoint now, const RoutedJob &job, bool isAdmitted);
     void addJob(TimePoint now, const RoutedJob &routed, bool isAdmitted);
     /// Why a job is refused, or nothing if it is accepted.
     std::optional<Refusal> refusalOf(TimePoint now, const RoutedJob &routed);
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -197,19 +197,28 @@
 }
 
 void GroupDispatcher::submitJob(TimePoint now, const RoutedJob &job, bool isAdmitted)
+{
+    const bool isNew = !m_byKey.contains(job.submission.key);
+    enqueue(now, job, isAdmitted);
+    if (isNew)
+        reschedule(now);
+}
+
+void GroupDispatcher::enqueue(TimePoint now, const RoutedJob &job, bool isAdmitted)
 {
     const auto byKey = m_byKey.find(job.submission.key);
     if (byKey == m_byKey.end()) {
         addJob(now, job, isAdmitted);
-        reschedule(now);
         return;
     }
     auto &known = m_jobs.at(byKey->second);
-    // Another entry VM may have divided the job into other parts, whose answer says nothing about this one.
-    const bool isSamePart = known.routed.firstTask == job.firstTask
-        && known.routed.submission.tasks.size() == job.submission.tasks.size();
-    if (known.isEnded || !isSamePart) {
-        known.successor = std::make_unique<RoutedJob>(job);
+    if (known.isEnded || !isSamePart(known.routed, job)) {
+        const auto it = std::find_if(known.successors.begin(), known.successors.end(),
+                                     [&](const auto &other) { return isSamePart(other, job); });
+        if (it != known.successors.end())
+            *it = job;
+        else
+            known.successors.push_back(job);
         return;
     }
     if (known.routed.origin == job.origin)
@@ -219,11 +228,19 @@
     m_byOrigin[job.origin] = byKey->second;
 }
 
+bool GroupDispatcher::isSamePart(const RoutedJob &left, const RoutedJob &right)
+{
+    // Another entry VM may have divided the job into other parts, whose answer says nothing about this one.
+    return left.firstTask == right.firstTask && left.submission.tasks.size() == right.submission.tasks.size();
+}
+
 bool GroupDispatcher::isKnown(const JobOrigin &origin) const
 {
     return m_reservations.contains(origin) || m_byOrigin.contains(origin)
         || std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto &it) {
-               return it.second.successor && it.second.successor->origin == origin;
+               const auto &successors = it.second.successors;
+               return std::any_of(successors.begin(), successors.end(),
+                                  [&](const auto &job) { return job.origin == origin; });
            });
 }
 
@@ -244,10 +261,8 @@
         reschedule(now);
         return;
     }
-    for (auto &[id, job] : m_jobs) {
-        if (job.successor && job.successor->origin == origin)
-            job.successor.reset();
-    }
+    for (auto &[id, job] : m_jobs)
+        std::erase_if(job.successors, [&](const auto &it) { return it.origin == origin; });
 }
 
 void GroupDispatcher::cancelAbandoned(TimePoint now, const std::string &vm, std::uint64_t incarnation,
@@ -738,11 +753,11 @@
     const auto it = m_jobs.find(id);
     if (!it->second.isEnded || it->second.openAttempts > 0)
         return;
-    const auto successor = std::move(it->second.successor);
+    const auto successors = std::move(it->second.successors);
     m_byKey.erase(it->second.routed.submission.key);
     m_jobs.erase(it);
-    if (successor)
-        addJob(now, *successor, false);
+    for (const auto &job : successors)
+        enqueue(now, job, false);
 }
 
 void GroupDispatcher::offer(TimePoint now, const Upstream &upstream, bool isLeaving)
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -548,6 +548,44 @@
     EXPECT_EQ(group.starts["k.2"], 1U);
 }
 
+namespace {
+
+/// A part of job "k" that begins at @p firstTask and has one task.
+RoutedJob partOf(const GroupHarness &group, std::uint64_t number, std::uint32_t firstTask)
+{
+    RoutedJob part;
+    part.origin = {"entry", 1, number};
+    part.pool = "pool";
+    part.firstTask = firstTask;
+    part.submission.key = "k";
+    part.submission.className = "work";
+    part.submission.deadline = group.now() + std::chrono::seconds(5);
+    part.submission.tasks.resize(1);
+    return part;
+}
+
+} // namespace
+
+/// Guards against a part that is never answered, as the next part that waits for the same job replaced it.
+TEST(GroupDispatcherTest, allPartsThatWaitForAJobInFlightAreAnswered)
+{
+    GroupHarness group;
+    addUpstreams(group, 2);
+    group.advance(settlingTime);
+    group.submit("k", 1, 2);
+    for (std::uint32_t number = 2; number <= 4; ++number)
+        group.dispatcher().submit(group.now(), partOf(group, number, number));
+    group.dispatcher().cancel(group.now(), {"entry", 1, 4});
+    group.advance(settlingTime);
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        ASSERT_TRUE(group.answers.contains(number)) << number;
+        EXPECT_EQ(group.answers.at(number).outcome, Outcome::Complete) << number;
+    }
+    EXPECT_EQ(group.starts["k.2"] + group.starts["k.3"], 2U);
+    EXPECT_EQ(group.starts["k.4"], 0U);
+    EXPECT_TRUE(group.dispatcher().isIdle());
+}
+
 /// The answer to a job may be lost while its group moves to another VM and back. The new dispatcher does not
 /// know the job and must not run it again.
 TEST(GroupDispatcherTest, resentJobOfAnEarlierFenceDoesNotRunAgain)
