GroupDispatcher: waiting jobs of an entry VM that is gone don't start

Seen by callers: a task is started for which nobody waits, and may run beside the run of the caller's retry at another entry VM and group.

Cause: a job that waits for the end of one with the same key is dropped by cancel() alone. entryVmUnreachable() and cancelAbandoned() drop reservations and jobs in flight, but not those that wait.

Evidence: jobsOfAnEntryVmThatIsGoneDoNotStartAfterTheOneTheyWaitFor failed before for an unreachable VM, a number below the lowest open one, and another incarnation: 2 starts instead of 1 each time.

Fix: cancelAbandoned() applies one rule to reservations, waiting jobs and jobs in flight, and removes the waiting jobs before it ends those in flight, whose end would start them.

--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -268,13 +268,15 @@
 void GroupDispatcher::cancelAbandoned(TimePoint now, const std::string &vm, std::uint64_t incarnation,
                                       std::uint64_t lowestOpen)
 {
-    std::erase_if(m_reservations, [&](const auto &it) {
-        const auto &origin = it.first;
+    const auto isAbandoned = [&](const JobOrigin &origin) {
         return origin.vm == vm && (origin.incarnation != incarnation || origin.number < lowestOpen);
-    });
+    };
+    std::erase_if(m_reservations, [&](const auto &it) { return isAbandoned(it.first); });
+    for (auto &[id, job] : m_jobs)
+        std::erase_if(job.successors, [&](const auto &it) { return isAbandoned(it.origin); });
     std::vector<JobId> abandoned;
     for (auto it = m_byOrigin.lower_bound({vm, 0, 0}); it != m_byOrigin.end() && it->first.vm == vm; ++it) {
-        if (it->first.incarnation != incarnation || it->first.number < lowestOpen)
+        if (isAbandoned(it->first))
             abandoned.push_back(it->second);
     }
     for (const auto id : abandoned) {
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -586,6 +586,30 @@
     EXPECT_TRUE(group.dispatcher().isIdle());
 }
 
+/// Guards against starts for which nobody waits: of jobs that waited for a run in progress when their entry
+/// VM became unreachable, restarted, or gave them up.
+TEST(GroupDispatcherTest, jobsOfAnEntryVmThatIsGoneDoNotStartAfterTheOneTheyWaitFor)
+{
+    for (const std::uint64_t incarnation : {0, 1, 2}) {
+        GroupHarness group;
+        addUpstreams(group, 1);
+        group.advance(settlingTime);
+        group.submit("k", 1, 1);
+        group.advance(std::chrono::milliseconds(20));
+        auto waiting = partOf(group, 7, 0);
+        waiting.origin.vm = "other";
+        // The run ends later, as its stop is not answered.
+        group.setUnreachable("u0", true);
+        group.dispatcher().cancel(group.now(), {"entry", 1, 1});
+        group.dispatcher().submit(group.now(), waiting);
+        group.dispatcher().cancelAbandoned(group.now(), "other", incarnation, incarnation == 1 ? 8 : 0);
+        group.setUnreachable("u0", false);
+        group.advance(settlingTime);
+        EXPECT_EQ(group.starts["k.0"], 1U) << incarnation;
+        EXPECT_TRUE(group.dispatcher().isIdle());
+    }
+}
+
 /// The answer to a job may be lost while its group moves to another VM and back. The new dispatcher does not
 /// know the job and must not run it again.
 TEST(GroupDispatcherTest, resentJobOfAnEarlierFenceDoesNotRunAgain)
