--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -9,6 +9,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Citronpitch {
@@ -20,6 +21,8 @@
     unsigned lostAnswers = 0;
     /// The order gets no answer and is executed 2 to 12 s later.
     unsigned lateOrders = 0;
+    /// Of the stop orders only: the order is not executed and gets no answer.
+    unsigned lostStops = 0;
 };
 
 /**
@@ -77,6 +80,11 @@
     std::map<std::string, unsigned> starts;
     /// Tasks that ran on two upstreams at the same time.
     unsigned concurrentRuns = 0;
+    /// Those with a run that was started late, by an incarnation that no order of the dispatcher had reached
+    /// in time; not in concurrentRuns.
+    unsigned strayRuns = 0;
+    /// Runs that continued for longer than one lease after their first stop order.
+    unsigned overdueRuns = 0;
     GroupFaults faults;
 
     /// Whether the start of @p task crashes its upstream; none does if it is not set.
@@ -102,6 +110,7 @@
         RunOrder order;
         OrderResult result;
         bool isAnswered = true;
+        bool isLate = false;
     };
 
     FleetAnnouncement announcementOf(const std::string &name, Duration lease);
@@ -131,6 +140,12 @@
     std::map<std::string, TimePoint> m_backAt;
     /// Names whose address another upstream has now.
     std::set<std::string> m_replaced;
+    /// Upstream and task of each run with a stop order, and when the run must have ended.
+    std::map<std::tuple<std::string, std::string, std::uint32_t>, TimePoint> m_stopDeadlines;
+    /// Incarnations that have executed an order in time, by upstream.
+    std::map<std::string, std::uint64_t> m_reachedIncarnations;
+    /// Runs of strayRuns, by upstream and task.
+    std::set<std::pair<std::string, std::string>> m_strayRuns;
     std::multimap<TimePoint, Event> m_events;
     std::uint64_t m_sequence = 0;
 };
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -148,6 +148,31 @@
     EXPECT_TRUE(upstream.running().empty());
 }
 
+/// Guards against a cancelled run that continues as polls for another run extend its lease while its stops
+/// are lost, and against the loss of that other run's job.
+TEST(GroupDispatcherTest, runWhoseStopsAreLostEndsWithItsLease)
+{
+    GroupHarness group;
+    auto options = SimulatedUpstreamOptions{"u0"};
+    options.taskTime = std::chrono::seconds(20);
+    options.clockRate = 980;
+    auto &upstream = group.add(options);
+    group.advance(settlingTime);
+    group.submit("abandoned", 1, 1, std::chrono::seconds(30));
+    group.submit("other", 2, 1, std::chrono::seconds(30));
+    group.advance(std::chrono::milliseconds(50));
+    ASSERT_EQ(upstream.running().size(), 2U);
+    group.add({"u1"});
+    group.faults.lostStops = 1000;
+    group.dispatcher().cancel(group.now(), {"entry", 1, 1});
+    group.advance(std::chrono::milliseconds(615));
+    EXPECT_FALSE(upstream.running().contains("abandoned.0"));
+    group.advance(settlingTime);
+    ASSERT_TRUE(group.answers.contains(2));
+    EXPECT_EQ(group.answers.at(2).outcome, Outcome::Complete);
+    EXPECT_EQ(group.concurrentRuns, 0U);
+}
+
 TEST(GroupDispatcherTest, leavingUpstreamGetsNoStarts)
 {
     GroupHarness group;
@@ -346,6 +371,36 @@
     EXPECT_TRUE(group.dispatcher().isIdle());
 }
 
+/// Guards against runs that continue for longer than callers wait after their job was cancelled or their
+/// start was unanswered.
+TEST_P(GroupDispatcherFaultsTest, stoppedRunsEndWithinOneLease)
+{
+    GroupHarness group(GetParam());
+    std::mt19937_64 random(GetParam() * 53);
+    for (int i = 0; i < 4; ++i) {
+        SimulatedUpstreamOptions options{"u" + std::to_string(i)};
+        options.taskTime = std::chrono::milliseconds(200 + 600 * i);
+        options.clockRate = i % 2 == 0 ? 1000 : 980;
+        group.add(options);
+    }
+    group.advance(settlingTime);
+    group.faults = {60, 60, 700};
+    for (std::uint64_t number = 1; number <= 300; ++number) {
+        group.submit("job" + std::to_string(number), number, 1 + random() % 4, std::chrono::seconds(2));
+        group.advance(std::chrono::milliseconds(10 + random() % 60));
+        group.dispatcher().cancel(group.now(), {"entry", 1, 1 + random() % number});
+        if (number % 50 == 0)
+            for (int i = 0; i < 4; ++i)
+                group.announce("u" + std::to_string(i));
+    }
+    EXPECT_EQ(group.overdueRuns, 0U);
+    EXPECT_EQ(group.concurrentRuns, 0U);
+    group.faults = {};
+    group.advance(std::chrono::seconds(3));
+    EXPECT_EQ(group.answers.size(), 300U);
+    EXPECT_TRUE(group.dispatcher().isIdle());
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, GroupDispatcherFaultsTest, testing::Range<std::uint64_t>(1, 13));
 
 /// Long tasks, so that runs are in progress while an upstream restarts behind a partition, executes late
@@ -493,6 +548,68 @@
     EXPECT_EQ(group.starts["k.2"], 1U);
 }
 
+namespace {
+
+/// A part of job "k" that begins at @p firstTask and has one task.
+RoutedJob partOf(const GroupHarness &group, std::uint64_t number, std::uint32_t firstTask)
+{
+    RoutedJob part;
+    part.origin = {"entry", 1, number};
+    part.pool = "pool";
+    part.firstTask = firstTask;
+    part.submission.key = "k";
+    part.submission.className = "work";
+    part.submission.deadline = group.now() + std::chrono::seconds(5);
+    part.submission.tasks.resize(1);
+    return part;
+}
+
+} // namespace
+
+/// Guards against a part that is never answered, as the next part that waits for the same job replaced it.
+TEST(GroupDispatcherTest, allPartsThatWaitForAJobInFlightAreAnswered)
+{
+    GroupHarness group;
+    addUpstreams(group, 2);
+    group.advance(settlingTime);
+    group.submit("k", 1, 2);
+    for (std::uint32_t number = 2; number <= 4; ++number)
+        group.dispatcher().submit(group.now(), partOf(group, number, number));
+    group.dispatcher().cancel(group.now(), {"entry", 1, 4});
+    group.advance(settlingTime);
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        ASSERT_TRUE(group.answers.contains(number)) << number;
+        EXPECT_EQ(group.answers.at(number).outcome, Outcome::Complete) << number;
+    }
+    EXPECT_EQ(group.starts["k.2"] + group.starts["k.3"], 2U);
+    EXPECT_EQ(group.starts["k.4"], 0U);
+    EXPECT_TRUE(group.dispatcher().isIdle());
+}
+
+/// Guards against starts for which nobody waits: of jobs that waited for a run in progress when their entry
+/// VM became unreachable, restarted, or gave them up.
+TEST(GroupDispatcherTest, jobsOfAnEntryVmThatIsGoneDoNotStartAfterTheOneTheyWaitFor)
+{
+    for (const std::uint64_t incarnation : {0, 1, 2}) {
+        GroupHarness group;
+        addUpstreams(group, 1);
+        group.advance(settlingTime);
+        group.submit("k", 1, 1);
+        group.advance(std::chrono::milliseconds(20));
+        auto waiting = partOf(group, 7, 0);
+        waiting.origin.vm = "other";
+        // The run ends later, as its stop is not answered.
+        group.setUnreachable("u0", true);
+        group.dispatcher().cancel(group.now(), {"entry", 1, 1});
+        group.dispatcher().submit(group.now(), waiting);
+        group.dispatcher().cancelAbandoned(group.now(), "other", incarnation, incarnation == 1 ? 8 : 0);
+        group.setUnreachable("u0", false);
+        group.advance(settlingTime);
+        EXPECT_EQ(group.starts["k.0"], 1U) << incarnation;
+        EXPECT_TRUE(group.dispatcher().isIdle());
+    }
+}
+
 /// The answer to a job may be lost while its group moves to another VM and back. The new dispatcher does not
 /// know the job and must not run it again.
 TEST(GroupDispatcherTest, resentJobOfAnEarlierFenceDoesNotRunAgain)
@@ -745,3 +862,25 @@
     ASSERT_TRUE(group.answers.contains(waiting));
     EXPECT_EQ(group.answers.at(waiting).outcome, Outcome::Refused);
 }
+
+/// A start order is executed late by an incarnation that has no order of the holder yet, while the task runs
+/// elsewhere.
+TEST(GroupDispatcherTest, lateStartRunsNothingOnAnIncarnationThatWasNotReached)
+{
+    GroupHarness group;
+    group.add(slowUpstream("u0", std::chrono::seconds(20)));
+    group.advance(settlingTime);
+    group.faults.lateOrders = 1000;
+    group.submit("a", 1, 1, std::chrono::seconds(30));
+    group.faults = {};
+    group.add(slowUpstream("u1", std::chrono::seconds(20)));
+    group.leave("u0");
+    group.advance(settlingTime);
+    ASSERT_EQ(group.upstream("u1").running().size(), 1U);
+    for (int i = 0; i < 120; ++i) {
+        group.upstream("u0").restart(group.now());
+        group.advance(std::chrono::milliseconds(100));
+    }
+    EXPECT_EQ(group.concurrentRuns, 0U);
+    EXPECT_EQ(group.strayRuns, 0U);
+}
