JobRouter: cancels are resent after their holder was unreachable

Seen by callers: the run of a job that was given up goes on, and the caller's retry may run beside it.

Cause: the router forgets its unanswered cancels for a holder that it finds unreachable. Both sides judge this by their own last messages, so the holder may keep the VM by a few milliseconds, and cancels the job only when no older job of the VM is open.

Evidence: cancelIsResentAfterTheHolderWasUnreachable failed before: 0 cancels instead of 1.

Fix: cancels are kept until they are answered or the deadlines of their jobs pass, as those of the jobs that are lost with the holder were already.

--- a/src/core/runs/jobrouter.cpp
+++ b/src/core/runs/jobrouter.cpp
@@ -120,7 +120,6 @@
         else
             undelivered.push_back(number);
     }
-    std::erase_if(m_cancelled, [&](const auto &it) { return it.second.vm == vm; });
     for (const auto it : lost)
         answer(it, holderUnreachableAnswer(vm));
     for (const auto number : undelivered) {
--- a/tests/unit/jobroutertest.cpp
+++ b/tests/unit/jobroutertest.cpp
@@ -253,6 +253,22 @@
     EXPECT_TRUE(router.takeActions().empty());
 }
 
+/// Guards against a job that runs on after its cancel was lost: the holder may be silent here for longer than
+/// this VM is there, so that it cancels nothing itself.
+TEST(JobRouterTest, cancelIsResentAfterTheHolderWasUnreachable)
+{
+    auto router = routerWith(8, 8);
+    router.submit(start, 1, jobOf("k", 2));
+    router.callerDisconnected(1);
+    router.holderUnreachable(start, "vm-a");
+    router.holderAlive("vm-a", 1, false);
+    router.takeActions();
+    router.tick(start + std::chrono::milliseconds(200));
+    EXPECT_EQ(actionsOf<SendCancel>(router.takeActions()).size(), 1U);
+    router.tick(start + timeout);
+    EXPECT_FALSE(router.hasPartsOn("vm-a"));
+}
+
 /// A caller may retry a job that is still in flight. The job must not be sent again, and both callers get the
 /// answer.
 TEST(JobRouterTest, resubmittedJobJoinsTheOneInFlight)
