UpstreamRuns: a departing upstream's tasks are stopped, not taken for ended

Callers saw a task run twice at the same time when an upstream left: its holder took an announced departure for the end of all its runs and started them elsewhere at once. By the protocol the upstream ends only after the acknowledgement of its leave, or some seconds later without one, and the acknowledgement waits for all control VMs and the holder, for up to 700 ms.

Now the departure stops the runs and ends the renewals of their lease. A run has ended once its stop is confirmed, its end is listed, its lease has expired, or another upstream answers at the address. The foreign runs of an earlier holder are stopped as well. An end as 'done' that is listed in the meantime counts.

Tasks are started elsewhere within 10 ms if the stop is answered, within 700 ms otherwise.

The announcement alone now tells UpstreamRuns of the departure, so that one of an earlier incarnation no longer ends the runs of the present one.

--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -59,7 +59,7 @@
     UpstreamSilent,
     /// The upstream has restarted, or another one has its address.
     UpstreamRestarted,
-    /// The upstream has left.
+    /// The upstream has left, or its run was stopped because it leaves.
     UpstreamLeft,
     /// The upstream reported that the lease expired, or that it ended the run.
     EndedByUpstream,
@@ -103,12 +103,9 @@
     UpstreamRuns(TimePoint now, const UpstreamRunsOptions &options, const FleetAnnouncement &announcement,
                  SendOrder send);
 
-    /// Handles a newer announcement of the same upstream.
+    /// Handles a newer announcement of the same upstream, also that it leaves: its runs are stopped then.
     void announced(TimePoint now, const FleetAnnouncement &announcement);
 
-    /// The upstream has left, so all its runs have ended.
-    void upstreamLeft();
-
     /// Orders run @p run of @p task; takeFinished() reports its end as @p attempt. Requires isReady().
     void start(TimePoint now, std::uint64_t attempt, const std::string &task, std::uint32_t run,
                const std::string &payload);
@@ -215,6 +212,8 @@
     /// or only been silent.
     void recordCrashes(const UpstreamAnnouncement &announcement, bool hasEnded);
     void recordCrash(const std::string &task, std::uint64_t incarnation, CrashState state);
+    /// The upstream leaves. It may continue its runs until it gets the acknowledgement of its departure.
+    void upstreamLeft(TimePoint now);
     /// Another upstream has the address of this one, which has ended.
     void upstreamReplaced();
     bool hasWork() const;
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -133,8 +133,6 @@
     // An announcement that another VM relays may carry an earlier arrival than the one before it. The pool's
     // Dispatcher keeps the later deadline and may start tasks until then.
     it.leaseDeadline = std::max(it.leaseDeadline, announcement.upstream.leaseDeadline);
-    if (announcement.hasLeft)
-        it.runs->upstreamLeft();
     offer(now, it, announcement.upstream.leaving || announcement.hasLeft);
     it.isPaused = mustPause(now, it);
     pool(announcement.pool).setPaused(now, name, it.isPaused);
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -49,13 +49,19 @@
         resetForNewIncarnation(known);
     }
     updateClock(now, announcement.clockMs);
+    if (announcement.hasLeft)
+        upstreamLeft(now);
 }
 
-void UpstreamRuns::upstreamLeft()
+void UpstreamRuns::upstreamLeft(TimePoint now)
 {
-    m_hasLeft = true;
-    m_foreignRuns.clear();
-    loseAll(RunLoss::UpstreamLeft);
+    if (std::exchange(m_hasLeft, true) || m_isReplaced)
+        return;
+    for (auto &[task, it] : m_runs) {
+        it.isStopNeeded = true;
+        if (it.stopOrder == 0 && !it.isStopAcknowledged)
+            sendStop(now, task, it.run, it.stopOrder, it.stopRetryAt);
+    }
 }
 
 void UpstreamRuns::start(TimePoint now, std::uint64_t attempt, const std::string &task, std::uint32_t run,
@@ -112,14 +118,14 @@
         pollEnded(now, open, result);
         break;
     }
-    if (result.verdict == OrderVerdict::OtherIncarnation && !m_hasLeft)
+    if (result.verdict == OrderVerdict::OtherIncarnation)
         upstreamReplaced();
 }
 
 void UpstreamRuns::tick(TimePoint now, Duration lag)
 {
     m_lag = lag;
-    if (m_isTakenOver || m_hasLeft || m_isReplaced)
+    if (m_isTakenOver || m_isReplaced)
         return;
     // The upstream may have reported the end of a run, or a later clock, in an answer that was not read yet.
     const bool isLeaseExpired = m_clockReadAt && m_leaseMs > 0 && clockLowerBound(now - lag) > m_leaseMs;
@@ -247,7 +253,7 @@
     const bool isAnswering = m_lastAnswerAt
         && now - *m_lastAnswerAt <= m_options.renewalTimeout + std::min(m_lag, m_options.renewalTimeout);
     // The lease of an unresponsive upstream must expire soon, so that its tasks can run elsewhere.
-    if (isAnswering && !m_runs.empty())
+    if (isAnswering && !m_runs.empty() && !m_hasLeft)
         order.leaseMs = clockLowerBound(now) + toMilliseconds(m_options.lease);
     const bool isConfirming = std::any_of(m_runs.begin(), m_runs.end(),
                                           [](const auto &it) { return it.second.isStopAcknowledged; });
@@ -329,7 +335,7 @@
 void UpstreamRuns::pollEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
 {
     m_isPolling = false;
-    if (m_isTakenOver || m_hasLeft || m_isReplaced)
+    if (m_isTakenOver || m_isReplaced)
         return;
     const auto known = m_announcement.upstream.incarnation;
     const bool isAnswered = result.verdict == OrderVerdict::Accepted;
@@ -342,6 +348,7 @@
     if (result.incarnation > known) {
         const auto previous = m_announcement.upstream;
         m_announcement.upstream.incarnation = result.incarnation;
+        m_hasLeft = false;
         resetForNewIncarnation(previous);
         return;
     }
@@ -412,6 +419,8 @@
 {
     if (it->second.hasUpstreamRestarted)
         loss = RunLoss::UpstreamRestarted;
+    else if (m_hasLeft)
+        loss = RunLoss::UpstreamLeft;
     finish(it, RunOutcome::Lost);
     m_finished.back().loss = loss;
 }
@@ -485,6 +494,8 @@
 
 bool UpstreamRuns::hasWork() const
 {
+    if (m_hasLeft)
+        return !m_runs.empty() || !m_foreignRuns.empty();
     return !m_isFenceKnown || m_isUnresponsive || !m_runs.empty() || !m_foreignRuns.empty()
         || m_lastSeenEnd > m_acknowledgedThrough;
 }
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -281,6 +281,50 @@
     EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
 }
 
+/// An upstream whose departure is announced still runs its tasks, here until it gets the acknowledgement.
+/// They were started elsewhere at once, so that they ran twice at the same time.
+class GroupDispatcherDepartureTest : public testing::Test
+{
+protected:
+    GroupDispatcherDepartureTest()
+    {
+        SimulatedUpstreamOptions slow{"u0"};
+        slow.taskTime = std::chrono::seconds(2);
+        group.add(slow);
+        group.advance(settlingTime);
+        group.submit("a", 1, 2, std::chrono::seconds(10));
+        group.advance(std::chrono::milliseconds(50));
+        slow.name = "u1";
+        group.add(slow);
+        group.advance(std::chrono::milliseconds(50));
+    }
+
+    void expectRestartWithin(Duration time)
+    {
+        ASSERT_EQ(group.upstream("u0").running().size(), 2U);
+        group.leave("u0");
+        group.advance(time);
+        EXPECT_EQ(group.starts["a.0"], 2U);
+        EXPECT_EQ(group.starts["a.1"], 2U);
+        group.advance(std::chrono::seconds(3));
+        EXPECT_EQ(group.concurrentRuns, 0U);
+        EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
+    }
+
+    GroupHarness group;
+};
+
+TEST_F(GroupDispatcherDepartureTest, stoppedTasksAreStartedElsewhereAtOnce)
+{
+    expectRestartWithin(std::chrono::milliseconds(10));
+}
+
+TEST_F(GroupDispatcherDepartureTest, unansweredStopsLeaveTheTasksToTheLease)
+{
+    group.setUnreachable("u0", true);
+    expectRestartWithin(std::chrono::milliseconds(700));
+}
+
 /// Guards against "not run" for a job that ran until its entry VM was unreachable for a while and resent it.
 TEST(GroupDispatcherTest, resentJobOfAnEntryVmThatWasUnreachableIsNotRefusedAfterAStart)
 {
@@ -348,8 +392,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, GroupDispatcherFaultsTest, testing::Range<std::uint64_t>(1, 13));
 
-/// Long tasks, so that runs are in progress while an upstream restarts behind a partition, executes late orders
-/// that were meant for its earlier incarnation, and is partitioned again.
+/// Long tasks, so that runs are in progress while an upstream restarts behind a partition, executes late
+/// orders that were meant for its earlier incarnation, and is partitioned again.
 class GroupDispatcherRestartsTest : public testing::TestWithParam<std::uint64_t>
 {
 protected:
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -15,11 +15,10 @@
 protected:
     UpstreamRunsTest()
     {
-        FleetAnnouncement announcement;
-        announcement.upstream.name = "u";
-        announcement.upstream.incarnation = 1;
-        announcement.clockMs = 1000;
-        m_runs = std::make_unique<UpstreamRuns>(m_now, UpstreamRunsOptions{}, announcement,
+        m_announcement.upstream.name = "u";
+        m_announcement.upstream.incarnation = 1;
+        m_announcement.clockMs = 1000;
+        m_runs = std::make_unique<UpstreamRuns>(m_now, UpstreamRunsOptions{}, m_announcement,
                                                 [this](RunOrder order) {
                                                     order.id = m_orders.size() + 1;
                                                     m_orders.push_back(std::move(order));
@@ -30,6 +29,13 @@
         answer(m_orders[1].id);
     }
 
+    void leave()
+    {
+        m_announcement.upstream.leaving = true;
+        m_announcement.hasLeft = true;
+        m_runs->announced(m_now, m_announcement);
+    }
+
     void answer(OrderId order, std::vector<EndedRun> ended = {})
     {
         OrderResult result;
@@ -42,6 +48,7 @@
     }
 
     static constexpr TimePoint start{1000s};
+    FleetAnnouncement m_announcement;
     TimePoint m_now = start;
     std::vector<RunOrder> m_orders;
     std::unique_ptr<UpstreamRuns> m_runs;
@@ -90,3 +97,15 @@
     EXPECT_EQ(finished[0].verdict, OrderVerdict::Limited);
     EXPECT_FALSE(m_runs->isReady());
 }
+
+// A task that ends while its upstream leaves must not be run again.
+TEST_F(UpstreamRunsTest, endDuringTheDepartureCounts)
+{
+    const auto poll = m_orders.back();
+    leave();
+    EXPECT_EQ(m_orders.back().kind, OrderKind::Stop);
+    answer(poll.id, {{1, "task", 1, RunEndKind::Done}});
+    const auto finished = m_runs->takeFinished();
+    ASSERT_EQ(finished.size(), 1U);
+    EXPECT_EQ(finished[0].outcome, RunOutcome::Done);
+}
