GroupDispatcher: a late departure of an earlier incarnation is ignored

An upstream that had restarted under its name got no tasks any more when the departure of its earlier incarnation reached the holder after the holder had learned of the new one, from an answer for example. UpstreamRuns ignores such an announcement, but the pool was told that the upstream leaves.

The test, lateDepartureOfAnEarlierIncarnationIsIgnored, failed before: the job was not answered within 1 s, as no upstream was in use. The pool is now told what UpstreamRuns has accepted.

--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -133,7 +133,9 @@
     // An announcement that another VM relays may carry an earlier arrival than the one before it. The pool's
     // Dispatcher keeps the later deadline and may start tasks until then.
     it.leaseDeadline = std::max(it.leaseDeadline, announcement.upstream.leaseDeadline);
-    offer(now, it, announcement.upstream.leaving || announcement.hasLeft);
+    // UpstreamRuns ignores the announcement of an earlier incarnation.
+    const auto &known = it.runs->announcement();
+    offer(now, it, known.upstream.leaving || known.hasLeft);
     it.isPaused = mustPause(now, it);
     pool(announcement.pool).setPaused(now, name, it.isPaused);
     recordCrashes(now, *it.runs);
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -88,12 +88,17 @@
     executeActions();
 }
 
-void GroupHarness::leave(const std::string &name)
+FleetAnnouncement GroupHarness::departureOf(const std::string &name)
 {
     auto announcement = announcementOf(name, announcementLease);
     announcement.upstream.leaving = true;
     announcement.hasLeft = true;
-    m_dispatcher->announce(m_now, announcement);
+    return announcement;
+}
+
+void GroupHarness::leave(const std::string &name)
+{
+    m_dispatcher->announce(m_now, departureOf(name));
     executeActions();
 }
 
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -43,6 +43,9 @@
     /// Announces an upstream again, under a lease of @p lease.
     void announce(const std::string &name, bool isLeaving = false, Duration lease = announcementLease);
 
+    /// Returns the announcement that an upstream has left.
+    FleetAnnouncement departureOf(const std::string &name);
+
     /// Announces that an upstream has left.
     void leave(const std::string &name);
 
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -325,6 +325,22 @@
     expectRestartWithin(std::chrono::milliseconds(700));
 }
 
+/// The departure of an earlier incarnation, relayed late, made the present one useless for good.
+TEST(GroupDispatcherTest, lateDepartureOfAnEarlierIncarnationIsIgnored)
+{
+    GroupHarness group;
+    auto &upstream = group.add({"u0"});
+    group.advance(settlingTime);
+    const auto departure = group.departureOf("u0");
+    upstream.restart(group.now());
+    group.announce("u0");
+    group.dispatcher().announce(group.now(), departure);
+    group.submit("a", 1, 1);
+    group.advance(settlingTime);
+    ASSERT_TRUE(group.answers.contains(1));
+    EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
+}
+
 /// Guards against "not run" for a job that ran until its entry VM was unreachable for a while and resent it.
 TEST(GroupDispatcherTest, resentJobOfAnEntryVmThatWasUnreachableIsNotRefusedAfterAStart)
 {
