UpstreamRuns: a 421 is judged by the life of the upstream that was addressed

A task could run twice at the same time after a move or a restart of its upstream: an order that was sent before reached another upstream at the earlier address, whose 421 was taken for the present incarnation. It counted as replaced, its runs as ended, its tasks as crashed there, and it got no work until it was announced with yet another address or incarnation.

An order now records the incarnation and the address that it was sent to. A 421 replaces the upstream, and ends its incarnation in the crash ledger, only if both are still the present ones. Otherwise it counts as an order that was not executed; the next poll tells what is at the present address.

Before: otherUpstreamAtAnEarlierAddressEndsNothing failed, as the run was taken for ended (takeFinished() not empty, isReplaced() true), and answerToAnOrderFromBeforeARestartDoesNotReplaceTheUpstream, as isReplaced() was true.

The fixture of UpstreamRunsTest listed the run before its start, so that its start was never answered in these tests; it is now.

--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -126,6 +126,8 @@
     bool isIdle() const;
     /// Whether the upstream has seen the fencing token of a later holder.
     bool isTakenOver() const;
+    /// Whether another upstream has answered at its address since the last announcement of a new one.
+    bool isReplaced() const;
     const FleetAnnouncement &announcement() const;
 
     /// Asks an upstream without runs for an answer, unless a poll is in flight.
@@ -187,12 +189,18 @@
         std::uint32_t run = 0;
         std::uint64_t poll = 0;
         TimePoint sentAt;
+        /// Life of the upstream that it was sent to, and where.
+        std::uint64_t incarnation = 0;
+        std::string address;
+        std::uint16_t port = 0;
     };
 
     std::int64_t clockLowerBound(TimePoint now) const;
     void updateClock(TimePoint now, std::int64_t clockMs);
     void recordAnswer(TimePoint now, const OpenOrder &open, const OrderResult &result);
     RunOrder newOrder(OrderKind kind) const;
+    /// Whether the upstream has neither moved nor restarted since the order was sent.
+    bool isForPresentLife(const OpenOrder &open) const;
     OrderId send(RunOrder order, OpenOrder open);
     void sendPoll(TimePoint now);
     void sendStop(TimePoint now, const std::string &task, std::uint32_t run, OrderId &order,
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -291,7 +291,8 @@
     recordCrashes(now, runs);
     const auto incarnation = runs.announcement().upstream.incarnation;
     if (result.verdict == OrderVerdict::OtherIncarnation) {
-        m_crashes.upstreamEnded(now, it->first, incarnation + 1);
+        if (runs.isReplaced())
+            m_crashes.upstreamEnded(now, it->first, incarnation + 1);
     } else if (result.incarnation != 0) {
         m_crashes.upstreamEnded(now, it->first, incarnation);
         if (result.incarnation == incarnation)
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -118,7 +118,7 @@
         pollEnded(now, open, result);
         break;
     }
-    if (result.verdict == OrderVerdict::OtherIncarnation)
+    if (result.verdict == OrderVerdict::OtherIncarnation && isForPresentLife(open))
         upstreamReplaced();
 }
 
@@ -164,6 +164,11 @@
     return m_isTakenOver;
 }
 
+bool UpstreamRuns::isReplaced() const
+{
+    return m_isReplaced;
+}
+
 const FleetAnnouncement &UpstreamRuns::announcement() const
 {
     return m_announcement;
@@ -238,9 +243,19 @@
     return order;
 }
 
+bool UpstreamRuns::isForPresentLife(const OpenOrder &open) const
+{
+    const auto &present = m_announcement.upstream;
+    return open.incarnation == present.incarnation && open.address == present.address
+        && open.port == present.port;
+}
+
 OrderId UpstreamRuns::send(RunOrder order, OpenOrder open)
 {
     m_leaseMs = std::max(m_leaseMs, order.leaseMs);
+    open.incarnation = m_announcement.upstream.incarnation;
+    open.address = order.address;
+    open.port = order.port;
     const auto id = m_send(std::move(order));
     m_orders.emplace(id, std::move(open));
     return id;
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -41,12 +41,20 @@
         OrderResult result;
         result.verdict = OrderVerdict::Accepted;
         result.clockMs = 1000 + std::chrono::duration_cast<std::chrono::milliseconds>(m_now - start).count();
-        if (ended.empty())
+        // The first poll precedes the start.
+        if (ended.empty() && order > 1)
             result.running = {{"task", 1}};
         result.ended = std::move(ended);
         m_runs->orderEnded(m_now, order, result);
     }
 
+    void answerAsOther(OrderId order)
+    {
+        OrderResult result;
+        result.verdict = OrderVerdict::OtherIncarnation;
+        m_runs->orderEnded(m_now, order, result);
+    }
+
     static constexpr TimePoint start{1000s};
     FleetAnnouncement m_announcement;
     TimePoint m_now = start;
@@ -109,3 +117,31 @@
     ASSERT_EQ(finished.size(), 1U);
     EXPECT_EQ(finished[0].outcome, RunOutcome::Done);
 }
+
+// The answer of another upstream at the address from before a move ended the runs at the new address.
+TEST_F(UpstreamRunsTest, otherUpstreamAtAnEarlierAddressEndsNothing)
+{
+    const auto poll = m_orders.back();
+    m_announcement.upstream.address = "10.0.0.2";
+    m_runs->announced(m_now, m_announcement);
+    answerAsOther(poll.id);
+    EXPECT_TRUE(m_runs->takeFinished().empty());
+    EXPECT_FALSE(m_runs->isReplaced());
+    m_now += 50ms;
+    m_runs->tick(m_now);
+    ASSERT_NE(m_orders.back().id, poll.id);
+    EXPECT_EQ(m_orders.back().address, "10.0.0.2");
+    answerAsOther(m_orders.back().id);
+    EXPECT_TRUE(m_runs->isReplaced());
+    EXPECT_EQ(m_runs->takeFinished().size(), 1U);
+}
+
+// As above, after a restart at the same address.
+TEST_F(UpstreamRunsTest, answerToAnOrderFromBeforeARestartDoesNotReplaceTheUpstream)
+{
+    const auto poll = m_orders.back();
+    m_announcement.upstream.incarnation = 2;
+    m_runs->announced(m_now, m_announcement);
+    answerAsOther(poll.id);
+    EXPECT_FALSE(m_runs->isReplaced());
+}
