--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -149,9 +149,13 @@
         while (!m_events.empty() && m_events.begin()->first <= m_now) {
             const auto event = m_events.begin()->second;
             m_events.erase(m_events.begin());
-            handle(event);
+            if (event.kind == Event::Kind::Answer && m_now < m_pausedUntil)
+                m_events.emplace(m_pausedUntil, event);
+            else
+                handle(event);
         }
-        m_dispatcher->tick(m_now);
+        if (m_now >= m_pausedUntil)
+            m_dispatcher->tick(m_now);
         for (auto &it : m_ledger->takeNews())
             m_reportedCrashes.push_back(std::move(it));
         executeActions();
@@ -159,6 +163,12 @@
     }
 }
 
+void GroupHarness::pause(Duration time)
+{
+    m_pausedUntil = m_now + time;
+    advance(time);
+}
+
 GroupDispatcher &GroupHarness::dispatcher()
 {
     return *m_dispatcher;
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -67,6 +67,9 @@
 
     void advance(Duration time);
 
+    /// Pauses the dispatcher: for @p time it handles no answers and no ticks.
+    void pause(Duration time);
+
     GroupDispatcher &dispatcher();
     TimePoint now() const;
     SimulatedUpstream &upstream(const std::string &name);
@@ -135,6 +138,7 @@
     /// Names whose address another upstream has now.
     std::set<std::string> m_replaced;
     std::multimap<TimePoint, Event> m_events;
+    TimePoint m_pausedUntil;
     std::uint64_t m_sequence = 0;
 };
 
