--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -67,7 +67,7 @@
     UpstreamSilent,
     /// The upstream has restarted, or another one has its address.
     UpstreamRestarted,
-    /// The upstream has left.
+    /// The upstream has left, or its run was stopped because it leaves.
     UpstreamLeft,
     /// The upstream reported that the lease expired, or that it ended the run.
     EndedByUpstream,
@@ -112,12 +112,9 @@
     UpstreamRuns(TimePoint now, const UpstreamRunsOptions &options, const FleetAnnouncement &announcement,
                  SendOrder send);
 
-    /// Handles a newer announcement of the same upstream.
+    /// Handles a newer announcement of the same upstream, also that it leaves: its runs are stopped then.
     void announced(TimePoint now, const FleetAnnouncement &announcement);
 
-    /// The upstream has left, so all its runs have ended.
-    void upstreamLeft();
-
     /// Orders run @p run of @p task; takeFinished() reports its end as @p attempt. Requires isReady().
     void start(TimePoint now, std::uint64_t attempt, const std::string &task, std::uint32_t run,
                const std::string &payload);
@@ -138,6 +135,8 @@
     bool isIdle() const;
     /// Whether the upstream has seen the fencing token of a later holder.
     bool isTakenOver() const;
+    /// Whether another upstream has answered at its address since the last announcement of a new one.
+    bool isReplaced() const;
     const FleetAnnouncement &announcement() const;
 
     /// Asks an upstream without runs for an answer, unless a poll is in flight.
@@ -207,7 +206,10 @@
         std::uint32_t run = 0;
         std::uint64_t poll = 0;
         TimePoint sentAt;
+        /// Tells the incarnation that it was meant for, and where it was sent.
         std::uint64_t fence = 0;
+        std::string address;
+        std::uint16_t port = 0;
     };
 
     std::int64_t clockLowerBound(TimePoint now) const;
@@ -222,6 +224,8 @@
     bool isAnswering(TimePoint now) const;
     void recordAnswer(TimePoint now, const OpenOrder &open, const OrderResult &result);
     RunOrder newOrder(OrderKind kind) const;
+    /// Whether the upstream has neither moved nor restarted since the order was sent.
+    bool isForPresentLife(const OpenOrder &open) const;
     OrderId send(RunOrder order, OpenOrder open);
     void sendPoll(TimePoint now);
     void sendStop(TimePoint now, const std::string &task, std::uint32_t run, Stop &stop);
@@ -240,6 +244,8 @@
     /// or only been silent.
     void recordCrashes(const UpstreamAnnouncement &announcement, bool hasEnded);
     void recordCrash(const std::string &task, std::uint64_t incarnation, CrashState state);
+    /// The upstream leaves. It may continue its runs until it gets the acknowledgement of its departure.
+    void upstreamLeft(TimePoint now);
     /// Another upstream has the address of this one, which has ended.
     void upstreamReplaced();
     bool hasWork() const;
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -31,6 +31,12 @@
 /// is late already, and dispatching it delays those that are not.
 constexpr Duration maximumMessageAge = std::chrono::milliseconds(300);
 
+/// Time without a tick after which this VM counts as paused. An entry VM that is killed is noticed within
+/// 600 ms, and its callers retry after 1,300 ms.
+constexpr Duration minimumPause = std::chrono::milliseconds(500);
+/// Time after a pause in which the input that has arrived meanwhile is read.
+constexpr Duration inputBacklogTime = std::chrono::milliseconds(50);
+
 /// Translates the end of a run for the Dispatcher that placed it.
 AttemptResult resultOf(const FinishedRun &run, bool isJobEnded)
 {
@@ -134,9 +140,9 @@
     // An announcement that another VM relays may carry an earlier arrival than the one before it. The pool's
     // Dispatcher keeps the later deadline and may start tasks until then.
     it.leaseDeadline = std::max(it.leaseDeadline, announcement.upstream.leaseDeadline);
-    if (announcement.hasLeft)
-        it.runs->upstreamLeft();
-    offer(now, it, announcement.upstream.leaving || announcement.hasLeft);
+    // UpstreamRuns ignores the announcement of an earlier incarnation.
+    const auto &known = it.runs->announcement();
+    offer(now, it, known.upstream.leaving || known.hasLeft);
     it.isPaused = mustPause(now, it);
     pool(announcement.pool).setPaused(now, name, it.isPaused);
     recordCrashes(now, *it.runs);
@@ -312,7 +318,8 @@
     recordCrashes(now, runs);
     const auto incarnation = runs.announcement().upstream.incarnation;
     if (result.verdict == OrderVerdict::OtherIncarnation) {
-        m_crashes.upstreamEnded(now, it->first, incarnation + 1);
+        if (runs.isReplaced())
+            m_crashes.upstreamEnded(now, it->first, incarnation + 1);
     } else if (result.incarnation != 0) {
         m_crashes.upstreamEnded(now, it->first, incarnation);
         if (result.incarnation == incarnation)
@@ -330,6 +337,8 @@
 
 void GroupDispatcher::tick(TimePoint now, Duration lag)
 {
+    holdStartsAfterPause(now);
+    m_tickedAt = now;
     for (auto &[name, it] : m_upstreams) {
         it.runs->tick(now, lag);
         recordCrashes(now, *it.runs);
@@ -535,6 +544,9 @@
         endUnstartedJobs(now);
         return;
     }
+    holdStartsAfterPause(now);
+    if (now < m_startsHeldUntil)
+        return;
     for (auto &[name, dispatcher] : m_pools) {
         for (const auto &it : dispatcher.place(now))
             startRun(now, name, it);
@@ -556,6 +568,12 @@
     }
 }
 
+void GroupDispatcher::holdStartsAfterPause(TimePoint now)
+{
+    if (m_tickedAt && now - *m_tickedAt > minimumPause)
+        m_startsHeldUntil = now + inputBacklogTime;
+}
+
 void GroupDispatcher::startRun(TimePoint now, const std::string &pool, const Placement &placement)
 {
     auto &job = m_jobs.at(placement.job);
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -53,13 +53,19 @@
         resetForNewIncarnation(now, known);
     }
     updateClock(now, announcement.clockMs);
+    if (announcement.hasLeft)
+        upstreamLeft(now);
 }
 
-void UpstreamRuns::upstreamLeft()
+void UpstreamRuns::upstreamLeft(TimePoint now)
 {
-    m_hasLeft = true;
-    m_foreignRuns.clear();
-    loseAll(RunLoss::UpstreamLeft);
+    if (std::exchange(m_hasLeft, true) || m_isReplaced)
+        return;
+    for (auto &[task, it] : m_runs) {
+        it.isStopNeeded = true;
+        if (it.stopOrder == 0 && !it.isStopAcknowledged)
+            sendStop(now, task, it.run, it);
+    }
 }
 
 void UpstreamRuns::start(TimePoint now, std::uint64_t attempt, const std::string &task, std::uint32_t run,
@@ -116,14 +122,14 @@
         pollEnded(now, open, result);
         break;
     }
-    if (result.verdict == OrderVerdict::OtherIncarnation && !m_hasLeft)
+    if (result.verdict == OrderVerdict::OtherIncarnation && isForPresentLife(open))
         upstreamReplaced();
 }
 
 void UpstreamRuns::tick(TimePoint now, Duration lag)
 {
     m_lag = lag;
-    if (m_isTakenOver || m_hasLeft || m_isReplaced)
+    if (m_isTakenOver || m_isReplaced)
         return;
     // The upstream may have reported the end of a run, or a later clock, in an answer that was not read yet.
     if (!m_runs.empty() && isLeaseExpired(now - lag)) {
@@ -163,6 +169,11 @@
     return m_isTakenOver;
 }
 
+bool UpstreamRuns::isReplaced() const
+{
+    return m_isReplaced;
+}
+
 const FleetAnnouncement &UpstreamRuns::announcement() const
 {
     return m_announcement;
@@ -272,10 +283,18 @@
     return order;
 }
 
+bool UpstreamRuns::isForPresentLife(const OpenOrder &open) const
+{
+    const auto &present = m_announcement.upstream;
+    return open.fence == m_fence && open.address == present.address && open.port == present.port;
+}
+
 OrderId UpstreamRuns::send(RunOrder order, OpenOrder open)
 {
     m_leaseMs = std::max(m_leaseMs, order.leaseMs);
     open.fence = order.fence;
+    open.address = order.address;
+    open.port = order.port;
     const auto id = m_send(std::move(order));
     m_orders.emplace(id, std::move(open));
     return id;
@@ -286,7 +305,7 @@
     auto order = newOrder(OrderKind::Poll);
     order.acknowledgedThrough = m_lastSeenEnd;
     // The lease of an unresponsive upstream must expire soon, so that its tasks can run elsewhere.
-    if (isAnswering(now) && !m_runs.empty())
+    if (isAnswering(now) && !m_runs.empty() && !m_hasLeft)
         order.leaseMs = newLeaseMs(now);
     const bool isConfirming = std::any_of(m_runs.begin(), m_runs.end(),
                                           [](const auto &it) { return it.second.isStopAcknowledged; });
@@ -368,7 +387,7 @@
 void UpstreamRuns::pollEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
 {
     m_isPolling = false;
-    if (m_isTakenOver || m_hasLeft || m_isReplaced)
+    if (m_isTakenOver || m_isReplaced)
         return;
     const auto known = m_announcement.upstream.incarnation;
     const bool isAnswered = result.verdict == OrderVerdict::Accepted;
@@ -381,6 +400,7 @@
     if (result.incarnation > known) {
         const auto previous = m_announcement.upstream;
         m_announcement.upstream.incarnation = result.incarnation;
+        m_hasLeft = false;
         resetForNewIncarnation(now, previous);
         return;
     }
@@ -457,6 +477,8 @@
 {
     if (it->second.hasUpstreamRestarted)
         loss = RunLoss::UpstreamRestarted;
+    else if (m_hasLeft)
+        loss = RunLoss::UpstreamLeft;
     finish(it, RunOutcome::Lost);
     m_finished.back().loss = loss;
 }
@@ -539,6 +561,8 @@
 
 bool UpstreamRuns::hasWork() const
 {
+    if (m_hasLeft)
+        return !m_runs.empty() || !m_foreignRuns.empty();
     return !m_isFenceKnown || m_isUnresponsive || !m_runs.empty() || !m_foreignRuns.empty()
         || m_lastSeenEnd > m_acknowledgedThrough;
 }
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -90,12 +90,17 @@
     executeActions();
 }
 
-void GroupHarness::leave(const std::string &name)
+FleetAnnouncement GroupHarness::departureOf(const std::string &name)
 {
     auto announcement = announcementOf(name, announcementLease);
     announcement.upstream.leaving = true;
     announcement.hasLeft = true;
-    m_dispatcher->announce(m_now, announcement);
+    return announcement;
+}
+
+void GroupHarness::leave(const std::string &name)
+{
+    m_dispatcher->announce(m_now, departureOf(name));
     executeActions();
 }
 
@@ -146,9 +151,13 @@
         while (!m_events.empty() && m_events.begin()->first <= m_now) {
             const auto event = m_events.begin()->second;
             m_events.erase(m_events.begin());
-            handle(event);
+            if (event.kind == Event::Kind::Answer && m_now < m_pausedUntil)
+                m_events.emplace(m_pausedUntil, event);
+            else
+                handle(event);
         }
-        m_dispatcher->tick(m_now);
+        if (m_now >= m_pausedUntil)
+            m_dispatcher->tick(m_now);
         for (auto &it : m_ledger->takeNews())
             m_reportedCrashes.push_back(std::move(it));
         executeActions();
@@ -156,6 +165,12 @@
     }
 }
 
+void GroupHarness::pause(Duration time)
+{
+    m_pausedUntil = m_now + time;
+    advance(time);
+}
+
 GroupDispatcher &GroupHarness::dispatcher()
 {
     return *m_dispatcher;
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -46,6 +46,9 @@
     /// Announces an upstream again, under a lease of @p lease.
     void announce(const std::string &name, bool isLeaving = false, Duration lease = announcementLease);
 
+    /// Returns the announcement that an upstream has left.
+    FleetAnnouncement departureOf(const std::string &name);
+
     /// Announces that an upstream has left.
     void leave(const std::string &name);
 
@@ -67,6 +70,9 @@
 
     void advance(Duration time);
 
+    /// Pauses the dispatcher: for @p time it handles no answers and no ticks.
+    void pause(Duration time);
+
     GroupDispatcher &dispatcher();
     TimePoint now() const;
     SimulatedUpstream &upstream(const std::string &name);
@@ -147,6 +153,7 @@
     /// Runs of strayRuns, by upstream and task.
     std::set<std::pair<std::string, std::string>> m_strayRuns;
     std::multimap<TimePoint, Event> m_events;
+    TimePoint m_pausedUntil;
     std::uint64_t m_sequence = 0;
 };
 
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -306,6 +306,88 @@
     EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
 }
 
+/// An upstream whose departure is announced still runs its tasks, here until it gets the acknowledgement.
+/// They were started elsewhere at once, so that they ran twice at the same time.
+class GroupDispatcherDepartureTest : public testing::Test
+{
+protected:
+    GroupDispatcherDepartureTest()
+    {
+        SimulatedUpstreamOptions slow{"u0"};
+        slow.taskTime = std::chrono::seconds(2);
+        group.add(slow);
+        group.advance(settlingTime);
+        group.submit("a", 1, 2, std::chrono::seconds(10));
+        group.advance(std::chrono::milliseconds(50));
+        slow.name = "u1";
+        group.add(slow);
+        group.advance(std::chrono::milliseconds(50));
+    }
+
+    void expectRestartWithin(Duration time)
+    {
+        ASSERT_EQ(group.upstream("u0").running().size(), 2U);
+        group.leave("u0");
+        group.advance(time);
+        EXPECT_EQ(group.starts["a.0"], 2U);
+        EXPECT_EQ(group.starts["a.1"], 2U);
+        group.advance(std::chrono::seconds(3));
+        EXPECT_EQ(group.concurrentRuns, 0U);
+        EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
+    }
+
+    GroupHarness group;
+};
+
+TEST_F(GroupDispatcherDepartureTest, stoppedTasksAreStartedElsewhereAtOnce)
+{
+    expectRestartWithin(std::chrono::milliseconds(10));
+}
+
+TEST_F(GroupDispatcherDepartureTest, unansweredStopsLeaveTheTasksToTheLease)
+{
+    group.setUnreachable("u0", true);
+    expectRestartWithin(std::chrono::milliseconds(700));
+}
+
+/// The departure of an earlier incarnation, relayed late, made the present one useless for good.
+TEST(GroupDispatcherTest, lateDepartureOfAnEarlierIncarnationIsIgnored)
+{
+    GroupHarness group;
+    auto &upstream = group.add({"u0"});
+    group.advance(settlingTime);
+    const auto departure = group.departureOf("u0");
+    upstream.restart(group.now());
+    group.announce("u0");
+    group.dispatcher().announce(group.now(), departure);
+    group.submit("a", 1, 1);
+    group.advance(settlingTime);
+    ASSERT_TRUE(group.answers.contains(1));
+    EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
+}
+
+/// A holder that was paused started a task again, whose run had expired, before it read that the job had been
+/// cancelled. Its caller may have submitted it to another group since.
+TEST(GroupDispatcherTest, pausedHolderStartsNothingBeforeItHasReadItsInput)
+{
+    GroupHarness group;
+    SimulatedUpstreamOptions slow{"u0"};
+    slow.taskTime = std::chrono::milliseconds(900);
+    group.add(slow);
+    group.advance(settlingTime);
+    group.submit("cancelled", 1, 1);
+    group.submit("wanted", 2, 1);
+    group.advance(std::chrono::milliseconds(50));
+    group.pause(std::chrono::seconds(2));
+    group.advance(std::chrono::milliseconds(5));
+    group.dispatcher().cancel(group.now(), {"entry", 1, 1});
+    group.advance(2 * settlingTime);
+    EXPECT_EQ(group.starts["cancelled.0"], 1U);
+    EXPECT_EQ(group.starts["wanted.0"], 2U);
+    ASSERT_TRUE(group.answers.contains(2));
+    EXPECT_EQ(group.answers.at(2).outcome, Outcome::Complete);
+}
+
 /// Guards against "not run" for a job that ran until its entry VM was unreachable for a while and resent it.
 TEST(GroupDispatcherTest, resentJobOfAnEntryVmThatWasUnreachableIsNotRefusedAfterAStart)
 {
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -18,14 +18,13 @@
 protected:
     UpstreamRunsTest()
     {
-        FleetAnnouncement announcement;
-        announcement.upstream.name = "u";
-        announcement.upstream.incarnation = 1;
-        announcement.clockMs = 1000;
+        m_announcement.upstream.name = "u";
+        m_announcement.upstream.incarnation = 1;
+        m_announcement.clockMs = 1000;
         UpstreamRunsOptions options;
         options.takeFence = [this] { return ++m_lastFence; };
         options.maximumLease = options.lease;
-        m_runs = std::make_unique<UpstreamRuns>(m_now, options, announcement, [this](RunOrder order) {
+        m_runs = std::make_unique<UpstreamRuns>(m_now, options, m_announcement, [this](RunOrder order) {
             order.id = m_orders.size() + 1;
             m_orders.push_back(std::move(order));
             return m_orders.back().id;
@@ -36,6 +35,13 @@
         answer(m_orders[1].id);
     }
 
+    void leave()
+    {
+        m_announcement.upstream.leaving = true;
+        m_announcement.hasLeft = true;
+        m_runs->announced(m_now, m_announcement);
+    }
+
     void answer(OrderId order, std::vector<EndedRun> ended = {})
     {
         OrderResult result;
@@ -79,9 +85,17 @@
             m_runs->orderEnded(m_now, m_stopTimeouts.front().second, {});
     }
 
+    void answerAsOther(OrderId order)
+    {
+        OrderResult result;
+        result.verdict = OrderVerdict::OtherIncarnation;
+        m_runs->orderEnded(m_now, order, result);
+    }
+
     static constexpr TimePoint start{1000s};
     static constexpr unsigned allStops = 1'000'000;
     std::uint64_t m_lastFence = 0;
+    FleetAnnouncement m_announcement;
     TimePoint m_now = start;
     std::vector<RunOrder> m_orders;
     std::size_t m_seen = 0;
@@ -224,3 +238,43 @@
     m_runs->tick(m_now);
     EXPECT_TRUE(m_runs->takeFinished().empty());
 }
+
+// A task that ends while its upstream leaves must not be run again.
+TEST_F(UpstreamRunsTest, endDuringTheDepartureCounts)
+{
+    const auto poll = m_orders.back();
+    leave();
+    EXPECT_EQ(m_orders.back().kind, OrderKind::Stop);
+    answer(poll.id, {{1, "task", 1, RunEndKind::Done}});
+    const auto finished = m_runs->takeFinished();
+    ASSERT_EQ(finished.size(), 1U);
+    EXPECT_EQ(finished[0].outcome, RunOutcome::Done);
+}
+
+// The answer of another upstream at the address from before a move ended the runs at the new address.
+TEST_F(UpstreamRunsTest, otherUpstreamAtAnEarlierAddressEndsNothing)
+{
+    const auto poll = m_orders.back();
+    m_announcement.upstream.address = "10.0.0.2";
+    m_runs->announced(m_now, m_announcement);
+    answerAsOther(poll.id);
+    EXPECT_TRUE(m_runs->takeFinished().empty());
+    EXPECT_FALSE(m_runs->isReplaced());
+    m_now += 50ms;
+    m_runs->tick(m_now);
+    ASSERT_NE(m_orders.back().id, poll.id);
+    EXPECT_EQ(m_orders.back().address, "10.0.0.2");
+    answerAsOther(m_orders.back().id);
+    EXPECT_TRUE(m_runs->isReplaced());
+    EXPECT_EQ(m_runs->takeFinished().size(), 1U);
+}
+
+// As above, after a restart at the same address.
+TEST_F(UpstreamRunsTest, answerToAnOrderFromBeforeARestartDoesNotReplaceTheUpstream)
+{
+    const auto poll = m_orders.back();
+    m_announcement.upstream.incarnation = 2;
+    m_runs->announced(m_now, m_announcement);
+    answerAsOther(poll.id);
+    EXPECT_FALSE(m_runs->isReplaced());
+}
