--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -301,9 +301,6 @@
     std::optional<Refusal> refusalOf(TimePoint now, const RoutedJob &routed);
     void expireReservations(TimePoint now);
     void place(TimePoint now);
-    /// Forbids starts for a while if this VM was paused: cancels, and the end of connections to entry VMs,
-    /// may not have been read yet.
-    void holdStartsAfterPause(TimePoint now);
     void startRun(TimePoint now, const std::string &pool, const Placement &placement);
     void reschedule(TimePoint now);
     /// Adds to the ledger what the runs on @p upstream show.
@@ -374,9 +371,6 @@
     TimePoint m_warmUpBegin;
     TimePoint m_warmUpEnd;
     bool m_isOverloaded = false;
-    std::optional<TimePoint> m_tickedAt;
-    /// Nothing is started before, as this VM was paused.
-    TimePoint m_startsHeldUntil;
 };
 
 } // namespace Citronpitch
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -31,12 +31,6 @@
 /// is late already, and dispatching it delays those that are not.
 constexpr Duration maximumMessageAge = std::chrono::milliseconds(300);
 
-/// Time without a tick after which this VM counts as paused. An entry VM that is killed is noticed within
-/// 600 ms, and its callers retry after 1,300 ms.
-constexpr Duration minimumPause = std::chrono::milliseconds(500);
-/// Time after a pause in which the input that has arrived meanwhile is read.
-constexpr Duration inputBacklogTime = std::chrono::milliseconds(50);
-
 /// Translates the end of a run for the Dispatcher that placed it.
 AttemptResult resultOf(const FinishedRun &run, bool isJobEnded)
 {
@@ -337,8 +331,6 @@
 
 void GroupDispatcher::tick(TimePoint now, Duration lag)
 {
-    holdStartsAfterPause(now);
-    m_tickedAt = now;
     for (auto &[name, it] : m_upstreams) {
         it.runs->tick(now, lag);
         recordCrashes(now, *it.runs);
@@ -544,9 +536,6 @@
         endUnstartedJobs(now);
         return;
     }
-    holdStartsAfterPause(now);
-    if (now < m_startsHeldUntil)
-        return;
     for (auto &[name, dispatcher] : m_pools) {
         for (const auto &it : dispatcher.place(now))
             startRun(now, name, it);
@@ -568,12 +557,6 @@
     }
 }
 
-void GroupDispatcher::holdStartsAfterPause(TimePoint now)
-{
-    if (m_tickedAt && now - *m_tickedAt > minimumPause)
-        m_startsHeldUntil = now + inputBacklogTime;
-}
-
 void GroupDispatcher::startRun(TimePoint now, const std::string &pool, const Placement &placement)
 {
     auto &job = m_jobs.at(placement.job);
