HttpServer: drop requests whose connection is already closed

Seen by callers: an entry VM that had been paused submitted jobs whose callers had closed their connections and submitted them again at another VM, so that two runs of a task could be in progress until the first was stopped.

Cause: a session passed a request to the handler as soon as it was complete, and looked for the end of the connection only afterwards (watchForRemoteClose()). After a pause both wait in the socket.

Fix: when a request is complete, a non-blocking peek tells whether the remote side has closed the connection; then the request isn't handled. Data after the request means that the connection is open. This costs one more system call per request; its cost was not measured. Closing may still be noticed late if it arrives after the request was read, which is as before.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -16,11 +16,12 @@
 } // namespace
 
 HttpServer::HttpServer(boost::asio::io_context &io, const Endpoint &endpoint, const HttpLimits &limits,
-                       HttpHandler handler)
+                       HttpHandler handler, AbandonedRequests abandoned)
     : m_io(io)
     , m_acceptor(io, Tcp::endpoint(boost::asio::ip::make_address(endpoint.address), endpoint.port))
     , m_limits(limits)
     , m_handler(std::move(handler))
+    , m_abandoned(abandoned)
 {
     accept();
 }
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -28,7 +28,7 @@
 public:
     /// Starts to listen; throws boost::system::system_error if @p endpoint can't be bound.
     HttpServer(boost::asio::io_context &io, const Endpoint &endpoint, const HttpLimits &limits,
-               HttpHandler handler);
+               HttpHandler handler, AbandonedRequests abandoned = AbandonedRequests::Handled);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -64,6 +64,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     HttpLimits m_limits;
     HttpHandler m_handler;
+    AbandonedRequests m_abandoned;
     std::set<std::shared_ptr<HttpSession>> m_sessions;
     std::map<std::string, std::uint32_t> m_connectionsPerAddress;
     std::uint64_t m_bodyBytes = 0;
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -3,6 +3,10 @@
 #include "net/eventloop.h"
 #include "net/httpserver.h"
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace Citronpitch {
 
 namespace beast = boost::beast;
@@ -144,6 +148,10 @@
 void HttpSession::handle()
 {
     m_readTimer.cancel();
+    if (m_server->m_abandoned == AbandonedRequests::Dropped && isClosedByRemote()) {
+        close();
+        return;
+    }
     const auto message = m_parser->release();
     HttpRequest request;
     request.method = std::string(message.method_string());
@@ -169,6 +177,13 @@
         watchForRemoteClose();
 }
 
+bool HttpSession::isClosedByRemote()
+{
+    char byte = 0;
+    const auto n = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void HttpSession::watchForRemoteClose()
 {
     const auto number = m_requestNumber;
--- a/src/net/httpsession.h
+++ b/src/net/httpsession.h
@@ -49,6 +49,7 @@
     void startReadTimer();
     void readBody();
     void handle();
+    bool isClosedByRemote();
     void watchForRemoteClose();
     void respond(HttpResponse response);
     void handleReadError(boost::beast::error_code ec);
--- a/src/net/httptypes.h
+++ b/src/net/httptypes.h
@@ -49,6 +49,9 @@
 /// Handles one request. Returns the function to call if the connection is closed before the response.
 using HttpHandler = std::function<DisconnectHandler(const HttpRequest &, HttpResponder)>;
 
+/// Whether a request is handled whose connection the remote side has closed before the request was read.
+enum class AbandonedRequests { Handled, Dropped };
+
 /// Sets path and query of @p request from a request target. Returns false if the target is malformed.
 bool parseTarget(std::string_view target, HttpRequest &request);
 
