GroupDispatcher: place nothing after a pause before the next tick

Seen by callers: two runs of a task. A holder that had been paused read the answers of upstreams first, and started queued tasks of jobs whose entry VM had been silent for longer than the suspicion timeout and whose callers had submitted them again elsewhere.

Cause: orderEnded() places tasks at once, while what has become void is noticed by the tick of the VM: entry VMs that are unreachable, deadlines, leases.

Fix: place() does nothing while the last tick is more than 80 ms ago. The tick of a VM looks at the directory of VMs first, then at reservations and deadlines, and then places, so that a start always follows such a look. Ticks come every 10 ms, so that in normal operation placement after an answer is as immediate as before. A loop whose ticks are later than 80 ms places only at its ticks. queuedTasksStartAtTheFirstTickAfterAPause checks that what is still wanted starts at that tick; it would not have failed before.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -357,6 +357,8 @@
     TimePoint m_warmUpBegin;
     TimePoint m_warmUpEnd;
     bool m_isOverloaded = false;
+    /// When tick() last looked at all deadlines; nothing before the first tick.
+    std::optional<TimePoint> m_tickedAt;
 };
 
 } // namespace Citronpitch
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -31,6 +31,11 @@
 /// is late already, and dispatching it delays those that are not.
 constexpr Duration maximumMessageAge = std::chrono::milliseconds(300);
 
+/// Nothing is placed when the last tick is longer ago. A VM with 0.4 of a core is paused for up to 60 ms by
+/// its processor limit; after longer pauses the runs of an unreachable entry VM could outlast the time after
+/// which its callers retry.
+constexpr Duration maximumTickAge = std::chrono::milliseconds(80);
+
 /// Translates the end of a run for the Dispatcher that placed it.
 AttemptResult resultOf(const FinishedRun &run, bool isJobEnded)
 {
@@ -330,6 +335,7 @@
     }
     for (const auto id : late)
         answerJob(now, id, Outcome::Failed, Reason::DeadlinePassed, "dispatch: the deadline passed");
+    m_tickedAt = now;
     reschedule(now);
     applyCrashes(now);
     removeExpired(now);
@@ -513,6 +519,9 @@
         endUnstartedJobs(now);
         return;
     }
+    // After a pause of the process, answers may be read before the tick that ends the jobs nobody waits for.
+    if (m_tickedAt && now - *m_tickedAt > maximumTickAge)
+        return;
     for (auto &[name, dispatcher] : m_pools) {
         for (const auto &it : dispatcher.place(now))
             startRun(now, name, it);
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -141,11 +141,7 @@
         endCrashes();
         for (auto &[name, it] : m_upstreams)
             it->advance(m_now);
-        while (!m_events.empty() && m_events.begin()->first <= m_now) {
-            const auto event = m_events.begin()->second;
-            m_events.erase(m_events.begin());
-            handle(event);
-        }
+        handleEvents(true);
         m_dispatcher->tick(m_now);
         for (auto &it : m_ledger->takeNews())
             m_reportedCrashes.push_back(std::move(it));
@@ -154,6 +150,19 @@
     }
 }
 
+void GroupHarness::pause(Duration time)
+{
+    const auto end = m_now + time;
+    while (m_now < end) {
+        m_now += step;
+        for (auto &[name, it] : m_upstreams)
+            it->advance(m_now);
+        handleEvents(false);
+        checkRuns();
+    }
+    handleEvents(true);
+}
+
 GroupDispatcher &GroupHarness::dispatcher()
 {
     return *m_dispatcher;
@@ -206,6 +215,19 @@
     m_events.emplace(isLate ? m_now + late : m_now + delay, event);
 }
 
+void GroupHarness::handleEvents(bool areAnswersRead)
+{
+    for (auto it = m_events.begin(); it != m_events.end() && it->first <= m_now;) {
+        if (it->second.kind == Event::Kind::Answer && !areAnswersRead) {
+            ++it;
+            continue;
+        }
+        const auto event = it->second;
+        it = m_events.erase(it);
+        handle(event);
+    }
+}
+
 void GroupHarness::handle(const Event &event)
 {
     if (event.kind == Event::Kind::Answer) {
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -64,6 +64,10 @@
 
     void advance(Duration time);
 
+    /// Lets @p time pass without the dispatcher, and then hands over the answers that came meanwhile, without
+    /// a tick.
+    void pause(Duration time);
+
     GroupDispatcher &dispatcher();
     TimePoint now() const;
     SimulatedUpstream &upstream(const std::string &name);
@@ -107,6 +111,8 @@
     FleetAnnouncement announcementOf(const std::string &name, Duration lease);
     void executeActions();
     void sendOrder(const RunOrder &order);
+    /// Handles the events that are due; answers only if @p areAnswersRead.
+    void handleEvents(bool areAnswersRead);
     void handle(const Event &event);
     void checkRuns();
     /// Restarts an upstream that answers nothing until downTime has passed.
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -125,6 +125,44 @@
     EXPECT_EQ(group.starts["a.0"], 1U);
 }
 
+// A holder that had been paused read the answers of upstreams before it noticed that the entry VMs had fallen
+// silent, and started tasks that ran elsewhere already.
+TEST(GroupDispatcherTest, answersReadAfterAPauseStartNoTasksOfAnUnreachableEntryVm)
+{
+    // Around the end of the first job, so that the answer that was not read yet is the one with its end.
+    for (int i = 98; i < 102; ++i) {
+        GroupHarness group;
+        addUpstreams(group, 1);
+        group.advance(settlingTime);
+        group.submit("a", 1, 2);
+        group.submit("b", 2, 2);
+        group.advance(std::chrono::milliseconds(i));
+        group.pause(std::chrono::seconds(2));
+        group.dispatcher().entryVmUnreachable(group.now(), "entry");
+        group.advance(settlingTime);
+        EXPECT_EQ(group.starts["a.0"] + group.starts["a.1"], 2U);
+        EXPECT_EQ(group.starts["b.0"] + group.starts["b.1"], 0U);
+    }
+}
+
+// What is still wanted must not wait longer than until the tick after a pause.
+TEST(GroupDispatcherTest, queuedTasksStartAtTheFirstTickAfterAPause)
+{
+    for (int i = 98; i < 102; ++i) {
+        GroupHarness group;
+        addUpstreams(group, 1);
+        group.advance(settlingTime);
+        group.submit("a", 1, 2);
+        group.submit("late", 2, 1, std::chrono::seconds(1));
+        group.submit("b", 3, 1);
+        group.advance(std::chrono::milliseconds(i));
+        group.pause(std::chrono::seconds(2));
+        group.advance(std::chrono::milliseconds(10));
+        EXPECT_EQ(group.starts["b.0"], 1U);
+        EXPECT_EQ(group.starts["late.0"], 0U);
+    }
+}
+
 /// Callers of an unreachable entry VM retry through another one. If the old runs still continued by then, a
 /// task would run twice.
 TEST(GroupDispatcherTest, runsOfAnUnreachableEntryVmEndBeforeItsCallersRetry)
