Platform: responses that do not reject an order count as unanswered

A start that an executor had carried out could be started again elsewhere at once, and the runs of an upstream could all count as ended.

Cause: any status of 500 or more meant "unhealthy, not executed", and any other unknown status "invalid, not executed". The platform states that nothing was done only for 400, 409, 421, 429 and 503. A 200 with a body that couldn't be parsed or had no ClockMs counted as accepted; for a poll that meant empty lists of runs.

--- a/tests/integration/platformtest.cpp
+++ b/tests/integration/platformtest.cpp
@@ -420,6 +420,45 @@
     EXPECT_NE(parseHeartbeatError("Labels", 7).find("Labels"), std::string::npos);
 }
 
+// A start that was answered with 500 or 502 counted as not executed, and the task was started elsewhere.
+TEST(PlatformCodecTest, onlyAnswersThatRejectAnOrderCountAsNotExecuted)
+{
+    const auto verdictOf = [](OrderKind kind, int status, const std::string &body) {
+        RunOrder order;
+        order.kind = kind;
+        ClientResponse response;
+        response.outcome = ExchangeOutcome::Answered;
+        response.response = {status, body, {}};
+        return Platform::decodeOrderResult(order, response).verdict;
+    };
+    for (const auto kind : {OrderKind::Start, OrderKind::Stop, OrderKind::Poll}) {
+        for (const int status : {202, 204, 302, 404, 408, 500, 502, 504})
+            EXPECT_EQ(verdictOf(kind, status, ""), OrderVerdict::NoAnswer) << status;
+        for (const int status : {429, 503})
+            EXPECT_EQ(verdictOf(kind, status, ""), OrderVerdict::Unhealthy) << status;
+        EXPECT_EQ(verdictOf(kind, 400, ""), OrderVerdict::Invalid);
+        EXPECT_EQ(verdictOf(kind, 409, R"({"ClockMs":5,"Reason":"room"})"), OrderVerdict::NoRoom);
+        EXPECT_EQ(verdictOf(kind, 421, ""), OrderVerdict::OtherIncarnation);
+        EXPECT_EQ(verdictOf(kind, 200, R"({"ClockMs":5})"), OrderVerdict::Accepted);
+    }
+}
+
+// An answer to a poll that could not be read counted as empty lists, so that all runs of the upstream counted
+// as ended.
+TEST(PlatformCodecTest, successWithoutAReadableClockCountsAsNoAnswer)
+{
+    ClientResponse response;
+    response.outcome = ExchangeOutcome::Answered;
+    for (const auto kind : {OrderKind::Start, OrderKind::Stop, OrderKind::Poll}) {
+        RunOrder order;
+        order.kind = kind;
+        for (const char *body : {"", "{", "[]", "null", "{}", R"({"ClockMs":"5"})", R"({"Running":[]})"}) {
+            response.response = {200, body, {}};
+            EXPECT_EQ(Platform::decodeOrderResult(order, response).verdict, OrderVerdict::NoAnswer) << body;
+        }
+    }
+}
+
 /// A run that is missing from the list of running runs counts as ended. If a malformed row were skipped, a
 /// task would start again while it runs.
 TEST(PlatformCodecTest, partlyUnreadableRunListCountsAsNoAnswer)
