FleetMember: take no new jobs from VMs that are unreachable

A holder that had been paused for longer than it remembers VMs (60 s) dispatched jobs that had waited in its queues during the pause.

Cause: the first message of an incarnation defines the zero of its delay. After such a pause the first tick removes the VM from the directory, so that an old job can be the first message that is read of it, and counts as fresh. The VM is not reachable at that time, as its message echoes an old time, but nothing checked that.

Evidence: PeerDirectoryTest.delayOfMessagesReadAfterALongPauseIsUnknown failed before: a delay of 0 us instead of none.

Fix: the delay of a message is unknown while its sender is unreachable, and a job with an unknown delay is refused as one that is too old, unless it is known already. In normal operation a job's sender is reachable: it routes jobs to a holder only after two-way traffic with it, and the message itself echoes the holder's last one.

--- a/include/citronpitch/peerdirectory.h
+++ b/include/citronpitch/peerdirectory.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -114,6 +115,10 @@
     /// listing, or that was long ago. Counts the listing as sent.
     bool takeListing(TimePoint now, const std::string &name, const std::vector<FleetPeer> &controlVms);
 
+    /// Returns how long the last message of @p name was on its way beyond the usual time; nothing while that
+    /// VM is unreachable, as its messages may be old then without appearing so.
+    std::optional<Duration> messageDelay(const std::string &name) const;
+
     /// Returns null for a VM without any message so far.
     const KnownPeer *find(const std::string &name) const;
     bool isAlive(const std::string &name) const;
--- a/src/core/fleet/peerdirectory.cpp
+++ b/src/core/fleet/peerdirectory.cpp
@@ -154,6 +154,12 @@
     return true;
 }
 
+std::optional<Duration> PeerDirectory::messageDelay(const std::string &name) const
+{
+    const auto *it = find(name);
+    return it == nullptr || !it->isAlive ? std::nullopt : std::optional(it->lastDelay);
+}
+
 const KnownPeer *PeerDirectory::find(const std::string &name) const
 {
     const auto it = m_peers.find(name);
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -336,8 +336,7 @@
 
 void FleetMember::handleOrDefer(const wire::Message &message, std::size_t bytes)
 {
-    const auto *peer = m_directory.find(message.sender());
-    m_messageAge = peer == nullptr ? Duration() : peer->lastDelay;
+    m_messageAge = m_directory.messageDelay(message.sender()).value_or(refusedMessageAge);
     if (isDeferrable(message)) {
         startTurn();
         const bool mustWait = !m_deferred.empty() || ++m_handledInTurn > deferrableMessagesPerTurn;
--- a/tests/unit/peerdirectorytest.cpp
+++ b/tests/unit/peerdirectorytest.cpp
@@ -58,6 +58,21 @@
     EXPECT_EQ(directory.heartbeatTargets(), std::vector<std::string>{"seed:1"});
 }
 
+// A holder that had been paused for longer than it remembers VMs took jobs that had waited as long for new
+// ones.
+TEST(PeerDirectoryTest, delayOfMessagesReadAfterALongPauseIsUnknown)
+{
+    auto directory = directoryOf(VmRole::Control);
+    receive(directory, start, "entry:1", VmRole::Entry);
+    EXPECT_EQ(directory.messageDelay("entry:1"), Duration());
+    const auto resumed = start + 61 * second;
+    directory.tick(resumed);
+    ASSERT_TRUE(directory.messageReceived(resumed, "entry:1", 1, 2, start));
+    EXPECT_EQ(directory.messageDelay("entry:1"), std::nullopt);
+    receive(directory, resumed, "entry:1", VmRole::Entry);
+    EXPECT_TRUE(directory.messageDelay("entry:1").has_value());
+}
+
 /// With a link that fails in one direction, a VM receives messages but can't send any. The peer must not
 /// count as reachable then.
 TEST(PeerDirectoryTest, vmIsReachableOnlyWithTwoWayTraffic)
