Report suppressed log lines of a fleet's VM while it runs

A VM of a fleet wrote E108 only when it exited, so that a killed VM never told that its log had gaps. Its tick writes the counts of ended windows now, as that of the daemon does.

Measured: no test covers it; 29 tests of the logs, settings and platform pass.

--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -479,6 +479,7 @@
     executeActions();
     logLeaderChange();
     logEvacuations();
+    logSuppressedCounts();
     m_hooks.ticked();
 }
 
