Keep what a holder knew of an upstream when a run there ended

The reason of a lost run alone doesn't tell whether the run had ended: that also depends on the incarnation, the leases that were sent and the orders without an answer. FinishedRun carries them now, and a RunOrder the incarnation that it is meant for.

--- a/include/citronpitch/runorder.h
+++ b/include/citronpitch/runorder.h
@@ -35,6 +35,8 @@
     std::string upstream;
     std::string address;
     std::uint16_t port = 0;
+    /// Incarnation of the upstream that the order is meant for, as far as the holder knows.
+    std::uint64_t incarnation = 0;
     /// Fencing token; the upstream rejects an order whose token is lower than the highest that it has seen.
     std::uint64_t fence = 0;
     /// Start and Stop: the task and the number of its run.
--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -50,6 +50,16 @@
     TakenOver,
 };
 
+inline constexpr std::array runOutcomeNames{
+    EnumName<RunOutcome>{RunOutcome::Done, "done"},
+    EnumName<RunOutcome>{RunOutcome::Failed, "failed"},
+    EnumName<RunOutcome>{RunOutcome::Declined, "declined"},
+    EnumName<RunOutcome>{RunOutcome::NotSent, "notSent"},
+    EnumName<RunOutcome>{RunOutcome::Lost, "lost"},
+    EnumName<RunOutcome>{RunOutcome::Stopped, "stopped"},
+    EnumName<RunOutcome>{RunOutcome::TakenOver, "takenOver"},
+};
+
 /// Why a run has ended without a result.
 enum class RunLoss {
     None,
@@ -74,6 +84,18 @@
     EnumName<RunLoss>{RunLoss::EndedByUpstream, "endedByUpstream"},
 };
 
+/// What a holder knew of an upstream when it concluded that a run there had ended.
+struct RunEndBasis
+{
+    std::uint64_t incarnation = 0;
+    /// Latest lease sent to this incarnation, on its clock; zero if there is none.
+    std::int64_t leaseMs = 0;
+    /// The upstream's clock when it was last read.
+    std::int64_t clockMs = 0;
+    /// Orders to the upstream without an answer so far, of any run and incarnation.
+    std::size_t unansweredOrders = 0;
+};
+
 /// The end of a run; reported once.
 struct FinishedRun
 {
@@ -85,6 +107,7 @@
     OrderVerdict verdict = OrderVerdict::Accepted;
     /// For Lost: the reason.
     RunLoss loss = RunLoss::None;
+    RunEndBasis basis;
 };
 
 /**
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -227,6 +227,7 @@
     order.upstream = m_announcement.upstream.name;
     order.address = m_announcement.upstream.address;
     order.port = m_announcement.upstream.port;
+    order.incarnation = m_announcement.upstream.incarnation;
     order.fence = m_options.fence;
     order.timeout = m_options.orderTimeout;
     return order;
@@ -405,6 +406,7 @@
 void UpstreamRuns::finish(std::map<std::string, Run>::iterator it, RunOutcome outcome, OrderVerdict verdict)
 {
     m_finished.push_back({it->second.attempt, it->first, it->second.run, outcome, verdict});
+    m_finished.back().basis = {m_announcement.upstream.incarnation, m_leaseMs, m_clockMs, m_orders.size()};
     m_runs.erase(it);
 }
 
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -77,6 +77,24 @@
     EXPECT_EQ(finished[0].outcome, RunOutcome::Lost);
 }
 
+// Without the upstream's state at that time, a log can't tell whether a lost run had ended.
+TEST_F(UpstreamRunsTest, lostRunCarriesWhatTheHolderKnew)
+{
+    for (int i = 0; i < 30; ++i) {
+        m_now += 50ms;
+        m_runs->tick(m_now);
+    }
+    const auto finished = m_runs->takeFinished();
+    ASSERT_EQ(finished.size(), 1U);
+    EXPECT_EQ(finished[0].loss, RunLoss::UpstreamSilent);
+    EXPECT_EQ(finished[0].basis.incarnation, 1U);
+    EXPECT_EQ(m_orders.back().incarnation, 1U);
+    EXPECT_EQ(finished[0].basis.leaseMs, 1600);
+    EXPECT_EQ(finished[0].basis.clockMs, 1000);
+    constexpr std::size_t answered = 2;
+    EXPECT_EQ(finished[0].basis.unansweredOrders, m_orders.size() - answered);
+}
+
 // A limit of the VM's own connections must not count as an executed or a failed start.
 TEST_F(UpstreamRunsTest, limitedStartWasNotSent)
 {
