Log each submission, start and end of a run at a new level debug

The logs of an incident had unanswered orders and lost runs only, so that a second start of a task could not be found. With the setting logLevel "debug" (log.level for the daemon) a VM of a fleet logs E640 and E641 for each submission and routing of a job, E625 for each start, and E626 for each end with what it was concluded from; E622 has the same fields. Each of these events has a limit of 2,000 lines per second instead of the repeat limit. At the default level nothing is built or reported: GroupDispatcher reports ends only on request.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -30,6 +30,8 @@
     Duration answerRetention = std::chrono::seconds(10);
     /// Time after which a reserved job that was not started is refused.
     Duration reservationTimeout = std::chrono::milliseconds(100);
+    /// Whether the end of each run is reported by a ConcludedRun.
+    bool reportsRunEnds = false;
     /// Returns the name under which a task runs on its upstream.
     std::function<std::string(const std::string &key, std::uint32_t task)> nameTask;
 };
@@ -88,6 +90,14 @@
     std::uint32_t run = 0;
     std::string upstream;
     RunLoss loss = RunLoss::None;
+    RunEndBasis basis;
+};
+
+/// A run has ended, with or without a result; see GroupDispatcherOptions::reportsRunEnds.
+struct ConcludedRun
+{
+    FinishedRun run;
+    std::string upstream;
 };
 
 /// An upstream gets no new tasks, as it has neither announced itself nor answered an order in time.
@@ -127,7 +137,7 @@
 };
 
 /// An action that the owner of a GroupDispatcher has to execute, in order.
-using GroupAction = std::variant<RunOrder, FinishedJob, ReservedJob, LostRun, ExpiredUpstream>;
+using GroupAction = std::variant<RunOrder, FinishedJob, ReservedJob, LostRun, ExpiredUpstream, ConcludedRun>;
 
 /**
  * @brief Dispatches best-effort jobs to the upstreams of one group, as the only holder of the group.
--- a/include/citronpitch/jobrouter.h
+++ b/include/citronpitch/jobrouter.h
@@ -98,8 +98,8 @@
     void loadReported(TimePoint now, const std::string &vm, const std::vector<GroupLoad> &loads);
 
     /// Routes a job and sets its origin's number. @p caller gets exactly one AnswerCaller, unless it
-    /// disconnects first.
-    void submit(TimePoint now, CallerId caller, RoutedJob job);
+    /// disconnects first. Returns false if the job was in flight already.
+    bool submit(TimePoint now, CallerId caller, RoutedJob job);
 
     /// @p caller has disconnected; a job without callers is cancelled.
     void callerDisconnected(CallerId caller);
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -571,8 +571,10 @@
     task.attempt = 0;
     --job.openAttempts;
     pool(attempt.pool).finish(now, attempt.placementAttempt, resultOf(run, job.isEnded));
+    if (m_options.reportsRunEnds)
+        m_actions.emplace_back(ConcludedRun{run, attempt.upstream});
     if (run.outcome == RunOutcome::Lost)
-        m_actions.emplace_back(LostRun{run.task, run.run, attempt.upstream, run.loss});
+        m_actions.emplace_back(LostRun{run.task, run.run, attempt.upstream, run.loss, run.basis});
     if (job.isEnded) {
         removeIfFinished(now, attempt.job);
         return;
--- a/src/core/runs/jobrouter.cpp
+++ b/src/core/runs/jobrouter.cpp
@@ -226,13 +226,13 @@
     }
 }
 
-void JobRouter::submit(TimePoint now, CallerId caller, RoutedJob job)
+bool JobRouter::submit(TimePoint now, CallerId caller, RoutedJob job)
 {
     const auto known = m_byKey.find(job.submission.key);
     if (known != m_byKey.end()) {
         m_jobs.at(known->second).callers.push_back(caller);
         m_byCaller[caller] = known->second;
-        return;
+        return false;
     }
     const auto number = m_nextNumber++;
     auto &open = m_jobs[number];
@@ -244,13 +244,13 @@
     const auto groups = candidates(now, job.submission.className);
     if (groups.empty()) {
         answer(number, noGroupRefusal(now));
-        return;
+        return true;
     }
     open.latestStart = latestStart(now, groups, open.deadline);
     if (const auto refused = refusal(now, groups, job.submission)) {
         ++m_totals.refusedAtOnce;
         answer(number, *refused);
-        return;
+        return true;
     }
     auto first = job.submission.tasks.begin();
     const auto shares = split(groups, static_cast<std::uint32_t>(job.submission.tasks.size()));
@@ -263,6 +263,7 @@
         first += it.tasks;
         sendPart(now, number, std::move(part), *it.candidate, {});
     }
+    return true;
 }
 
 void JobRouter::callerDisconnected(CallerId caller)
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -77,7 +77,13 @@
     const auto caller = m_nextCaller++;
     job.origin = {m_member.self().name, m_member.self().incarnation, 0};
     m_callers[caller] = {std::move(answered), job.submission.key, job.submission.className, now()};
-    m_router.submit(now(), caller, std::move(job));
+    const auto tasks = job.submission.tasks.size();
+    const bool isNew = m_router.submit(now(), caller, std::move(job));
+    if (isLogLevelEnabled(EventSeverity::Debug))
+        logEvent(Event::JobSubmitted,
+                 {{"key", m_callers.at(caller).key},
+                  {"tasks", std::to_string(tasks)},
+                  {"joined", isNew ? "no" : "yes"}});
     executeActions();
     return caller;
 }
@@ -374,6 +380,17 @@
 
 void FleetEntry::execute(const SendJob &action)
 {
+    if (isLogLevelEnabled(EventSeverity::Debug))
+        logEvent(Event::JobRouted,
+                 {{"key", action.job.submission.key},
+                  {"number", std::to_string(action.job.origin.number)},
+                  {"group", action.group},
+                  {"holder", action.vm},
+                  {"fence", std::to_string(action.job.fence)},
+                  {"firstTask", std::to_string(action.job.firstTask)},
+                  {"tasks", std::to_string(action.job.submission.tasks.size())},
+                  {"reserved", action.job.reserve ? "yes" : "no"},
+                  {"resent", action.job.isResent ? "yes" : "no"}});
     if (action.vm == m_member.self().name) {
         m_groups.submit(action.group, action.job);
         m_router.partsReceived(now(), action.vm, {action.job.origin.number});
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -133,6 +133,13 @@
     if (fields.find("evacuationMs") != nullptr) {
         BOOST_LEAF_ASSIGN(settings.evacuationTime, parseMilliseconds(fields, "evacuationMs", 0));
     }
+    BOOST_LEAF_ASSIGN(const auto level, fields.optionalText("logLevel"));
+    if (!level.empty()) {
+        const auto severity = enumValue(eventSeverityNames, level);
+        if (!severity)
+            return fields.error("key \"logLevel\": there is no level \"" + level + "\"");
+        settings.log.level = *severity;
+    }
     const bool isComplete = settings.role == VmRole::Entry ? settings.callers && settings.readiness
                                                            : settings.control.has_value();
     if (!isComplete)
--- a/src/fleet/heldgroups.cpp
+++ b/src/fleet/heldgroups.cpp
@@ -446,6 +446,7 @@
         std::min({options.runs.lease, m_settings.maximumLease, leaseWithinRetryTime(m_settings)});
     options.upstreamLease = m_settings.announcementInterval * leaseAnnouncementIntervals;
     options.nameTask = m_hooks.nameTask;
+    options.reportsRunEnds = isLogLevelEnabled(EventSeverity::Debug);
     auto &it = m_groups[group];
     it = std::make_unique<GroupDispatcher>(std::move(options), m_crashes);
     it->setClasses(m_classes);
@@ -475,6 +476,15 @@
 
 void HeldGroups::execute(const std::string &group, const RunOrder &order)
 {
+    if (order.kind == OrderKind::Start && isLogLevelEnabled(EventSeverity::Debug))
+        logEvent(Event::RunOrdered,
+                 {{"task", order.task},
+                  {"run", std::to_string(order.run)},
+                  {"upstream", order.upstream},
+                  {"incarnation", std::to_string(order.incarnation)},
+                  {"fence", std::to_string(order.fence)},
+                  {"leaseMs", std::to_string(order.leaseMs)},
+                  {"group", group}});
     m_hooks.sendOrder(order,
                       [this, group, fence = order.fence, order, sentAt = now()](const OrderResult &result) {
                           recordOrder(group, order, result, sentAt);
@@ -529,6 +539,27 @@
               {"run", std::to_string(lost.run)},
               {"upstream", lost.upstream},
               {"loss", loss},
+              {"incarnation", std::to_string(lost.basis.incarnation)},
+              {"leaseMs", std::to_string(lost.basis.leaseMs)},
+              {"clockMs", std::to_string(lost.basis.clockMs)},
+              {"unansweredOrders", std::to_string(lost.basis.unansweredOrders)},
+              {"group", group}});
+}
+
+void HeldGroups::execute(const std::string &group, const ConcludedRun &concluded)
+{
+    const auto &run = concluded.run;
+    logEvent(Event::RunEnded,
+             {{"task", run.task},
+              {"run", std::to_string(run.run)},
+              {"upstream", concluded.upstream},
+              {"outcome", std::string(enumName(runOutcomeNames, run.outcome))},
+              {"verdict", std::string(enumName(orderVerdictNames, run.verdict))},
+              {"loss", std::string(enumName(runLossNames, run.loss))},
+              {"incarnation", std::to_string(run.basis.incarnation)},
+              {"leaseMs", std::to_string(run.basis.leaseMs)},
+              {"clockMs", std::to_string(run.basis.clockMs)},
+              {"unansweredOrders", std::to_string(run.basis.unansweredOrders)},
               {"group", group}});
 }
 
--- a/src/fleet/heldgroups.h
+++ b/src/fleet/heldgroups.h
@@ -146,6 +146,7 @@
     void execute(const std::string &group, const FinishedJob &finished);
     void execute(const std::string &group, const ReservedJob &reserved);
     void execute(const std::string &group, const LostRun &lost);
+    void execute(const std::string &group, const ConcludedRun &concluded);
     void execute(const std::string &group, const ExpiredUpstream &expired);
     /// Sends the records of crashes that are new since the last call to the other VMs.
     void sendNewCrashes();
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -11,6 +11,10 @@
 /// id.
 constexpr std::uint32_t requestRepeatLimitMultiplier = 20;
 
+/// Events of single runs and jobs. A fleet of 8 holders with 3,000 runs per second has a mean of 375 per
+/// holder; the rest is for an uneven distribution and for bursts after a disruption.
+constexpr std::uint32_t traceLinesPerSecond = 2000;
+
 constexpr std::array catalogue{
     EventDefinition{Event::Started, EventSeverity::Info, "started", "vm failureDomain",
                     "The daemon accepts requests. No action is needed."},
@@ -34,9 +38,9 @@
     EventDefinition{Event::SettingsRejected, EventSeverity::Error, "settings file rejected", "error",
                     "The settings file reloaded on SIGHUP has errors; the active settings are unchanged. Run "
                     "`citronpitch settings check FILE`."},
-    EventDefinition{
-        Event::RepeatsSuppressed, EventSeverity::Warning, "repeated events suppressed", "repeated count",
-        "The event exceeded `log.repeatLimit` in a window; `count` is the number of suppressed lines."},
+    EventDefinition{Event::RepeatsSuppressed, EventSeverity::Warning, "repeated events suppressed",
+                    "repeated count",
+                    "The event exceeded its limit in a window; `count` is the number of suppressed lines."},
     EventDefinition{Event::ListeningStopped, EventSeverity::Info, "stopped accepting connections",
                     "vm inFlight",
                     "Second phase of a graceful shutdown; `inFlight` is the number of open connections."},
@@ -147,12 +151,13 @@
         "upstream order task run group",
         "The upstream may still execute the order; the task is started elsewhere once that is ruled out.",
         requestRepeatLimitMultiplier},
-    EventDefinition{
-        Event::RunLost, EventSeverity::Warning, "a run ended without a result",
-        "task run upstream loss group",
-        "`loss` tells whether the upstream restarted, was silent until the lease had expired, left, or ended "
-        "the run itself. The same task on several upstreams: it may crash them. See docs/OPERATIONS.md.",
-        requestRepeatLimitMultiplier},
+    EventDefinition{Event::RunLost, EventSeverity::Warning, "a run ended without a result",
+                    "task run upstream loss incarnation leaseMs clockMs unansweredOrders group",
+                    "`loss` tells whether the upstream restarted, was silent until the lease had expired, "
+                    "left, ended the run itself, or confirmed its stop after an unanswered start. The other "
+                    "fields are those of E626. The same task on several upstreams: it may crash them. See "
+                    "docs/OPERATIONS.md.",
+                    requestRepeatLimitMultiplier},
     EventDefinition{
         Event::TaskCrash, EventSeverity::Warning, "an upstream was lost while it ran a task",
         "task upstream incarnation state",
@@ -165,11 +170,38 @@
                     "upstream group",
                     "It has neither announced itself nor answered an order for four announcement intervals. "
                     "Check the upstream and its network; it is used again with its next announcement."},
+    EventDefinition{
+        Event::RunOrdered, EventSeverity::Debug, "a run was ordered",
+        "task run upstream incarnation fence leaseMs group",
+        "The start order was queued for sending; E621 tells if it got no answer. `incarnation`: the "
+        "one that it was meant for. `leaseMs`: end of the lease on the upstream's clock. See "
+        "docs/OPERATIONS.md.",
+        1, traceLinesPerSecond},
+    EventDefinition{
+        Event::RunEnded, EventSeverity::Debug, "a run has ended",
+        "task run upstream outcome verdict loss incarnation leaseMs clockMs unansweredOrders group",
+        "The holder has concluded that the run has ended. `verdict` is the answer to the start order for "
+        "`declined` and `notSent`, `loss` the reason for `lost`. What the holder knew of the upstream then: "
+        "its incarnation, the latest lease sent to it, its clock when last read, and the number of orders "
+        "without an answer so far. See docs/OPERATIONS.md.",
+        1, traceLinesPerSecond},
     EventDefinition{
         Event::GroupStartsEnded, EventSeverity::Info, "no more starts in a group because of an evacuation",
         "group refused",
         "Accepted jobs had half of `evacuationMs` to start their tasks. `refused` jobs had not, and "
         "were refused, or failed if a task of theirs had started."},
+    EventDefinition{
+        Event::JobSubmitted, EventSeverity::Debug, "a caller submitted a job", "key tasks joined",
+        "`joined`: this entry VM already had the job in flight, and the caller waits for the same "
+        "answer.",
+        1, traceLinesPerSecond},
+    EventDefinition{
+        Event::JobRouted, EventSeverity::Debug, "a job was sent to a holder",
+        "key number group holder fence firstTask tasks reserved resent",
+        "The job, or the part of a split one with `tasks` tasks from `firstTask`. A reserved part runs only "
+        "once its holder is told to start it. Each repetition is logged; `resent`: an earlier message may "
+        "have started it. If it can't be delivered, it is sent to another holder.",
+        1, traceLinesPerSecond},
 };
 
 } // namespace
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -54,7 +54,11 @@
     RunLost = 622,
     TaskCrash = 623,
     GroupUpstreamExpired = 624,
+    RunOrdered = 625,
+    RunEnded = 626,
     GroupStartsEnded = 630,
+    JobSubmitted = 640,
+    JobRouted = 641,
 };
 
 /// Severity, text and documentation of one event.
@@ -69,6 +73,8 @@
     std::string_view description;
     /// Multiplier of LogSettings::repeatLimit; higher for events that are logged per request.
     std::uint32_t repeatLimitMultiplier = 1;
+    /// Maximum number of lines per second, which replaces LogSettings::repeatLimit; zero if that applies.
+    std::uint32_t linesPerSecond = 0;
 };
 
 /// Returns all events in ascending order of their numbers.
--- a/src/log/eventlog.cpp
+++ b/src/log/eventlog.cpp
@@ -56,6 +56,8 @@
 void write(EventSeverity level, const std::string &line)
 {
     switch (level) {
+    // The library compiles its own debug level out of release builds.
+    case EventSeverity::Debug:
     case EventSeverity::Info:
         LOG(INFO) << line;
         break;
@@ -99,11 +101,16 @@
     el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+bool isLogLevelEnabled(EventSeverity level)
+{
+    return level >= logState().settings.level;
+}
+
 void logEvent(Event event, const std::vector<EventField> &fields)
 {
     const auto &entry = eventDefinition(event);
     auto &state = logState();
-    if (entry.level < state.settings.level || !state.limiter.admit(wallClock(), event))
+    if (!isLogLevelEnabled(entry.level) || !state.limiter.admit(wallClock(), event))
         return;
     writeEvent(entry, fields);
 }
@@ -151,8 +158,13 @@
         "`log.repeatLimit` times per window of `log.repeatWindowMs`; E108 reports the number of\n"
         "suppressed lines.\n"
         "\n"
-        "| number | level | text | fields | cause and action |\n"
-        "|---|---|---|---|---|\n";
+        "Debug events trace single runs and jobs of a fleet and are off by default. Each is logged\n"
+        "at most "
+        + std::to_string(eventDefinition(Event::RunOrdered).linesPerSecond)
+        + " times per second, whatever the repeat limit.\n"
+          "\n"
+          "| number | level | text | fields | cause and action |\n"
+          "|---|---|---|---|---|\n";
     for (const auto &it : eventCatalogue())
         text += "| " + eventNumberText(it.event) + " | " + std::string(enumName(eventSeverityNames, it.level))
             + " | " + std::string(it.text) + " | " + std::string(it.fields) + " | "
--- a/src/log/eventlog.h
+++ b/src/log/eventlog.h
@@ -17,6 +17,10 @@
 /// Configures logging to standard error. May be called again to apply changed settings.
 void configureEventLog(const LogSettings &settings);
 
+/// Whether events of severity @p level are logged. To be checked before the fields of a debug event are
+/// built.
+bool isLogLevelEnabled(EventSeverity level);
+
 /// Logs @p event with @p fields as one line, unless its severity or the rate limit suppresses it.
 void logEvent(Event event, const std::vector<EventField> &fields);
 
--- a/src/log/eventratelimiter.cpp
+++ b/src/log/eventratelimiter.cpp
@@ -13,11 +13,14 @@
 bool EventRateLimiter::admit(TimePoint now, Event event)
 {
     auto &window = m_windows[event];
+    const auto &definition = eventDefinition(event);
+    const auto perSecond = definition.linesPerSecond;
+    const auto limit = perSecond > 0 ? perSecond : m_limit * definition.repeatLimitMultiplier;
     if (now >= window.end) {
-        window.end = now + m_windowLength;
+        window.end = now + (perSecond > 0 ? std::chrono::seconds(1) : m_windowLength);
         window.logged = 0;
     }
-    if (window.logged < m_limit * eventDefinition(event).repeatLimitMultiplier) {
+    if (window.logged < limit) {
         ++window.logged;
         return true;
     }
--- a/src/log/eventratelimiter.h
+++ b/src/log/eventratelimiter.h
@@ -23,7 +23,8 @@
 class EventRateLimiter
 {
 public:
-    /// Allows @p limit lines per event, multiplied by its repeatLimitMultiplier, within each @p window.
+    /// Allows @p limit lines per event, multiplied by its repeatLimitMultiplier, within each @p window. An
+    /// event with linesPerSecond has this limit instead, within each second.
     EventRateLimiter(std::uint32_t limit, Duration window);
 
     /// Returns whether @p event may be logged at @p now, and counts it as suppressed if not.
--- a/src/log/logsettings.h
+++ b/src/log/logsettings.h
@@ -8,9 +8,10 @@
 namespace Citronpitch {
 
 /// Severity of an event, in ascending order.
-enum class EventSeverity { Info, Warning, Error };
+enum class EventSeverity { Debug, Info, Warning, Error };
 
 inline constexpr std::array eventSeverityNames{
+    EnumName<EventSeverity>{EventSeverity::Debug, "debug"},
     EnumName<EventSeverity>{EventSeverity::Info, "info"},
     EnumName<EventSeverity>{EventSeverity::Warning, "warning"},
     EnumName<EventSeverity>{EventSeverity::Error, "error"},
--- a/src/settings/settingspec.cpp
+++ b/src/settings/settingspec.cpp
@@ -98,7 +98,7 @@
     SettingSpec{"log.format", Kind::Choice, R"("text")", 0, 0, "", Reload::Signal,
                 "Format of each event: a line of text, or a JSON object on one line.", "text|json-lines"},
     SettingSpec{"log.level", Kind::Choice, R"("info")", 0, 0, "", Reload::Signal,
-                "Minimum severity of logged events.", "info|warning|error"},
+                "Minimum severity of logged events.", "debug|info|warning|error"},
     SettingSpec{"log.repeatLimit", Kind::Number, "10", 1, 1'000'000, "lines", Reload::Signal,
                 "Maximum number of lines of one event per `log.repeatWindowMs`; the number of suppressed "
                 "lines is logged."},
--- a/tests/integration/eventlogtest.cpp
+++ b/tests/integration/eventlogtest.cpp
@@ -161,6 +161,20 @@
     EXPECT_TRUE(limiter.admit(second(10), Event::PeerSuspected));
 }
 
+// The repeat limit would cut the trace of a fleet's runs to a few lines per window; its own limit must be
+// bounded too.
+TEST(EventRateLimiterTest, tracesHaveABudgetPerSecond)
+{
+    EventRateLimiter limiter(1, std::chrono::seconds(10));
+    const auto budget = eventDefinition(Event::RunOrdered).linesPerSecond;
+    for (int s = 0; s < 2; ++s) {
+        for (std::uint32_t i = 0; i < budget; ++i)
+            EXPECT_TRUE(limiter.admit(second(s), Event::RunOrdered));
+        EXPECT_FALSE(limiter.admit(second(s), Event::RunOrdered));
+    }
+    ASSERT_EQ(limiter.takeSuppressed(second(2)).size(), 1U);
+}
+
 // Runs two entry VMs and two upstreams, and stops them in different ways: each state change and each
 // malformed request must appear in the log of the remaining VM.
 TEST(EventLogTest, daemonLogsPeersUpstreamsAndRejectedInput)
--- a/tests/integration/platformtest.cpp
+++ b/tests/integration/platformtest.cpp
@@ -23,7 +23,7 @@
 class PlatformTest : public testing::Test
 {
 protected:
-    PlatformTest()
+    explicit PlatformTest(const Json &settings = Json::object())
         : folder(std::filesystem::temp_directory_path()
                  / ("citronpitch-platform-" + std::to_string(getpid())))
         , fleet({std::string(CITRONPITCH_PROGRAMS) + "/citronpitch-platform",
@@ -31,7 +31,8 @@
                  {"a", "b", "a"},
                  {"a"},
                  {"a", "b"},
-                 false})
+                 false,
+                 settings})
     {
         fleet.startExecutors();
     }
@@ -69,6 +70,16 @@
     PlatformFleet fleet;
 };
 
+/// Logs debug events.
+class PlatformTraceTest : public PlatformTest
+{
+protected:
+    PlatformTraceTest()
+        : PlatformTest({{"logLevel", "debug"}})
+    {
+    }
+};
+
 /// Runs a task that crashes each executor that starts it.
 class PlatformCrashTest : public PlatformTest
 {
@@ -436,3 +447,20 @@
     ASSERT_EQ(result.ended.size(), 1U);
     EXPECT_EQ(result.ended[0].kind, RunEndKind::Lapsed);
 }
+
+/// Guards against a step of a task that the debug logs don't show: its submission, its routing, its start or
+/// its end.
+TEST_F(PlatformTraceTest, logsTraceATaskFromItsSubmissionToItsEnd)
+{
+    ASSERT_TRUE(becomesReady());
+    ASSERT_EQ(submit(jobId, platformJob(1)).status, 200);
+    std::string log;
+    for (std::size_t i = 0; i < fleet.vms(); ++i)
+        log += fleet.logOf(i);
+    const auto id = std::string(jobId);
+    for (const auto &it :
+         {"E640 a caller submitted a job key=" + id + " tasks=1 joined=no",
+          "E641 a job was sent to a holder key=" + id, "E625 a run was ordered task=" + id + ".0.0.0 run=1",
+          "E626 a run has ended task=" + id + ".0.0.0 run=1"})
+        EXPECT_NE(log.find(it), std::string::npos) << it << "\n" << log;
+}
