--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -478,6 +478,7 @@
     executeActions();
     logLeaderChange();
     logEvacuations();
+    logSuppressedCounts();
     m_hooks.ticked();
 }
 
