--- a/tests/integration/platformtest.cpp
+++ b/tests/integration/platformtest.cpp
@@ -266,6 +266,26 @@
     }
 }
 
+/// Guards against a second run of a job whose caller gave up while its entry VM was paused, and has submitted
+/// it to another one since.
+TEST_F(PlatformTest, jobOfACallerThatLeftDuringAPauseIsNotStarted)
+{
+    ASSERT_TRUE(becomesReady());
+    auto request = platformSubmission(jobId, platformJob(2));
+    request.timeout = std::chrono::milliseconds(200);
+    fleet.process(entry).signal(SIGSTOP);
+    {
+        boost::asio::io_context io;
+        HttpClient client(io);
+        client.send(fleet.callers(entry), request, [&](const ClientResponse &) { io.stop(); });
+        io.run();
+    }
+    fleet.process(entry).signal(SIGCONT);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    EXPECT_EQ(fleet.starts(), 0U);
+    EXPECT_EQ(submit(jobId, platformJob(2)).status, 200);
+}
+
 TEST_F(PlatformTest, metricsPageCountsServedJobs)
 {
     ASSERT_TRUE(becomesReady());
