GroupDispatcher: all entry VMs that submit a job in flight wait for its answer

A job that came through a second entry VM while it was in flight ran again after it had completed, or ended although a caller waited for it.

Cause: the job belonged to the entry VM that had sent it last. The one that had lost it when the answer came did not get it, and its next resend was a new job.

Evidence: jobOfTwoEntryVmsRunsOnceAndAnswersBoth failed with 2 starts, 1 expected, and cancelOfOneEntryVmKeepsTheJobForTheOther without an answer for the second.

A job keeps all its origins now. Each gets the answer, and a cancel or the loss of one entry VM ends the job only if no other one waits for it.

--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -177,7 +177,7 @@
     /**
      * Accepts a job from an entry VM, which may resend it.
      *
-     * A job with the same key and tasks as one in flight is the same job; its answer goes to the new origin.
+     * A job with the same key and tasks as one in flight is the same job; its answer goes to all origins.
      * With other tasks, as of another part of the job, it starts once the one in flight has ended. A
      * new job is refused while the VM is overloaded, or if its message is too old to be of use.
      */
@@ -248,6 +248,8 @@
     struct Job
     {
         RoutedJob routed;
+        /// Further submissions of the same job, which get the same answer.
+        std::vector<JobOrigin> joinedOrigins;
         std::vector<Task> tasks;
         std::uint32_t doneTasks = 0;
         std::uint32_t openAttempts = 0;
@@ -327,6 +329,11 @@
     static std::string crashDetail(const std::string &task);
     void runFinished(TimePoint now, const FinishedRun &run);
     void answerJob(TimePoint now, JobId id, Outcome outcome, Reason reason, const std::string &detail);
+    /// Refuses a job of which no run has started.
+    void refuseJob(TimePoint now, JobId id, const Refusal &refusal);
+    /// Removes an origin that no longer waits for the job. Returns false, and removes nothing, if it is the
+    /// only one.
+    bool removeJoined(JobId id, const JobOrigin &origin);
     void endJob(TimePoint now, JobId id);
     void removeIfFinished(TimePoint now, JobId id);
     /// Tells the pool the lease of an upstream, and what it has announced.
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -227,11 +227,8 @@
             known.successors.push_back(job);
         return;
     }
-    if (known.routed.origin == job.origin)
-        return;
-    m_byOrigin.erase(known.routed.origin);
-    known.routed.origin = job.origin;
-    m_byOrigin[job.origin] = byKey->second;
+    if (m_byOrigin.try_emplace(job.origin, byKey->second).second)
+        known.joinedOrigins.push_back(job.origin);
 }
 
 bool GroupDispatcher::isSamePart(const RoutedJob &left, const RoutedJob &right)
@@ -263,7 +260,8 @@
     m_reservations.erase(origin);
     const auto it = m_byOrigin.find(origin);
     if (it != m_byOrigin.end()) {
-        endJob(now, it->second);
+        if (!removeJoined(it->second, origin))
+            endJob(now, it->second);
         reschedule(now);
         return;
     }
@@ -280,16 +278,17 @@
     std::erase_if(m_reservations, [&](const auto &it) { return isAbandoned(it.first); });
     for (auto &[id, job] : m_jobs)
         std::erase_if(job.successors, [&](const auto &it) { return isAbandoned(it.origin); });
-    std::vector<JobId> abandoned;
+    std::vector<std::pair<JobOrigin, JobId>> abandoned;
     for (auto it = m_byOrigin.lower_bound({vm, 0, 0}); it != m_byOrigin.end() && it->first.vm == vm; ++it) {
         if (isAbandoned(it->first))
-            abandoned.push_back(it->second);
+            abandoned.emplace_back(*it);
     }
-    for (const auto id : abandoned) {
+    for (const auto &[origin, id] : abandoned) {
         // The entry VM may only have been unreachable for a while, and resend the job.
-        if (const auto &job = m_jobs.at(id); job.hasStarted)
-            retainAnswer(now, job.routed.origin, abandonedAnswer());
-        endJob(now, id);
+        if (m_jobs.at(id).hasStarted)
+            retainAnswer(now, origin, abandonedAnswer());
+        if (!removeJoined(id, origin))
+            endJob(now, id);
     }
     if (!abandoned.empty())
         reschedule(now);
@@ -379,10 +378,8 @@
         if (!job.hasStarted && !job.isEnded)
             waiting.push_back(id);
     }
-    for (const auto id : waiting) {
-        refuse(now, m_jobs.at(id).routed.origin, movingRefusal(now));
-        endJob(now, id);
-    }
+    for (const auto id : waiting)
+        refuseJob(now, id, movingRefusal(now));
     reschedule(now);
 }
 
@@ -557,11 +554,10 @@
                           "dispatch: the deadline can't be met any more");
                 continue;
             }
-            refuse(now, job->second.routed.origin,
-                   {Reason::DeadlineOutOfReach,
-                    "dispatch: the deadline can't be met with the tasks already waiting",
-                    now + closedRetryDelay});
-            endJob(now, id);
+            refuseJob(now, id,
+                      {Reason::DeadlineOutOfReach,
+                       "dispatch: the deadline can't be met with the tasks already waiting",
+                       now + closedRetryDelay});
         }
     }
 }
@@ -747,16 +743,44 @@
     answer.outcome = outcome;
     answer.reason = reason;
     answer.detail = detail;
+    for (const auto &it : job.joinedOrigins)
+        reply(now, it, answer);
     reply(now, job.routed.origin, std::move(answer));
     endJob(now, id);
 }
 
+void GroupDispatcher::refuseJob(TimePoint now, JobId id, const Refusal &refusal)
+{
+    const auto &job = m_jobs.at(id);
+    for (const auto &it : job.joinedOrigins)
+        refuse(now, it, refusal);
+    refuse(now, job.routed.origin, refusal);
+    endJob(now, id);
+}
+
+bool GroupDispatcher::removeJoined(JobId id, const JobOrigin &origin)
+{
+    auto &job = m_jobs.at(id);
+    if (job.joinedOrigins.empty())
+        return false;
+    if (job.routed.origin == origin) {
+        job.routed.origin = job.joinedOrigins.back();
+        job.joinedOrigins.pop_back();
+    } else {
+        std::erase(job.joinedOrigins, origin);
+    }
+    m_byOrigin.erase(origin);
+    return true;
+}
+
 void GroupDispatcher::endJob(TimePoint now, JobId id)
 {
     auto &job = m_jobs.at(id);
     if (std::exchange(job.isEnded, true))
         return;
     m_byOrigin.erase(job.routed.origin);
+    for (const auto &it : job.joinedOrigins)
+        m_byOrigin.erase(it);
     pool(job.routed.pool).remove(now, id);
     for (const auto &it : job.tasks) {
         const auto attempt = m_attempts.find(it.attempt);
@@ -872,10 +896,9 @@
                   "dispatch: the failure domain was evacuated before all tasks had started");
         return;
     }
-    refuse(now, m_jobs.at(id).routed.origin,
-           {Reason::DomainEvacuated, "dispatch: the failure domain was evacuated before the job started",
-            now + closedRetryDelay});
-    endJob(now, id);
+    refuseJob(now, id,
+              {Reason::DomainEvacuated, "dispatch: the failure domain was evacuated before the job started",
+               now + closedRetryDelay});
 }
 
 void GroupDispatcher::refuse(TimePoint now, const JobOrigin &origin, const Refusal &refusal)
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -982,3 +982,36 @@
     EXPECT_EQ(group.concurrentRuns, 0U);
     EXPECT_EQ(group.strayRuns, 0U);
 }
+
+/// A job that came through two entry VMs was run again for the one that had not got the answer.
+TEST(GroupDispatcherTest, jobOfTwoEntryVmsRunsOnceAndAnswersBoth)
+{
+    GroupHarness group;
+    addUpstreams(group, 1);
+    group.advance(settlingTime);
+    for (const std::uint64_t number : {1, 2, 1})
+        group.submit("k", number, 1);
+    group.advance(settlingTime);
+    group.submit("k", 1, 1);
+    group.submit("k", 2, 1);
+    group.advance(settlingTime);
+    ASSERT_TRUE(group.answers.contains(1) && group.answers.contains(2));
+    EXPECT_EQ(group.answers.at(1).outcome, Outcome::Complete);
+    EXPECT_EQ(group.answers.at(2).outcome, Outcome::Complete);
+    EXPECT_EQ(group.starts["k.0"], 1U);
+}
+
+/// The first entry VM's cancel, after a resend, ended the job that the second one's caller waits for.
+TEST(GroupDispatcherTest, cancelOfOneEntryVmKeepsTheJobForTheOther)
+{
+    GroupHarness group;
+    addUpstreams(group, 1);
+    group.advance(settlingTime);
+    for (const std::uint64_t number : {1, 2, 1})
+        group.submit("k", number, 1);
+    group.dispatcher().cancel(group.now(), {"entry", 1, 1});
+    group.advance(settlingTime);
+    ASSERT_TRUE(group.answers.contains(2));
+    EXPECT_EQ(group.answers.at(2).outcome, Outcome::Complete);
+    EXPECT_EQ(group.starts["k.0"], 1U);
+}
