UpstreamRuns: a restarted upstream is polled at once

The first poll with the token of a new incarnation waited for the end of a poll in flight to the earlier one, for up to 180 ms, in which the new one accepts late orders that were meant for the earlier one. It is sent at the next tick now. The end of the earlier poll only counts if it names a newer incarnation.

--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -387,26 +387,26 @@
 
 void UpstreamRuns::pollEnded(TimePoint now, const OpenOrder &open, const OrderResult &result)
 {
-    m_isPolling = false;
+    const bool isToPresentIncarnation = open.fence == m_fence;
+    if (isToPresentIncarnation)
+        m_isPolling = false;
     if (m_isTakenOver || m_isReplaced)
         return;
     const auto known = m_announcement.upstream.incarnation;
     const bool isAnswered = result.verdict == OrderVerdict::Accepted;
-    if (!isAnswered || (result.incarnation != 0 && result.incarnation < known)) {
-        m_isUnresponsive = true;
-        m_pollDelay = std::clamp(2 * m_pollDelay, m_options.retryDelay, m_options.maximumPollDelay);
-        m_nextPollAt = now + m_pollDelay;
-        return;
-    }
-    if (result.incarnation > known) {
+    if (isAnswered && result.incarnation > known) {
         const auto previous = m_announcement.upstream;
         m_announcement.upstream.incarnation = result.incarnation;
         m_hasLeft = false;
         resetForNewIncarnation(now, previous);
         return;
     }
-    if (open.fence != m_fence) {
-        m_nextPollAt = now;
+    if (!isToPresentIncarnation)
+        return;
+    if (!isAnswered || (result.incarnation != 0 && result.incarnation < known)) {
+        m_isUnresponsive = true;
+        m_pollDelay = std::clamp(2 * m_pollDelay, m_options.retryDelay, m_options.maximumPollDelay);
+        m_nextPollAt = now + m_pollDelay;
         return;
     }
     // Until this answer, orders with earlier fencing tokens may have given a lease.
@@ -542,6 +542,7 @@
     m_acknowledgedThrough = 0;
     m_isFenceKnown = false;
     m_foreignRuns.clear();
+    m_isPolling = false;
     m_pollDelay = {};
     m_nextPollAt = {};
     for (auto it = m_runs.begin(); it != m_runs.end();) {
