UpstreamRuns: starts that may have reached an unknown incarnation

Cause: an upstream may restart without its holder knowing yet. A start with the present token is accepted then, and its lease, on the old clock, is cut to the longest one; the holder counted its own. If the upstream fell silent, the task was started elsewhere up to 400 ms too early. The clock in the answer, far behind the one known, was dropped.

Change: an answer with such a clock shows the restart. A run whose start has no answer with a plausible clock, and which is not listed, has ended by silence only after the longest lease.

The test checks strays and the answers of all jobs, too, now.

In noOrderExtendsTheLease... the upstream lists the runs that it has, as the platform's do.

--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -206,8 +206,8 @@
         bool isStopAcknowledged = false;
         /// Whether the upstream has accepted the start order, or listed the run.
         bool hasRun = false;
-        /// Whether the announced incarnation has listed the run.
-        bool isListed = false;
+        /// Whether it is known to be the present incarnation that has the run, by its list or its clock.
+        bool isConfirmed = false;
         /// Whether the upstream has restarted since the start order was sent.
         bool hasUpstreamRestarted = false;
         /// Earlier incarnation that had ended when the start order was unanswered. It has crashed under the
@@ -238,9 +238,11 @@
     std::int64_t clockLowerBound(TimePoint now) const;
     /// Whether the runs have ended although the upstream did not report it.
     bool isLeaseExpired(TimePoint now) const;
+    /// Whether the clock in an answer shows that an incarnation has answered that is not known yet.
+    bool isOfUnknownIncarnation(const OpenOrder &open, const OrderResult &result) const;
     void updateClock(TimePoint now, std::int64_t clockMs);
-    /// Returns the earliest time at which a run that is being stopped must have ended, if there is one.
-    std::optional<TimePoint> endDeadline() const;
+    /// Returns the earliest end deadline of the runs with an unanswered stop, if there is one.
+    std::optional<TimePoint> earliestEndDeadline() const;
     /// Returns the lease for an order sent now, on the upstream's clock.
     std::int64_t newLeaseMs(TimePoint now) const;
     /// Whether the upstream has answered an order within the renewal timeout.
@@ -248,7 +250,7 @@
     void recordAnswer(TimePoint now, const OpenOrder &open, const OrderResult &result);
     RunOrder newOrder(OrderKind kind) const;
     /// Whether the upstream has neither moved nor restarted since the order was sent.
-    bool isForPresentLife(const OpenOrder &open) const;
+    bool isForPresentIncarnation(const OpenOrder &open) const;
     OrderId send(RunOrder order, OpenOrder open);
     void sendPoll(TimePoint now);
     void sendStop(TimePoint now, const std::string &task, std::uint32_t run, Stop &stop);
@@ -285,8 +287,11 @@
     /// Latest lease sent in any order, including unanswered ones, or that an order with an earlier fencing
     /// token may have given.
     std::int64_t m_leaseMs = 0;
-    /// When the last order to an earlier incarnation can't be executed any more.
+    /// When the last order to an earlier incarnation can't be executed any more. Set when one has ended; no
+    /// run is started before the first answer.
     TimePoint m_earlierOrdersEndAt;
+    /// When the latest lease ends if an incarnation has got it that is not known yet: its clock is behind.
+    TimePoint m_unconfirmedRunsEndAt;
     std::uint64_t m_lastSeenEnd = 0;
     std::uint64_t m_acknowledgedThrough = 0;
     std::uint64_t m_nextPoll = 1;
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -11,6 +11,10 @@
 
 constexpr int thousand = 1000;
 
+/// The clocks in answers that overtake each other differ by less; that of a restarted upstream is further
+/// behind.
+constexpr std::int64_t clockToleranceMs = 100;
+
 /// Runs are started only while more than one part in this many of the lease is left.
 constexpr int shortLeaseDivisor = 2;
 
@@ -105,6 +109,8 @@
         return;
     const auto open = it->second;
     m_orders.erase(it);
+    if (isOfUnknownIncarnation(open, result))
+        resetForNewIncarnation(now, m_announcement.upstream);
     recordAnswer(now, open, result);
     if (result.verdict == OrderVerdict::StaleFence && open.fence == m_fence) {
         m_isTakenOver = true;
@@ -122,7 +128,7 @@
         pollEnded(now, open, result);
         break;
     }
-    if (result.verdict == OrderVerdict::OtherIncarnation && isForPresentLife(open))
+    if (result.verdict == OrderVerdict::OtherIncarnation && isForPresentIncarnation(open))
         upstreamReplaced();
 }
 
@@ -132,11 +138,22 @@
     if (m_isTakenOver || m_isReplaced)
         return;
     // The upstream may have reported the end of a run, or a later clock, in an answer that was not read yet.
-    if (!m_runs.empty() && isLeaseExpired(now - lag)) {
+    const auto hasEnded = [&](const Run &run) {
+        return run.isConfirmed || now - lag > m_unconfirmedRunsEndAt;
+    };
+    const bool isAnyEnded = isLeaseExpired(now - lag)
+        && std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &it) { return hasEnded(it.second); });
+    if (isAnyEnded) {
         m_isUnresponsive = true;
         if (!m_announcement.upstream.leaving)
             recordCrashes(m_announcement.upstream, false);
-        loseAll(isAnswering(now) ? RunLoss::StopUnanswered : RunLoss::UpstreamSilent);
+        const auto loss = isAnswering(now) ? RunLoss::StopUnanswered : RunLoss::UpstreamSilent;
+        for (auto it = m_runs.begin(); it != m_runs.end();) {
+            const auto next = std::next(it);
+            if (hasEnded(it->second))
+                lose(it, loss);
+            it = next;
+        }
     }
     for (auto &[task, it] : m_runs) {
         const bool isDue = it.isStopNeeded && !it.isStopAcknowledged && it.stopOrder == 0;
@@ -153,7 +170,7 @@
 
 bool UpstreamRuns::isReady(TimePoint now) const
 {
-    const auto deadline = endDeadline();
+    const auto deadline = earliestEndDeadline();
     const bool isLeaseShort = deadline && *deadline - now < m_options.lease / shortLeaseDivisor;
     return m_isFenceKnown && !m_isUnresponsive && !m_isTakenOver && !m_hasLeft && !m_isReplaced
         && m_foreignRuns.empty() && !isLeaseShort;
@@ -221,6 +238,13 @@
     return m_clockReadAt && m_leaseMs > 0 && clockLowerBound(now) > m_leaseMs;
 }
 
+bool UpstreamRuns::isOfUnknownIncarnation(const OpenOrder &open, const OrderResult &result) const
+{
+    const bool isExecuted = result.verdict == OrderVerdict::Accepted && result.incarnation == 0;
+    return isExecuted && result.clockMs && m_clockReadAt && open.fence == m_fence
+        && *result.clockMs + clockToleranceMs < clockLowerBound(open.sentAt);
+}
+
 void UpstreamRuns::updateClock(TimePoint now, std::int64_t clockMs)
 {
     if (m_clockReadAt && clockMs < clockLowerBound(now))
@@ -229,7 +253,7 @@
     m_clockReadAt = now;
 }
 
-std::optional<TimePoint> UpstreamRuns::endDeadline() const
+std::optional<TimePoint> UpstreamRuns::earliestEndDeadline() const
 {
     std::optional<TimePoint> earliest;
     const auto apply = [&](const Stop &stop) {
@@ -246,7 +270,7 @@
 std::int64_t UpstreamRuns::newLeaseMs(TimePoint now) const
 {
     // The lease applies to all runs of the upstream, also to those that it must not extend.
-    const auto end = std::min(now + m_options.lease, endDeadline().value_or(TimePoint::max()));
+    const auto end = std::min(now + m_options.lease, earliestEndDeadline().value_or(TimePoint::max()));
     return std::max<std::int64_t>(0, clockLowerBound(now) + toMilliseconds(end - now));
 }
 
@@ -284,7 +308,7 @@
     return order;
 }
 
-bool UpstreamRuns::isForPresentLife(const OpenOrder &open) const
+bool UpstreamRuns::isForPresentIncarnation(const OpenOrder &open) const
 {
     const auto &present = m_announcement.upstream;
     return open.fence == m_fence && open.address == present.address && open.port == present.port;
@@ -293,6 +317,9 @@
 OrderId UpstreamRuns::send(RunOrder order, OpenOrder open)
 {
     m_leaseMs = std::max(m_leaseMs, order.leaseMs);
+    if (order.leaseMs > 0)
+        m_unconfirmedRunsEndAt = open.sentAt + order.timeout
+            + m_options.maximumLease * thousand / m_options.minimumClockRatePermille;
     open.fence = order.fence;
     open.address = order.address;
     open.port = order.port;
@@ -350,6 +377,7 @@
     case OrderVerdict::Accepted:
         it->second.phase = Phase::Running;
         it->second.hasRun = true;
+        it->second.isConfirmed = result.clockMs && m_clockReadAt && open.fence == m_fence;
         return;
     case OrderVerdict::NoAnswer:
         m_isUnresponsive = true;
@@ -426,7 +454,7 @@
         if (own == m_runs.end() || own->second.run != it.run)
             m_foreignRuns.try_emplace(it);
         else
-            own->second.hasRun = own->second.isListed = true;
+            own->second.hasRun = own->second.isConfirmed = true;
     }
     std::erase_if(m_foreignRuns, [&](const auto &it) { return !running.contains(it.first); });
     for (auto it = m_runs.begin(); it != m_runs.end();) {
@@ -547,7 +575,7 @@
     m_nextPollAt = {};
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
-        if (it->second.isListed)
+        if (it->second.isConfirmed)
             lose(it, RunLoss::UpstreamRestarted);
         it = next;
     }
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -183,7 +183,8 @@
         "task run upstream outcome verdict loss incarnation leaseMs clockMs unansweredOrders group",
         "The holder has concluded that the run has ended. `verdict` is the answer to the start order for "
         "`declined` and `notSent`, `loss` the reason for `lost`. What the holder knew of the upstream then: "
-        "its incarnation, the latest lease sent to it, its clock when last read, and the number of orders "
+        "its incarnation, the latest lease that it may have, its clock when last read, and the number of "
+        "orders "
         "without an answer so far. See docs/OPERATIONS.md.",
         1, traceLinesPerSecond},
     EventDefinition{
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -562,7 +562,11 @@
         for (unsigned i = 0; number % announcementInterval == 0 && i < upstreams; ++i)
             group.announce("u" + std::to_string(i));
     }
+    group.faults = {};
+    group.advance(std::chrono::seconds(4));
     EXPECT_EQ(group.concurrentRuns, 0U);
+    EXPECT_EQ(group.strayRuns, 0U);
+    EXPECT_EQ(group.answers.size(), jobs);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, GroupDispatcherRestartsTest, testing::Range<std::uint64_t>(1, 41));
@@ -1015,3 +1019,26 @@
     EXPECT_EQ(group.answers.at(2).outcome, Outcome::Complete);
     EXPECT_EQ(group.starts["k.0"], 1U);
 }
+
+/// A start reached an incarnation that the holder had not learned of, which cut its lease to the longest one.
+/// The holder concluded from the usual lease that the run had ended.
+TEST(GroupDispatcherTest, startThatReachesAnUnknownIncarnationEndsBeforeItsTaskStartsElsewhere)
+{
+    for (const bool isAnswered : {false, true}) {
+        GroupHarness group;
+        group.add(slowUpstream("u0", std::chrono::seconds(20)));
+        group.advance(std::chrono::seconds(5));
+        group.upstream("u0").restart(group.now());
+        group.advance(std::chrono::milliseconds(50));
+        group.faults.lostAnswers = isAnswered ? 0 : 1000;
+        group.submit("a", 1, 1, std::chrono::seconds(30));
+        group.faults = {};
+        group.advance(std::chrono::milliseconds(isAnswered ? 2 : 1));
+        ASSERT_EQ(group.upstream("u0").running().size(), 1U);
+        group.setUnreachable("u0", true);
+        group.add(slowUpstream("u1", std::chrono::seconds(20)));
+        group.advance(std::chrono::seconds(20));
+        EXPECT_EQ(group.concurrentRuns, 0U) << isAnswered;
+        EXPECT_EQ(group.starts["a.0"], 2U) << isAnswered;
+    }
+}
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -170,8 +170,10 @@
     m_runs->stop(m_now, 1);
     std::vector<FinishedRun> finished;
     for (std::uint64_t attempt = 2; finished.empty() && m_now < start + 5s; ++attempt) {
-        if (m_runs->isReady(m_now))
+        if (m_runs->isReady(m_now)) {
             m_runs->start(m_now, attempt, "other" + std::to_string(attempt), 1, {});
+            m_running.push_back({"other" + std::to_string(attempt), 1});
+        }
         answerOrders(allStops);
         for (const auto &it : m_orders)
             ASSERT_LE(it.leaseMs, leaseEnd) << clockMs();
@@ -292,3 +294,29 @@
     answerAsOther(poll.id);
     EXPECT_FALSE(m_runs->isReplaced());
 }
+
+// An order to an earlier incarnation may have given the longest lease before the first answer.
+TEST(UpstreamRunsLeaseTest, silenceAfterTheFirstAnswerIsConcludedAfterTheLongestLease)
+{
+    TimePoint now{1000s};
+    std::vector<RunOrder> orders;
+    FleetAnnouncement announcement;
+    announcement.clockMs = 1000;
+    UpstreamRuns runs(now, {}, announcement, [&](RunOrder order) {
+        orders.push_back(std::move(order));
+        return orders.size();
+    });
+    OrderResult accepted;
+    accepted.verdict = OrderVerdict::Accepted;
+    accepted.clockMs = 1000;
+    runs.orderEnded(now, 1, accepted);
+    runs.start(now, 1, "task", 1, {});
+    runs.orderEnded(now, 2, accepted);
+    for (; now < TimePoint(1000s + 1000ms); now += 10ms) {
+        runs.tick(now);
+        ASSERT_TRUE(runs.takeFinished().empty());
+    }
+    now += 100ms;
+    runs.tick(now);
+    EXPECT_EQ(runs.takeFinished().size(), 1U);
+}
