UpstreamRuns: an acknowledged stop doesn't bound the lease

The other runs of an upstream were lost, with the loss stopUnanswered, when an acknowledged stop took longer than a lease, and nothing was started there after half of it.

Cause: the bound held until the end of the run was listed. An acknowledged stop ends its run without the lease.

--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -260,8 +260,10 @@
         if (stop.endDeadline)
             earliest = std::min(*stop.endDeadline, earliest.value_or(*stop.endDeadline));
     };
-    for (const auto &[task, it] : m_runs)
-        apply(it);
+    for (const auto &[task, it] : m_runs) {
+        if (!it.isStopAcknowledged)
+            apply(it);
+    }
     for (const auto &[running, it] : m_foreignRuns)
         apply(it);
     return earliest;
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -295,6 +295,20 @@
     EXPECT_FALSE(m_runs->isReplaced());
 }
 
+// A stop that takes its time ended the other runs, as no order extended their lease until its end was listed.
+TEST_F(UpstreamRunsTest, acknowledgedStopThatTakesTimeEndsNoOtherRun)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    m_running.push_back({"other", 1});
+    m_runs->stop(m_now, 1);
+    while (m_now < start + 2s) {
+        answerOrders(0);
+        m_now += 10ms;
+        m_runs->tick(m_now);
+        ASSERT_TRUE(m_runs->takeFinished().empty()) << clockMs();
+    }
+}
+
 // An order to an earlier incarnation may have given the longest lease before the first answer.
 TEST(UpstreamRunsLeaseTest, silenceAfterTheFirstAnswerIsConcludedAfterTheLongestLease)
 {
