Orders: a start or a renewal is not sent after its timeout

Callers may have seen a task run twice at the same time, on an upstream that restarts behind a short cut.

Cause: an order may wait up to 1 s for its connection, and was written whenever the connection was established. By then its run may have been given up (UpstreamRuns counts on a start being executed within its timeout of 80 ms, m_unconfirmedRunsEndAt). The same incarnation rejects such a start as late; one that has restarted has a clock that began again and starts the run, while the task runs elsewhere. The same holds for a holder that is paused between the decision and the write.

RunOrder::sendDeadline is set on each order that grants a lease, and checked right before the request is written. Stops and other polls may be sent at any time. An order that isn't sent ends as NotSent, so that its task is placed again at once. Its connection stays open for the next order; it was closed, and a link on which connecting takes longer than the timeout would never have carried an order.

Tests, which failed without the check in sendOrder and with the connection closed (trial): OrderSenderTest.orderIsNotSentAfterItsDeadline: 3 of 3 orders were executed, 1 is allowed. HttpClientTest.expiredRequestIsNotWrittenAndLeavesItsConnectionOpen: 3 connections were opened, 1 is allowed. UpstreamRunsTest.ordersThatGrantALeaseAreNotSentAfterTheirTimeout covers the deadline itself; RunOrder had none before.

--- a/include/citronpitch/runorder.h
+++ b/include/citronpitch/runorder.h
@@ -64,6 +64,10 @@
     Duration wait{};
     /// Time after which the order counts as unanswered.
     Duration timeout{};
+    /// An order that starts a run or renews the lease must not be sent from then on: its run may have been
+    /// given up, and an upstream that has restarted meanwhile would execute it. Nothing if it may be sent at
+    /// any time.
+    std::optional<TimePoint> sendDeadline;
 };
 
 /// How an upstream answered an order, or why there is no answer.
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -319,9 +319,11 @@
 OrderId UpstreamRuns::send(RunOrder order, OpenOrder open)
 {
     m_leaseMs = std::max(m_leaseMs, order.leaseMs);
-    if (order.leaseMs > 0)
-        m_unconfirmedRunsEndAt = open.sentAt + order.timeout
-            + m_options.maximumLease * thousand / m_options.minimumClockRatePermille;
+    if (order.leaseMs > 0) {
+        order.sendDeadline = open.sentAt + order.timeout;
+        m_unconfirmedRunsEndAt =
+            *order.sendDeadline + m_options.maximumLease * thousand / m_options.minimumClockRatePermille;
+    }
     open.fence = order.fence;
     open.address = order.address;
     open.port = order.port;
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -50,7 +50,7 @@
      */
     Duration timeout{};
     /// Called right before the request is written, after the connection was established. If it returns true,
-    /// nothing is written and the outcome is NotSent. Never expires if empty.
+    /// nothing is written, the outcome is NotSent and the connection stays open. Never expires if empty.
     std::function<bool()> isExpired;
 };
 
--- a/src/net/httpconnection.cpp
+++ b/src/net/httpconnection.cpp
@@ -122,7 +122,7 @@
     if (m_isExpired && m_isExpired()) {
         boost::asio::post(m_stream.get_executor(), [self = shared_from_this(), exchange = m_exchange] {
             if (self->m_exchange == exchange)
-                self->close();
+                self->finishExchange({ExchangeOutcome::NotSent, {}}, true);
         });
         return;
     }
--- a/tests/integration/httpclienttest.cpp
+++ b/tests/integration/httpclienttest.cpp
@@ -161,6 +161,26 @@
     EXPECT_EQ(client.openedConnections(), 1U);
 }
 
+// Each connection that took too long was opened in vain.
+TEST(HttpClientTest, expiredRequestIsNotWrittenAndLeavesItsConnectionOpen)
+{
+    Server server(0ms);
+    boost::asio::io_context io(1);
+    HttpClient client(io);
+    Outcomes outcomes;
+    auto expired = request(80ms);
+    expired.isExpired = [] { return true; };
+    for (int i = 0; i < 2; ++i) {
+        client.send(server.endpoint(), expired, outcomes.handler());
+        runUntil(io, outcomes, 2 * i + 1);
+        client.send(server.endpoint(), request(80ms), outcomes.handler());
+        runUntil(io, outcomes, 2 * i + 2);
+    }
+    EXPECT_EQ(outcomes.count[ExchangeOutcome::NotSent], 2U);
+    EXPECT_EQ(outcomes.count[ExchangeOutcome::Answered], 2U);
+    EXPECT_EQ(client.openedConnections(), 1U);
+}
+
 // A dead upstream must be recognized as fast as before while the loop does not lag.
 TEST(HttpClientTest, missingAnswerTimesOutOnTime)
 {
--- a/tests/integration/platformtest.cpp
+++ b/tests/integration/platformtest.cpp
@@ -1,6 +1,9 @@
+#include "net/httpserver.h"
 #include "platform/documentcodec.h"
 #include "platform/executorcodec.h"
 #include "platform/jobcodec.h"
+#include "platform/ordersender.h"
+#include "platform/serverlimits.h"
 #include "support/platformfleet.h"
 
 #include <boost/asio/post.hpp>
@@ -451,6 +454,39 @@
     EXPECT_NE(parseHeartbeatError("Labels", 7).find("Labels"), std::string::npos);
 }
 
+// A start that waited for its connection was executed by a restarted upstream after its run was given up.
+TEST(OrderSenderTest, orderIsNotSentAfterItsDeadline)
+{
+    boost::asio::io_context io;
+    std::vector<std::string> executed;
+    HttpServer server(io, {"127.0.0.1", 0}, Platform::controlServerLimits(),
+                      [&](const HttpRequest &request, const HttpResponder &respond) -> DisconnectHandler {
+                          executed.push_back(request.path);
+                          respond({200, R"({"ClockMs":5})", {}});
+                          return nullptr;
+                      });
+    HttpClient client(io);
+    RunOrder order;
+    order.kind = OrderKind::Start;
+    order.address = "127.0.0.1";
+    order.port = server.port();
+    order.sendDeadline = TimePoint(std::chrono::seconds(5));
+    std::vector<OrderVerdict> verdicts;
+    for (const int late : {1, 0, -1}) {
+        const auto now = *order.sendDeadline + std::chrono::milliseconds(late);
+        Platform::sendOrder(
+            client, order, [now] { return now; },
+            [&](const OrderResult &result) {
+                verdicts.push_back(result.verdict);
+                io.stop();
+            });
+        io.restart();
+        io.run_for(std::chrono::seconds(5));
+    }
+    EXPECT_EQ(verdicts, (std::vector{OrderVerdict::NotSent, OrderVerdict::NotSent, OrderVerdict::Accepted}));
+    EXPECT_EQ(executed, std::vector<std::string>{"/run-start"});
+}
+
 // A start that was answered with 500 or 502 counted as not executed, and the task was started elsewhere.
 TEST(PlatformCodecTest, onlyAnswersThatRejectAnOrderCountAsNotExecuted)
 {
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -103,6 +104,21 @@
 
 } // namespace
 
+// A start that waited for its connection was executed by a restarted upstream after its run was given up.
+TEST_F(UpstreamRunsTest, ordersThatGrantALeaseAreNotSentAfterTheirTimeout)
+{
+    m_runs->stop(m_now, 1);
+    std::set<OrderKind> kinds;
+    for (const auto &it : m_orders) {
+        kinds.insert(it.kind);
+        EXPECT_EQ(it.sendDeadline.has_value(), it.leaseMs > 0);
+        EXPECT_EQ(it.sendDeadline.value_or(m_now + it.timeout), m_now + it.timeout);
+    }
+    EXPECT_EQ(kinds.size(), 3U);
+    EXPECT_TRUE(m_orders[1].sendDeadline);
+    EXPECT_FALSE(m_orders.back().sendDeadline);
+}
+
 // After a pause of the VM the lease seemed to have expired, and the run was given up, while the answer with
 // its end was waiting to be read.
 TEST_F(UpstreamRunsTest, endThatWasReportedDuringAPauseCounts)
