A crash counts when the restart is known before the answer to the start

Cause: an upstream accepted a start and crashed under it. The list of its next incarnation overtook the answer to the start. The run then counted as one that the next incarnation may have accepted, and no crash was recorded when it turned out not to have it.

Two more crashes were not counted: under a run that was listed before its start was answered, if the upstream restarted in between; and of the incarnation that lists a run which was ordered from an earlier one.

An accepted start is now decided by the new incarnation: it either lists the run, or acknowledges a stop and does not list it afterwards, and then the earlier one has crashed under the task. The conclusion waits for the answer to the start, at most its time-out. If the new incarnation is silent as well the crash is inconclusive.

--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -211,8 +211,10 @@
         /// Whether the upstream has restarted since the start order was sent.
         bool hasUpstreamRestarted = false;
         /// Earlier incarnation that had ended when the start order was unanswered. It has crashed under the
-        /// task unless the answer shows that it did not get the order.
+        /// task unless it did not get the order, or the present one has the run.
         std::optional<std::uint64_t> incarnationInDoubt;
+        /// Whether the start was accepted, by the incarnation in doubt or by a later one.
+        bool isAcceptedInDoubt = false;
         /// First poll sent after the stop was acknowledged; if it lists no such run, the run has ended.
         std::uint64_t confirmingPoll = 0;
     };
@@ -269,6 +271,8 @@
     /// or only been silent.
     void recordCrashes(const UpstreamAnnouncement &announcement, bool hasEnded);
     void recordCrash(const std::string &task, std::uint64_t incarnation, CrashState state);
+    /// Records what became of the incarnation in doubt of a run, if there is one.
+    void concludeDoubt(const std::string &task, Run &run, CrashState state);
     /// The upstream leaves. It may continue its runs until it gets the acknowledgement of its departure.
     void upstreamLeft(TimePoint now);
     /// Another upstream has the address of this one, which has ended.
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -361,15 +361,24 @@
     const auto it = m_runs.find(open.task);
     if (it == m_runs.end() || it->second.run != open.run)
         return;
-    // The next incarnation may have accepted the order, but not another upstream.
-    const bool mayHaveRun = result.verdict == OrderVerdict::NoAnswer
-        || (m_isReplaced && result.verdict == OrderVerdict::Accepted);
-    if (const auto inDoubt = std::exchange(it->second.incarnationInDoubt, std::nullopt);
-        inDoubt && mayHaveRun)
-        recordCrash(open.task, *inDoubt,
-                    result.verdict == OrderVerdict::Accepted ? CrashState::Confirmed
-                                                             : CrashState::Inconclusive);
-    if (m_isReplaced && mayHaveRun) {
+    auto &run = it->second;
+    switch (result.verdict) {
+    case OrderVerdict::Accepted:
+        // The present incarnation may have accepted the order, but not another upstream.
+        run.isAcceptedInDoubt = run.incarnationInDoubt.has_value();
+        if (m_isReplaced)
+            concludeDoubt(open.task, run, CrashState::Confirmed);
+        break;
+    case OrderVerdict::NoAnswer:
+        concludeDoubt(open.task, run, CrashState::Inconclusive);
+        break;
+    default:
+        run.incarnationInDoubt.reset();
+        break;
+    }
+    const bool mayHaveRun =
+        result.verdict == OrderVerdict::Accepted || result.verdict == OrderVerdict::NoAnswer;
+    if (m_isReplaced && (mayHaveRun || run.phase != Phase::Starting)) {
         lose(it, RunLoss::UpstreamRestarted);
         return;
     }
@@ -453,17 +462,22 @@
     for (const auto &it : result.running) {
         running.insert(it);
         const auto own = m_runs.find(it.task);
-        if (own == m_runs.end() || own->second.run != it.run)
+        if (own == m_runs.end() || own->second.run != it.run) {
             m_foreignRuns.try_emplace(it);
-        else
-            own->second.hasRun = own->second.isConfirmed = true;
+            continue;
+        }
+        own->second.hasRun = own->second.isConfirmed = true;
+        own->second.incarnationInDoubt.reset();
     }
     std::erase_if(m_foreignRuns, [&](const auto &it) { return !running.contains(it.first); });
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
-        const auto &run = it->second;
+        auto &run = it->second;
         const bool isStopConfirmed = run.isStopAcknowledged && open.poll >= run.confirmingPoll;
-        if (isStopConfirmed && !running.contains({it->first, run.run})) {
+        // The answer to the start tells whether the incarnation in doubt has crashed.
+        const bool isAnswerNeeded = run.incarnationInDoubt && !run.isAcceptedInDoubt;
+        if (isStopConfirmed && !isAnswerNeeded && !running.contains({it->first, run.run})) {
+            concludeDoubt(it->first, run, CrashState::Confirmed);
             if (run.isStopRequested)
                 finish(it, RunOutcome::Stopped);
             else
@@ -482,6 +496,7 @@
     const auto it = m_runs.find(end.task);
     if (it == m_runs.end() || it->second.run != end.run)
         return;
+    it->second.incarnationInDoubt.reset();
     switch (end.kind) {
     case RunEndKind::Done:
         finish(it, RunOutcome::Done);
@@ -500,6 +515,7 @@
 
 void UpstreamRuns::finish(std::map<std::string, Run>::iterator it, RunOutcome outcome, OrderVerdict verdict)
 {
+    concludeDoubt(it->first, it->second, CrashState::Inconclusive);
     m_finished.push_back({it->second.attempt, it->first, it->second.run, outcome, verdict});
     m_finished.back().basis = {m_announcement.upstream.incarnation, m_leaseMs, m_clockMs, m_orders.size()};
     m_runs.erase(it);
@@ -526,10 +542,10 @@
     const auto ofRunning = hasEnded ? CrashState::Confirmed : CrashState::Suspected;
     const auto ofUnanswered = hasEnded ? CrashState::Inconclusive : CrashState::StartUnanswered;
     for (auto &[task, it] : m_runs) {
-        // Ordered from an earlier incarnation.
-        if (it.hasUpstreamRestarted)
+        // Ordered from an earlier incarnation, and not known to be on this one.
+        if (it.hasUpstreamRestarted && !it.isConfirmed)
             continue;
-        if (it.phase == Phase::Starting && hasEnded)
+        if (it.phase == Phase::Starting && !it.hasRun && hasEnded)
             it.incarnationInDoubt = announcement.incarnation;
         else
             recordCrash(task, announcement.incarnation, it.hasRun ? ofRunning : ofUnanswered);
@@ -543,6 +559,12 @@
     m_crashes.push_back({task, m_announcement.upstream.name, incarnation, state, {}});
 }
 
+void UpstreamRuns::concludeDoubt(const std::string &task, Run &run, CrashState state)
+{
+    if (const auto inDoubt = std::exchange(run.incarnationInDoubt, std::nullopt))
+        recordCrash(task, *inDoubt, state);
+}
+
 void UpstreamRuns::upstreamReplaced()
 {
     if (std::exchange(m_isReplaced, true))
@@ -552,9 +574,15 @@
     m_foreignRuns.clear();
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
+        auto &run = it->second;
         // The answer to a start order will tell which upstream got it.
-        if (it->second.phase != Phase::Starting)
+        const bool isAnswerNeeded =
+            run.phase == Phase::Starting || (run.incarnationInDoubt && !run.isAcceptedInDoubt);
+        if (!isAnswerNeeded) {
+            concludeDoubt(it->first, run,
+                          m_announcement.upstream.leaving ? CrashState::Inconclusive : CrashState::Confirmed);
             lose(it, RunLoss::UpstreamRestarted);
+        }
         it = next;
     }
 }
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -17,6 +19,12 @@
 protected:
     UpstreamRunsTest()
     {
+        reset();
+    }
+
+    void reset()
+    {
+        m_orders.clear();
         m_announcement.upstream.name = "u";
         m_announcement.upstream.incarnation = 1;
         m_announcement.clockMs = 1000;
@@ -81,6 +89,33 @@
             m_runs->orderEnded(m_now, m_stopTimeouts.front().second, {});
     }
 
+    /// Incarnation 2, which has restarted, answers a poll.
+    void list(OrderId poll, std::vector<RunId> running, std::vector<EndedRun> ended = {})
+    {
+        OrderResult result;
+        result.verdict = OrderVerdict::Accepted;
+        result.incarnation = 2;
+        result.clockMs = 5;
+        result.running = std::move(running);
+        result.ended = std::move(ended);
+        m_runs->orderEnded(m_now, poll, result);
+    }
+
+    OrderId lastOrder(OrderKind kind) const
+    {
+        const auto it = std::find_if(m_orders.rbegin(), m_orders.rend(),
+                                     [=](const auto &order) { return order.kind == kind; });
+        return it->id;
+    }
+
+    static OrderResult acceptedAt(std::int64_t clockMs)
+    {
+        OrderResult result;
+        result.verdict = OrderVerdict::Accepted;
+        result.clockMs = clockMs;
+        return result;
+    }
+
     void answerAsOther(OrderId order)
     {
         OrderResult result;
@@ -255,6 +290,79 @@
     EXPECT_TRUE(m_runs->takeFinished().empty());
 }
 
+// The list of a restarted upstream overtook its answer to a start, and the crash under the task was not
+// counted.
+TEST_F(UpstreamRunsTest, crashCountsAlthoughTheRestartIsKnownBeforeTheAnswerToTheStart)
+{
+    struct Case
+    {
+        const char *text;
+        /// Answer to the start, and whether it arrives after that to the stop.
+        OrderVerdict verdict;
+        bool isLate = false;
+        std::vector<RunId> running;
+        std::vector<EndedRun> ended;
+        std::optional<CrashState> expected;
+    };
+    const std::vector<Case> cases{
+        {"accepted", OrderVerdict::Accepted, false, {}, {}, CrashState::Confirmed},
+        {"accepted late", OrderVerdict::Accepted, true, {}, {}, CrashState::Confirmed},
+        {"unanswered", OrderVerdict::NoAnswer, false, {}, {}, CrashState::Inconclusive},
+        {"unanswered, late", OrderVerdict::NoAnswer, true, {}, {}, CrashState::Inconclusive},
+        {"rejected", OrderVerdict::StaleFence, false, {}, {}, std::nullopt},
+        {"listed as running", OrderVerdict::Accepted, false, {{"other", 1}}, {}, std::nullopt},
+        {"listed as ended",
+         OrderVerdict::Accepted,
+         false,
+         {},
+         {{1, "other", 1, RunEndKind::Stopped}},
+         std::nullopt},
+    };
+    for (const auto &it : cases) {
+        SCOPED_TRACE(it.text);
+        reset();
+        m_runs->start(m_now, 2, "other", 1, {});
+        const auto startOrder = lastOrder(OrderKind::Start);
+        OrderResult startResult;
+        startResult.verdict = it.verdict;
+        if (it.verdict != OrderVerdict::NoAnswer)
+            startResult.clockMs = clockMs();
+        list(lastOrder(OrderKind::Poll), {});
+        m_runs->tick(m_now);
+        if (!it.isLate)
+            m_runs->orderEnded(m_now, startOrder, startResult);
+        m_runs->orderEnded(m_now, lastOrder(OrderKind::Stop), acceptedAt(5));
+        for (int i = 0; i < 3; ++i) {
+            m_now += 10ms;
+            m_runs->tick(m_now);
+            list(lastOrder(OrderKind::Poll), it.running, it.ended);
+        }
+        if (it.isLate) {
+            m_runs->orderEnded(m_now, startOrder, startResult);
+            list(lastOrder(OrderKind::Poll), {});
+        }
+        std::optional<CrashState> state;
+        for (const auto &crash : m_runs->takeCrashes()) {
+            if (crash.task == "other")
+                state = crash.state;
+        }
+        EXPECT_EQ(state, it.expected);
+    }
+}
+
+// As above, where the run was listed before the restart.
+TEST_F(UpstreamRunsTest, crashCountsAlthoughTheStartIsAnsweredAfterTheRunWasListed)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    m_running.push_back({"other", 1});
+    answer(lastOrder(OrderKind::Poll));
+    list(lastOrder(OrderKind::Poll), {});
+    const auto crashes = m_runs->takeCrashes();
+    ASSERT_EQ(crashes.size(), 2U);
+    EXPECT_EQ(crashes[0].task, "other");
+    EXPECT_EQ(crashes[0].state, CrashState::Confirmed);
+}
+
 // A task that ends while its upstream leaves must not be run again.
 TEST_F(UpstreamRunsTest, endDuringTheDepartureCounts)
 {
