Crashes of a task are sent before the task is started again or its job fails

Cause: new records of crashes were sent at most every 20 ms, by the tick. A task that crashes its upstreams within milliseconds was started again, and its job answered, while the records were still unsent. If the holder was killed then, the next holder knew no crash.

Own records are now sent before the actions that follow from them. The link to the entry VM keeps the order, so it has the records when it gets the answer, and returns them to new holders. The 20 ms remain for records that control VMs pass on. Crashes of many upstreams that one tick finds are still one message to each VM; those that answers show are one for each answer.

--- a/src/fleet/heldgroups.cpp
+++ b/src/fleet/heldgroups.cpp
@@ -28,8 +28,8 @@
 /// acknowledged within 20 ms.
 constexpr Duration receiptInterval = std::chrono::milliseconds(10);
 
-/// Minimum interval of messages with new records of crashes.
-constexpr Duration crashReportInterval = std::chrono::milliseconds(20);
+/// Minimum interval of messages with crashes that entry VMs have reported.
+constexpr Duration crashRelayInterval = std::chrono::milliseconds(20);
 /// Largest number of records in one message.
 constexpr int maximumCrashBatch = 100;
 constexpr Duration crashExpiryInterval = std::chrono::seconds(1);
@@ -238,7 +238,9 @@
         it->tick(now(), m_member.lag().lag(now()));
     removeReleasedGroups();
     sendReceipts();
+    expireCrashes();
     sendNewCrashes();
+    relayCrashes();
 }
 
 void HeldGroups::updateOverload()
@@ -261,6 +263,9 @@
         return;
     for (const auto &[group, it] : m_groups) {
         for (auto actions = it->takeActions(); !actions.empty(); actions = it->takeActions()) {
+            // Another start of a task, or the answer to its job, must not precede what it is based on: this
+            // VM may be killed right after it.
+            sendNewCrashes();
             for (const auto &action : actions)
                 std::visit([this, &group = group](const auto &of) { execute(group, of); }, action);
         }
@@ -621,13 +626,8 @@
 
 void HeldGroups::sendNewCrashes()
 {
-    if (now() >= m_nextCrashExpiry) {
-        m_nextCrashExpiry = now() + crashExpiryInterval;
-        m_crashes.expire(now());
-    }
-    if (now() < m_nextCrashes)
-        return;
-    for (auto &it : m_crashes.takeNews()) {
+    auto crashes = m_crashes.takeNews();
+    for (const auto &it : crashes) {
         const std::string state(enumName(crashStateNames, it.state));
         m_metrics.increment(Metric::TaskCrashes, {state});
         logEvent(Event::TaskCrash,
@@ -635,12 +635,29 @@
                   {"upstream", it.upstream},
                   {"incarnation", std::to_string(it.incarnation)},
                   {"state", state}});
-        m_unsentCrashes.push_back(std::move(it));
     }
-    if (m_unsentCrashes.empty())
+    if (!crashes.empty())
+        sendCrashes(crashes);
+}
+
+void HeldGroups::relayCrashes()
+{
+    if (m_unsentCrashes.empty() || now() < m_nextCrashRelay)
         return;
-    m_nextCrashes = now() + crashReportInterval;
-    const auto crashes = std::exchange(m_unsentCrashes, {});
+    m_nextCrashRelay = now() + crashRelayInterval;
+    sendCrashes(std::exchange(m_unsentCrashes, {}));
+}
+
+void HeldGroups::expireCrashes()
+{
+    if (now() < m_nextCrashExpiry)
+        return;
+    m_nextCrashExpiry = now() + crashExpiryInterval;
+    m_crashes.expire(now());
+}
+
+void HeldGroups::sendCrashes(const std::vector<TaskCrash> &crashes)
+{
     const bool isControlVm = m_member.self().role == VmRole::Control;
     for (const auto &[name, it] : m_member.directory().peers()) {
         if (it.isAlive && (isControlVm || it.peer.role == VmRole::Control))
--- a/src/fleet/heldgroups.h
+++ b/src/fleet/heldgroups.h
@@ -151,6 +151,11 @@
     void execute(const std::string &group, const SupersededUpstream &superseded);
     /// Sends the records of crashes that are new since the last call to the other VMs.
     void sendNewCrashes();
+    /// Passes on the records that entry VMs have sent.
+    void relayCrashes();
+    void expireCrashes();
+    /// Sends records to all VMs that this VM reports crashes to.
+    void sendCrashes(const std::vector<TaskCrash> &crashes);
     void sendCrashes(const std::string &vm, const std::vector<TaskCrash> &crashes);
     /// Acknowledges the jobs that were received and not answered yet.
     void sendReceipts();
@@ -166,9 +171,9 @@
     /// Pools whose upstreams accept tasks beyond their capacity.
     std::set<std::string> m_unguardedPools;
     CrashLedger m_crashes;
-    /// New records that other VMs may not have received.
+    /// Records of entry VMs that have not been passed on yet.
     std::vector<TaskCrash> m_unsentCrashes;
-    TimePoint m_nextCrashes;
+    TimePoint m_nextCrashRelay;
     TimePoint m_nextCrashExpiry;
     std::map<std::string, std::unique_ptr<GroupDispatcher>> m_groups;
     std::map<std::string, Takeover> m_takeovers;
--- a/tests/integration/platformtest.cpp
+++ b/tests/integration/platformtest.cpp
@@ -319,6 +319,17 @@
     EXPECT_TRUE(waitFor([&] { return submit(jobId, platformJob(3)).status == 200; }));
 }
 
+/// Guards against a job that is shown as failed before its crashes are known outside of the holder.
+TEST_F(PlatformCrashTest, crashesThatFailedAJobSurviveItsHolder)
+{
+    ASSERT_TRUE(becomesReady());
+    ASSERT_TRUE(isShownAsFailed());
+    const auto starts = deadlyStarts.load();
+    restart({0, 1, 2});
+    EXPECT_TRUE(isShownAsFailed());
+    EXPECT_EQ(deadlyStarts, starts);
+}
+
 /// Guards against a crash that is not counted as its holder is killed before it knows.
 TEST_F(PlatformCrashTest, holdersThatAreKilledWhileATaskCrashesDoNotExceedItsBudget)
 {
