--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -89,12 +89,13 @@
             m_runs->orderEnded(m_now, m_stopTimeouts.front().second, {});
     }
 
-    /// Incarnation 2, which has restarted, answers a poll.
-    void list(OrderId poll, std::vector<RunId> running, std::vector<EndedRun> ended = {})
+    /// A later incarnation answers a poll.
+    void list(OrderId poll, std::vector<RunId> running, std::vector<EndedRun> ended = {},
+              std::uint64_t incarnation = 2)
     {
         OrderResult result;
         result.verdict = OrderVerdict::Accepted;
-        result.incarnation = 2;
+        result.incarnation = incarnation;
         result.clockMs = 5;
         result.running = std::move(running);
         result.ended = std::move(ended);
@@ -363,6 +364,41 @@
     EXPECT_EQ(crashes[0].state, CrashState::Confirmed);
 }
 
+// As above, where the upstream that has restarted accepted the start, and crashed as well.
+TEST_F(UpstreamRunsTest, crashOfTheIncarnationThatListedARunCounts)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    const auto startOrder = lastOrder(OrderKind::Start);
+    list(lastOrder(OrderKind::Poll), {});
+    m_runs->orderEnded(m_now, startOrder, acceptedAt(5));
+    m_runs->tick(m_now);
+    list(lastOrder(OrderKind::Poll), {{"other", 1}});
+    m_runs->takeCrashes();
+    list(lastOrder(OrderKind::Poll), {}, {}, 3);
+    const auto crashes = m_runs->takeCrashes();
+    ASSERT_EQ(crashes.size(), 1U);
+    EXPECT_EQ(crashes[0].incarnation, 2U);
+    EXPECT_EQ(crashes[0].state, CrashState::Confirmed);
+}
+
+// As above, where another upstream has the address before the start is answered.
+TEST_F(UpstreamRunsTest, crashBeforeARestartAndAReplacementCounts)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    const auto startOrder = lastOrder(OrderKind::Start);
+    list(lastOrder(OrderKind::Poll), {});
+    m_runs->tick(m_now);
+    m_runs->takeCrashes();
+    answerAsOther(lastOrder(OrderKind::Poll));
+    ASSERT_TRUE(m_runs->isReplaced());
+    m_runs->orderEnded(m_now, startOrder, acceptedAt(clockMs()));
+    EXPECT_TRUE(m_runs->isIdle());
+    const auto crashes = m_runs->takeCrashes();
+    ASSERT_EQ(crashes.size(), 1U);
+    EXPECT_EQ(crashes[0].incarnation, 1U);
+    EXPECT_EQ(crashes[0].state, CrashState::Confirmed);
+}
+
 // A task that ends while its upstream leaves must not be run again.
 TEST_F(UpstreamRunsTest, endDuringTheDepartureCounts)
 {
