UpstreamRuns: upstreams are polled while an unanswered start is out

Nothing was in progress there any more, so it was not polled, and its next incarnation executed the order while the task ran elsewhere. An idle upstream whose announcements had ended was forgotten.

The holder now polls an upstream on which a run ended without an answer to its start, with a delay of at most longPollTimeout after unanswered polls, until the order can't be executed any more; removeExpired() keeps it as long. The first poll that reaches the next incarnation shows the restart, and the next one carries a token above that of the order. What is left is the time until these polls.

--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -158,6 +158,9 @@
     /// answered the last order, and has no stop that was unanswered for half of the lease.
     bool isReady(TimePoint now) const;
     bool isIdle() const;
+    /// Whether the order of an unanswered start, whose run has ended, may still be executed after a restart.
+    /// The upstream is polled meanwhile, as its next incarnation rejects the order only once it was reached.
+    bool isStartOrderOut(TimePoint now) const;
     /// Whether the upstream has seen the fencing token of a later holder.
     bool isTakenOver() const;
     /// Whether another upstream has answered at its address since the last announcement of a new one.
@@ -287,7 +290,7 @@
     void upstreamLeft(TimePoint now);
     /// Another upstream has the address of this one, which has ended.
     void upstreamReplaced();
-    bool hasWork() const;
+    bool hasWork(TimePoint now) const;
 
     UpstreamRunsOptions m_options;
     FleetAnnouncement m_announcement;
@@ -306,6 +309,8 @@
     TimePoint m_earlierOrdersEndAt;
     /// When the latest lease ends if an incarnation has got it that is not known yet: its clock is behind.
     TimePoint m_unconfirmedRunsEndAt;
+    /// When isStartOrderOut() ends.
+    TimePoint m_startOrdersEndAt;
     std::uint64_t m_lastSeenEnd = 0;
     std::uint64_t m_acknowledgedThrough = 0;
     std::uint64_t m_nextPoll = 1;
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -841,7 +841,7 @@
     // An upstream is no longer polled once no run can be left there; its next announcement adds it again.
     std::erase_if(m_upstreams, [&](const auto &it) {
         const auto &[name, upstream] = it;
-        if (upstream.leaseDeadline > now || !upstream.runs->isIdle())
+        if (upstream.leaseDeadline > now || !upstream.runs->isIdle() || upstream.runs->isStartOrderOut(now))
             return false;
         if (!upstream.runs->announcement().upstream.leaving)
             m_actions.emplace_back(ExpiredUpstream{name});
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -149,7 +149,7 @@
         if (it.stopOrder == 0 && now >= it.stopRetryAt)
             sendStop(now, running.task, running.run, it);
     }
-    if (!m_isPolling && hasWork() && now >= m_nextPollAt)
+    if (!m_isPolling && hasWork(now) && now >= m_nextPollAt)
         sendPoll(now);
 }
 
@@ -192,6 +192,11 @@
     return m_runs.empty();
 }
 
+bool UpstreamRuns::isStartOrderOut(TimePoint now) const
+{
+    return now <= m_startOrdersEndAt;
+}
+
 bool UpstreamRuns::isTakenOver() const
 {
     return m_isTakenOver;
@@ -361,7 +366,7 @@
     const bool isConfirming = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &it) {
         return it.second.isStopAcknowledged && !it.second.isEndConfirmed;
     });
-    if (m_isFenceKnown && !m_isUnresponsive && !isConfirming && !m_runs.empty())
+    if (m_isFenceKnown && !m_isUnresponsive && !isConfirming && (!m_runs.empty() || isStartOrderOut(now)))
         order.wait = m_options.longPollTimeout;
     order.timeout = m_options.orderTimeout + order.wait;
     m_isPolling = true;
@@ -457,7 +462,9 @@
         return;
     if (!isAnswered || (result.incarnation != 0 && result.incarnation < known)) {
         m_isUnresponsive = true;
-        m_pollDelay = std::clamp(2 * m_pollDelay, m_options.retryDelay, m_options.maximumPollDelay);
+        m_pollDelay =
+            std::clamp(2 * m_pollDelay, m_options.retryDelay,
+                       isStartOrderOut(now) ? m_options.longPollTimeout : m_options.maximumPollDelay);
         m_nextPollAt = now + m_pollDelay;
         return;
     }
@@ -495,7 +502,7 @@
         it = next;
     }
     m_nextPollAt = now;
-    if (hasWork())
+    if (hasWork(now))
         sendPoll(now);
 }
 
@@ -523,6 +530,8 @@
 
 void UpstreamRuns::finish(std::map<std::string, Run>::iterator it, RunOutcome outcome, OrderVerdict verdict)
 {
+    if (it->second.phase == Phase::Unconfirmed && !it->second.hasRun)
+        m_startOrdersEndAt = std::max(m_startOrdersEndAt, it->second.startOrderEndsAt);
     m_finished.push_back({it->second.attempt, it->first, it->second.run, outcome, verdict});
     m_finished.back().basis = {m_announcement.upstream.incarnation, m_leaseMs, m_clockMs, m_orders.size()};
     m_runs.erase(it);
@@ -616,12 +625,12 @@
     }
 }
 
-bool UpstreamRuns::hasWork() const
+bool UpstreamRuns::hasWork(TimePoint now) const
 {
     if (m_hasLeft)
         return !m_runs.empty() || !m_foreignRuns.empty();
-    return !m_isFenceKnown || m_isUnresponsive || !m_runs.empty() || !m_foreignRuns.empty()
-        || m_lastSeenEnd > m_acknowledgedThrough;
+    return !m_isFenceKnown || m_isUnresponsive || isStartOrderOut(now) || !m_runs.empty()
+        || !m_foreignRuns.empty() || m_lastSeenEnd > m_acknowledgedThrough;
 }
 
 } // namespace Citronpitch
--- a/tests/unit/groupdispatchertest.cpp
+++ b/tests/unit/groupdispatchertest.cpp
@@ -569,6 +569,37 @@
     EXPECT_EQ(group.answers.size(), jobs);
 }
 
+/// Guards against a start order that is executed late by the next incarnation of an upstream that had
+/// confirmed its stop, or was silent, while the task runs elsewhere.
+TEST_P(GroupDispatcherRestartsTest, unannouncedRestartsCauseNoConcurrentRuns)
+{
+    constexpr std::uint64_t jobs = 300;
+    constexpr unsigned upstreams = 6;
+    for (unsigned i = 0; i < upstreams; ++i) {
+        SimulatedUpstreamOptions options{"u" + std::to_string(i)};
+        options.taskTime = i % 2 == 0 ? randomTime(30, 200) : randomTime(500, 3000);
+        options.clockRate = i % 2 == 0 ? 980 : 1000;
+        group.add(options);
+    }
+    group.advance(settlingTime);
+    group.faults = {30, 70};
+    for (std::uint64_t number = 1; number <= jobs; ++number) {
+        group.submit("job" + std::to_string(number), number, 1 + random() % 2, std::chrono::seconds(4));
+        group.advance(randomTime(20, 100));
+        const auto name = "u" + std::to_string(random() % upstreams);
+        if (random() % 10 == 0)
+            group.upstream(name).restart(group.now());
+        else if (random() % 10 == 0)
+            partition(name);
+        healPartitions();
+    }
+    group.faults = {};
+    group.advance(std::chrono::seconds(5));
+    EXPECT_EQ(group.concurrentRuns, 0U);
+    EXPECT_EQ(group.strayRuns, 0U);
+    EXPECT_EQ(group.answers.size(), jobs);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, GroupDispatcherRestartsTest, testing::Range<std::uint64_t>(1, 41));
 
 /// A reserved job must not run before its other parts are certain of their places, and must not keep a slot
@@ -1060,6 +1091,20 @@
     }
 }
 
+/// The upstream was not polled any more after the stop, so that its next incarnation learned of no token.
+TEST_F(GroupDispatcherLateStartTest, upstreamThatConfirmsTheStopBeforeItRestarts)
+{
+    group().advance(settlingTime);
+    ASSERT_EQ(runsOn("u1"), 1U);
+    for (int i = 0; i < 120; ++i) {
+        group().upstream("u0").restart(group().now());
+        group().advance(std::chrono::milliseconds(100));
+    }
+    EXPECT_EQ(group().starts["a.0"], 1U);
+    EXPECT_EQ(runsOn("u1"), 1U);
+    expectNoConcurrentRuns();
+}
+
 /// A job that came through two entry VMs was run again for the one that had not got the answer.
 TEST(GroupDispatcherTest, jobOfTwoEntryVmsRunsOnceAndAnswersBoth)
 {
