--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -123,8 +123,10 @@
  * @brief Tracks the runs of one holder on one upstream: orders, their answers, and the lease.
  *
  * An unanswered order may be executed later. Its run has ended only once a stop was acknowledged, the lease
- * has expired on the upstream's clock, or the upstream has restarted. Does no I/O and reads no clock. Used by
- * GroupDispatcher.
+ * has expired on the upstream's clock, or the upstream has restarted. What ends it there says nothing about
+ * the next incarnation, which may execute the start too; so on an upstream that leaves or is silent it has
+ * ended only once the next incarnation has answered, or the order can't be executed any more. Does no I/O and
+ * reads no clock. Used by GroupDispatcher.
  */
 class UpstreamRuns
 {
@@ -156,6 +158,9 @@
     /// answered the last order, and has no stop that was unanswered for half of the lease.
     bool isReady(TimePoint now) const;
     bool isIdle() const;
+    /// Whether the order of an unanswered start, whose run has ended, may still be executed after a restart.
+    /// The upstream is polled meanwhile, as its next incarnation rejects the order only once it was reached.
+    bool isStartOrderOut(TimePoint now) const;
     /// Whether the upstream has seen the fencing token of a later holder.
     bool isTakenOver() const;
     /// Whether another upstream has answered at its address since the last announcement of a new one.
@@ -198,6 +203,8 @@
     {
         std::uint64_t attempt = 0;
         std::uint32_t run = 0;
+        /// When the run has ended on any incarnation, whenever the start order was executed.
+        TimePoint startOrderEndsAt;
         Phase phase = Phase::Starting;
         /// Whether the run has to be stopped.
         bool isStopNeeded = false;
@@ -210,11 +217,15 @@
         bool isConfirmed = false;
         /// Whether the upstream has restarted since the start order was sent.
         bool hasUpstreamRestarted = false;
+        /// Whether the silence of the upstream was recorded for the count of crashes.
+        bool isSilenceRecorded = false;
+        /// Whether the present incarnation has ended the run and rejects its start order.
+        bool isEndConfirmed = false;
         /// Earlier incarnation that had ended when the start order was unanswered. It has crashed under the
         /// task unless it did not get the order, or the present one has the run.
         std::optional<std::uint64_t> incarnationInDoubt;
-        /// Whether the start was accepted, by the incarnation in doubt or by a later one.
-        bool isAcceptedInDoubt = false;
+        /// Whether the start order was answered, or was not sent, so that it is not executed later.
+        bool isStartAnswered = false;
         /// First poll sent after the stop was acknowledged; if it lists no such run, the run has ended.
         std::uint64_t confirmingPoll = 0;
     };
@@ -240,6 +251,12 @@
     std::int64_t clockLowerBound(TimePoint now) const;
     /// Whether the runs have ended although the upstream did not report it.
     bool isLeaseExpired(TimePoint now) const;
+    /// Whether the upstream is about to end, or may have ended.
+    bool isEnding(TimePoint now) const;
+    /// Whether the next incarnation, which is to be expected, may execute the start order of @p run.
+    bool mayStartLater(TimePoint now, const Run &run) const;
+    /// Handles that every lease given to the upstream has expired.
+    void leaseExpired(TimePoint now);
     /// Whether the clock in an answer shows that an incarnation has answered that is not known yet.
     bool isOfUnknownIncarnation(const OpenOrder &open, const OrderResult &result) const;
     void updateClock(TimePoint now, std::int64_t clockMs);
@@ -277,7 +294,7 @@
     void upstreamLeft(TimePoint now);
     /// Another upstream has the address of this one, which has ended.
     void upstreamReplaced();
-    bool hasWork() const;
+    bool hasWork(TimePoint now) const;
 
     UpstreamRunsOptions m_options;
     FleetAnnouncement m_announcement;
@@ -296,6 +313,8 @@
     TimePoint m_earlierOrdersEndAt;
     /// When the latest lease ends if an incarnation has got it that is not known yet: its clock is behind.
     TimePoint m_unconfirmedRunsEndAt;
+    /// When isStartOrderOut() ends.
+    TimePoint m_startOrdersEndAt;
     std::uint64_t m_lastSeenEnd = 0;
     std::uint64_t m_acknowledgedThrough = 0;
     std::uint64_t m_nextPoll = 1;
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -79,6 +79,7 @@
     it = {};
     it.attempt = attempt;
     it.run = run;
+    it.startOrderEndsAt = now + m_options.maximumOrderDelay + m_options.maximumLease;
     auto order = newOrder(OrderKind::Start);
     order.task = task;
     order.run = run;
@@ -137,24 +138,8 @@
     m_lag = lag;
     if (m_isTakenOver || m_isReplaced)
         return;
-    // The upstream may have reported the end of a run, or a later clock, in an answer that was not read yet.
-    const auto hasEnded = [&](const Run &run) {
-        return run.isConfirmed || now - lag > m_unconfirmedRunsEndAt;
-    };
-    const bool isAnyEnded = isLeaseExpired(now - lag)
-        && std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &it) { return hasEnded(it.second); });
-    if (isAnyEnded) {
-        m_isUnresponsive = true;
-        if (!m_announcement.upstream.leaving)
-            recordCrashes(m_announcement.upstream, false);
-        const auto loss = isAnswering(now) ? RunLoss::StopUnanswered : RunLoss::UpstreamSilent;
-        for (auto it = m_runs.begin(); it != m_runs.end();) {
-            const auto next = std::next(it);
-            if (hasEnded(it->second))
-                lose(it, loss);
-            it = next;
-        }
-    }
+    if (isLeaseExpired(now - lag))
+        leaseExpired(now);
     for (auto &[task, it] : m_runs) {
         const bool isDue = it.isStopNeeded && !it.isStopAcknowledged && it.stopOrder == 0;
         if (isDue && now >= it.stopRetryAt)
@@ -164,10 +149,36 @@
         if (it.stopOrder == 0 && now >= it.stopRetryAt)
             sendStop(now, running.task, running.run, it);
     }
-    if (!m_isPolling && hasWork() && now >= m_nextPollAt)
+    if (!m_isPolling && hasWork(now) && now >= m_nextPollAt)
         sendPoll(now);
 }
 
+void UpstreamRuns::leaseExpired(TimePoint now)
+{
+    // The upstream may have reported the end of a run, or a later clock, in an answer that was not read yet.
+    const auto hasEnded = [&](const Run &run) {
+        return run.isConfirmed || now - m_lag > m_unconfirmedRunsEndAt;
+    };
+    const bool isAnyNew = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto &it) {
+        return hasEnded(it.second) && !it.second.isSilenceRecorded;
+    });
+    if (isAnyNew) {
+        m_isUnresponsive = true;
+        if (!m_announcement.upstream.leaving)
+            recordCrashes(m_announcement.upstream, false);
+    }
+    const auto loss = isAnswering(now) ? RunLoss::StopUnanswered : RunLoss::UpstreamSilent;
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        const auto next = std::next(it);
+        if (hasEnded(it->second)) {
+            it->second.isSilenceRecorded = true;
+            if (!mayStartLater(now, it->second))
+                lose(it, loss);
+        }
+        it = next;
+    }
+}
+
 bool UpstreamRuns::isReady(TimePoint now) const
 {
     const auto deadline = earliestEndDeadline();
@@ -181,6 +192,11 @@
     return m_runs.empty();
 }
 
+bool UpstreamRuns::isStartOrderOut(TimePoint now) const
+{
+    return now <= m_startOrdersEndAt;
+}
+
 bool UpstreamRuns::isTakenOver() const
 {
     return m_isTakenOver;
@@ -238,6 +254,16 @@
     return m_clockReadAt && m_leaseMs > 0 && clockLowerBound(now) > m_leaseMs;
 }
 
+bool UpstreamRuns::isEnding(TimePoint now) const
+{
+    return m_hasLeft || m_announcement.upstream.leaving || !isAnswering(now);
+}
+
+bool UpstreamRuns::mayStartLater(TimePoint now, const Run &run) const
+{
+    return !run.isStartAnswered && !run.hasRun && isEnding(now) && now - m_lag <= run.startOrderEndsAt;
+}
+
 bool UpstreamRuns::isOfUnknownIncarnation(const OpenOrder &open, const OrderResult &result) const
 {
     const bool isExecuted = result.verdict == OrderVerdict::Accepted && result.incarnation == 0;
@@ -339,9 +365,10 @@
     // The lease of an unresponsive upstream must expire soon, so that its tasks can run elsewhere.
     if (isAnswering(now) && !m_runs.empty() && !m_hasLeft)
         order.leaseMs = newLeaseMs(now);
-    const bool isConfirming = std::any_of(m_runs.begin(), m_runs.end(),
-                                          [](const auto &it) { return it.second.isStopAcknowledged; });
-    if (m_isFenceKnown && !m_isUnresponsive && !isConfirming && !m_runs.empty())
+    const bool isConfirming = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &it) {
+        return it.second.isStopAcknowledged && !it.second.isEndConfirmed;
+    });
+    if (m_isFenceKnown && !m_isUnresponsive && !isConfirming && (!m_runs.empty() || isStartOrderOut(now)))
         order.wait = m_options.longPollTimeout;
     order.timeout = m_options.orderTimeout + order.wait;
     m_isPolling = true;
@@ -364,10 +391,10 @@
     if (it == m_runs.end() || it->second.run != open.run)
         return;
     auto &run = it->second;
+    run.isStartAnswered = result.verdict != OrderVerdict::NoAnswer;
     switch (result.verdict) {
     case OrderVerdict::Accepted:
         // The present incarnation may have accepted the order, but not another upstream.
-        run.isAcceptedInDoubt = run.incarnationInDoubt.has_value();
         if (m_isReplaced)
             concludeDoubt(open.task, run, CrashState::Confirmed);
         break;
@@ -446,7 +473,9 @@
         return;
     if (!isAnswered || (result.incarnation != 0 && result.incarnation < known)) {
         m_isUnresponsive = true;
-        m_pollDelay = std::clamp(2 * m_pollDelay, m_options.retryDelay, m_options.maximumPollDelay);
+        m_pollDelay =
+            std::clamp(2 * m_pollDelay, m_options.retryDelay,
+                       isStartOrderOut(now) ? m_options.longPollTimeout : m_options.maximumPollDelay);
         m_nextPollAt = now + m_pollDelay;
         return;
     }
@@ -476,9 +505,10 @@
         const auto next = std::next(it);
         auto &run = it->second;
         const bool isStopConfirmed = run.isStopAcknowledged && open.poll >= run.confirmingPoll;
+        run.isEndConfirmed = isStopConfirmed && !running.contains({it->first, run.run});
         // The answer to the start tells whether the incarnation in doubt has crashed.
-        const bool isAnswerNeeded = run.incarnationInDoubt && !run.isAcceptedInDoubt;
-        if (isStopConfirmed && !isAnswerNeeded && !running.contains({it->first, run.run})) {
+        const bool isAnswerNeeded = run.incarnationInDoubt && !run.isStartAnswered;
+        if (run.isEndConfirmed && !isAnswerNeeded && !mayStartLater(now, run)) {
             concludeDoubt(it->first, run, CrashState::Confirmed);
             if (run.isStopRequested)
                 finish(it, RunOutcome::Stopped);
@@ -488,7 +518,7 @@
         it = next;
     }
     m_nextPollAt = now;
-    if (hasWork())
+    if (hasWork(now))
         sendPoll(now);
 }
 
@@ -518,6 +548,8 @@
 void UpstreamRuns::finish(std::map<std::string, Run>::iterator it, RunOutcome outcome, OrderVerdict verdict)
 {
     concludeDoubt(it->first, it->second, CrashState::Inconclusive);
+    if (it->second.phase == Phase::Unconfirmed && !it->second.isStartAnswered && !it->second.hasRun)
+        m_startOrdersEndAt = std::max(m_startOrdersEndAt, it->second.startOrderEndsAt);
     m_finished.push_back({it->second.attempt, it->first, it->second.run, outcome, verdict});
     m_finished.back().basis = {m_announcement.upstream.incarnation, m_leaseMs, m_clockMs, m_orders.size()};
     m_runs.erase(it);
@@ -579,7 +611,7 @@
         auto &run = it->second;
         // The answer to a start order will tell which upstream got it.
         const bool isAnswerNeeded =
-            run.phase == Phase::Starting || (run.incarnationInDoubt && !run.isAcceptedInDoubt);
+            run.phase == Phase::Starting || (run.incarnationInDoubt && !run.isStartAnswered);
         if (!isAnswerNeeded) {
             concludeDoubt(it->first, run,
                           m_announcement.upstream.leaving ? CrashState::Inconclusive : CrashState::Confirmed);
@@ -616,18 +648,19 @@
         it.phase = Phase::Unconfirmed;
         it.isStopNeeded = true;
         it.isStopAcknowledged = false;
+        it.isEndConfirmed = false;
         it.hasUpstreamRestarted = true;
         it.stopOrder = 0;
         it.stopRetryAt = {};
     }
 }
 
-bool UpstreamRuns::hasWork() const
+bool UpstreamRuns::hasWork(TimePoint now) const
 {
     if (m_hasLeft)
         return !m_runs.empty() || !m_foreignRuns.empty();
-    return !m_isFenceKnown || m_isUnresponsive || !m_runs.empty() || !m_foreignRuns.empty()
-        || m_lastSeenEnd > m_acknowledgedThrough;
+    return !m_isFenceKnown || m_isUnresponsive || isStartOrderOut(now) || !m_runs.empty()
+        || !m_foreignRuns.empty() || m_lastSeenEnd > m_acknowledgedThrough;
 }
 
 } // namespace Citronpitch
