Bound the depth of JSON where text becomes a tree

What callers saw: a leave call, an order's response or a payload with a value of 100,000 nested lists (200 kB) ended the VM that read it by SIGSEGV. A number such as 1e999 left parseJson() as an exception that isn't its parse error.

Cause: the library parses and destroys without recursion, but copies, compares and prints with it. Only parse_error was caught.

It scans for the depth before it parses, so no deep tree is ever built: linear, no recursion, strings, escapes and comments as the parser sees them. All exceptions of the library become an error with the byte, where the library tells it. The command-line tool prints why it failed where a VM's answer has a field of another type.

--- a/src/charts/chartdefinition.cpp
+++ b/src/charts/chartdefinition.cpp
@@ -1,5 +1,7 @@
 #include "charts/chartdefinition.h"
 
+#include "settings/jsontext.h"
+
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
 
@@ -29,8 +31,11 @@
 
 leaf::result<ChartDefinition> parseChart(std::string_view text)
 {
+    const auto parsed = readJson(text, JsonComments::Ignored);
+    if (const auto *error = std::get_if<JsonTextError>(&parsed))
+        return leaf::new_error(StepError{"read chart", {}, error->reason});
     try {
-        const auto from = Json::parse(text, nullptr, true, true);
+        const auto &from = std::get<Json>(parsed);
         ChartDefinition chart;
         chart.name = from.at("name").get<std::string>();
         chart.initial = from.at("initial").get<std::string>();
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,5 +1,7 @@
 #include "cli/command.h"
 
+#include "settings/jsontext.h"
+
 #include <getopt.h>
 #include <nlohmann/json.hpp>
 
@@ -123,5 +125,10 @@
             print(error, isJson);
             return numberOf(error.code);
         },
+        [&](const std::exception &error) {
+            // Such as a VM's answer with a field of another type than this program expects.
+            print(CliError{{"", "", shortened(error.what())}, "", ExitCode::Failed}, isJson);
+            return numberOf(ExitCode::Failed);
+        },
         [] { return numberOf(ExitCode::Failed); });
 }
--- a/src/cli/replyjson.cpp
+++ b/src/cli/replyjson.cpp
@@ -1,5 +1,7 @@
 #include "cli/replyjson.h"
 
+#include "settings/jsontext.h"
+
 #include <iostream>
 
 namespace Citronpitch {
@@ -9,9 +11,10 @@
 
 leaf::result<Json> anyBody(const VmReply &reply, const std::string &step)
 {
-    auto body = Json::parse(reply.response.body, nullptr, false);
-    if (body.is_object())
-        return body;
+    auto body = readJson(reply.response.body);
+    auto *json = std::get_if<Json>(&body);
+    if (json != nullptr && json->is_object())
+        return std::move(*json);
     return leaf::new_error(CliError{{step, reply.peer, "the answer is not a JSON object"},
                                     "the address may belong to another program",
                                     ExitCode::NoAnswer});
--- a/src/fleet/fleetsettings.cpp
+++ b/src/fleet/fleetsettings.cpp
@@ -98,9 +98,7 @@
 
 leaf::result<FleetSettings> parseFleetSettings(const std::string &text)
 {
-    const auto json = Json::parse(text, nullptr, false, true);
-    if (json.is_discarded())
-        return leaf::new_error(StepError{"settings", "", "the file is not JSON with comments"});
+    BOOST_LEAF_ASSIGN(const auto json, parseJson(text, "settings", JsonComments::Ignored));
     const JsonObjectReader fields(json, "settings", "");
     FleetSettings settings;
     BOOST_LEAF_ASSIGN(settings.vm, fields.requiredText("vm"));
--- a/src/settings/jsonobjectreader.cpp
+++ b/src/settings/jsonobjectreader.cpp
@@ -80,16 +80,17 @@
 
 leaf::error_id JsonObjectReader::error(std::string what) const
 {
-    return leaf::new_error(StepError{m_step, m_path, std::move(what)});
+    return leaf::new_error(StepError{m_step, m_path, shortened(std::move(what))});
 }
 
-leaf::result<Json> parseJson(const std::string &text, const std::string &step)
+leaf::result<Json> parseJson(std::string_view text, const std::string &step, JsonComments comments)
 {
-    try {
-        return Json::parse(text);
-    } catch (const Json::parse_error &e) {
-        return leaf::new_error(StepError{step, "body, byte " + std::to_string(e.byte), e.what()});
+    auto parsed = readJson(text, comments);
+    if (auto *error = std::get_if<JsonTextError>(&parsed)) {
+        const auto where = error->byte > 0 ? ", byte " + std::to_string(error->byte) : std::string();
+        return leaf::new_error(StepError{step, "body" + where, std::move(error->reason)});
     }
+    return std::move(std::get<Json>(parsed));
 }
 
 } // namespace Citronpitch
--- a/src/settings/jsonobjectreader.h
+++ b/src/settings/jsonobjectreader.h
@@ -2,6 +2,8 @@
 
 #include "citronpitch/steperror.h"
 
+#include "settings/jsontext.h"
+
 #include <boost/leaf.hpp>
 #include <nlohmann/json.hpp>
 
@@ -56,7 +58,8 @@
     std::string m_path;
 };
 
-/// Parses @p text as JSON; the error contains the byte offset and the reason.
-boost::leaf::result<nlohmann::json> parseJson(const std::string &text, const std::string &step);
+/// Parses @p text as readJson() does; the error is a StepError with the byte, if known, and the reason.
+boost::leaf::result<nlohmann::json> parseJson(std::string_view text, const std::string &step,
+                                              JsonComments comments = JsonComments::Rejected);
 
 } // namespace Citronpitch
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings/settings.h"
 
+#include "settings/jsontext.h"
 #include "settings/settingsvalidator.h"
 
 #include <nlohmann/json.hpp>
@@ -141,8 +142,9 @@
 
 SettingsReloadResult applyReloadableSettings(const Settings &running, const Settings &loaded)
 {
-    auto document = Json::parse(running.completeJson);
-    const auto reloaded = Json::parse(loaded.completeJson);
+    // Both texts were printed by parseSettings().
+    auto document = std::get<Json>(readJson(running.completeJson));
+    const auto reloaded = std::get<Json>(readJson(loaded.completeJson));
     SettingsReloadResult reloadResult;
     for (const auto &it : settingSpecs()) {
         const bool isComparable =
--- a/src/settings/settingsvalidator.cpp
+++ b/src/settings/settingsvalidator.cpp
@@ -1,5 +1,6 @@
 #include "settings/settingsvalidator.h"
 
+#include "settings/jsontext.h"
 #include "settings/nearestname.h"
 
 #include <arpa/inet.h>
@@ -90,15 +91,16 @@
 } // namespace
 
 SettingsValidator::SettingsValidator(std::string_view text, SettingsScope part)
-    : m_lines(text)
+    // The index has a path for each level, which takes quadratic time in the depth.
+    : m_lines(findExcessiveDepth(text, JsonComments::Ignored) ? std::string_view() : text)
 {
-    try {
-        m_document = Json::parse(text, nullptr, true, true);
-    } catch (const Json::parse_error &e) {
-        const auto byte = e.byte > 0 ? e.byte - 1 : 0;
-        m_errors.push_back({lineOfByte(text, byte), "", e.what(), "JSON with comments"});
+    auto parsed = readJson(text, JsonComments::Ignored);
+    if (auto *error = std::get_if<JsonTextError>(&parsed)) {
+        const auto byte = error->byte > 0 ? error->byte - 1 : 0;
+        m_errors.push_back({lineOfByte(text, byte), "", std::move(error->reason), "JSON with comments"});
         return;
     }
+    m_document = std::move(std::get<Json>(parsed));
     if (!m_document.is_object()) {
         addError("", abbreviated(m_document), "an object");
         return;
@@ -142,7 +144,7 @@
                 addError(keyPath, "nothing", it->allowedValues());
                 continue;
             }
-            object[name] = Json::parse(it->defaultValue);
+            object[name] = std::get<Json>(readJson(it->defaultValue));
         }
         checkValue(object[name], *it, keyPath);
     }
--- a/tools/run.sh
+++ b/tools/run.sh
@@ -40,7 +40,7 @@
 buildSanitized() {
     installPackages
     configure $sanitized -DCMAKE_BUILD_TYPE=Debug -DCITRONPITCH_SANITIZE=ON
-    cmake --build $sanitized --target decisiontests fuzztests
+    cmake --build $sanitized --target decisiontests decodertests fuzztests
 }
 
 sources() {
