Reject addresses and numbers that executors can't have meant

What callers saw: an upstream with address "10.0.0.1:80x", "nohost name:80" or "999.1.1.1:80" was in use and could be sent nothing, or was reached at a port that it had not named. Run in a poll's list was taken for run 1, ClockMs for -1.

Cause: the rest after the port's digits was ignored and the address was not looked at; numbers were narrowed unchecked. Clocks up to the limit of 64 bits overflowed when a lease was added, and capacities of 1e9 let the 32-bit sum of parallel tasks wrap.

An address is a literal IP address that can be connected to (not unspecified, multicast or broadcast) and a port of digits from 1 to 65535. Run numbers fit into 32 bits, an end's number is at least 1; clocks, `born`, `Seq` and the numbers of ends are at most 2^53 - 1, so that no sum with a lease overflows. A response with a malformed row, clock or `born` counts as unanswered. Capacity has the limits that the daemon has (1,000 cores, 2^50 bytes, 1,000 accelerators).

--- a/tests/decoders/malformedinputtest.cpp
+++ b/tests/decoders/malformedinputtest.cpp
@@ -2,8 +2,12 @@
 #include "platform/executorcodec.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <limits>
 
 using namespace Citronpitch;
+using Json = nlohmann::json;
 namespace leaf = boost::leaf;
 
 namespace {
@@ -36,6 +40,16 @@
     return Platform::decodeOrderResult(order, response);
 }
 
+std::string heartbeatError(const std::string &field, const Json &value)
+{
+    Json body{{"Service", "s"}, {"Address", "10.0.0.1:80"},
+              {"Zone", "z"},    {"State", "ready"},
+              {"Seq", 1},       {"born", 1},
+              {"ClockMs", 1},   {"Capacity", {{"Cpu", 1}, {"MemMb", 1}}}};
+    body[field] = value;
+    return errorOf([&] { return Platform::parseHeartbeat("i-1", body.dump()); });
+}
+
 } // namespace
 
 // The library copies and prints values recursively: the VM that read one of these ended.
@@ -50,3 +64,52 @@
     request.body = R"({"team":"t","class":"c","tasks":[{"payload":)" + deep + "}]}";
     EXPECT_NE(errorOf([&] { return parseCallerRequest(request, {}); }).find("nested"), std::string::npos);
 }
+
+// Upstreams were in use with addresses to which nothing can be sent, and with a port that they had not named.
+TEST(MalformedInputTest, addressesThatCannotBeConnectedToAreRejected)
+{
+    for (const auto *it : {"10.0.0.1:80", "10.0.0.1:1", "10.0.0.1:65535", "2001:db8::1:80"})
+        EXPECT_EQ(heartbeatError("Address", it), "") << it;
+    for (const auto *it :
+         {"nohost name:80", "999.1.1.1:80", "localhost:80", ":80", "10.0.0.1.:80", "0.0.0.0:80", ":::80",
+          "224.0.0.1:80", "255.255.255.255:80", "10.0.0:80", " 10.0.0.1:80", "10.0.0.1:80:80"})
+        EXPECT_NE(heartbeatError("Address", it).find("not an IP address"), std::string::npos) << it;
+    for (const auto *it :
+         {"10.0.0.1:", "10.0.0.1:80x", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:+80",
+          "10.0.0.1: 80", "10.0.0.1:4294967376", "10.0.0.1:99999999999999999999"})
+        EXPECT_NE(heartbeatError("Address", it).find("not a port"), std::string::npos) << it;
+    EXPECT_NE(heartbeatError("Address", "10.0.0.1"), "");
+    EXPECT_NE(heartbeatError("Address", std::string("10.0.0.1\0:80", 12)), "");
+}
+
+// Numbers were taken for others: run 4294967297 for run 1, clock 18446744073709551615 for -1. Clocks near the
+// limits overflowed when a lease was added to them, and sums of capacities near theirs wrapped.
+TEST(MalformedInputTest, numbersOutOfRangeAreNotTakenForOthers)
+{
+    const auto verdictOf = [](const std::string &fields) { return decoded("{" + fields + "}").verdict; };
+    for (const auto *it :
+         {R"("ClockMs":0)", R"("ClockMs":9007199254740991,"born":9007199254740991)",
+          R"("ClockMs":1,"Running":[["t",4294967295]],"Finished":[[1,"t",4294967295,"done"]])"})
+        EXPECT_EQ(verdictOf(it), OrderVerdict::Accepted) << it;
+    for (const auto *it :
+         {R"("ClockMs":-1)", R"("ClockMs":18446744073709551615)", R"("ClockMs":9223372036854775807)",
+          R"("ClockMs":99999999999999999999)", R"("ClockMs":1.5)", R"("ClockMs":1e3)",
+          R"("ClockMs":1,"x":1e999)", R"("ClockMs":1,"born":-1)",
+          R"("ClockMs":1,"born":18446744073709551616)", R"("ClockMs":1,"born":"1")",
+          R"("ClockMs":1,"Running":[["t",4294967297]])", R"("ClockMs":1,"Running":[["t",-1]])",
+          R"("ClockMs":1,"Running":[["t",1.5]])", R"("ClockMs":1,"Running":{"t":1})",
+          R"("ClockMs":1,"Finished":[[1,"t",4294967297,"done"]])",
+          R"("ClockMs":1,"Finished":[[0,"t",1,"done"]])",
+          R"("ClockMs":1,"Finished":[[18446744073709551615,"t",1,"done"]])",
+          R"("ClockMs":1,"Finished":null)"})
+        EXPECT_EQ(verdictOf(it), OrderVerdict::NoAnswer) << it;
+    for (const auto *it : {"Seq", "born", "ClockMs"}) {
+        EXPECT_EQ(heartbeatError(it, (std::uint64_t{1} << 53) - 1), "");
+        EXPECT_NE(heartbeatError(it, std::uint64_t{1} << 53), "") << it;
+        EXPECT_NE(heartbeatError(it, std::numeric_limits<std::uint64_t>::max()), "") << it;
+    }
+    EXPECT_EQ(heartbeatError("Capacity", {{"Cpu", 1'000'000}, {"MemMb", 1 << 30}, {"Gpu", 1000}}), "");
+    EXPECT_NE(heartbeatError("Capacity", {{"Cpu", 1'000'001}, {"MemMb", 1}}), "");
+    EXPECT_NE(heartbeatError("Capacity", {{"Cpu", 1}, {"MemMb", (1 << 30) + 1}}), "");
+    EXPECT_NE(heartbeatError("Capacity", {{"Cpu", 1}, {"MemMb", 1}, {"Gpu", 4294967297}}), "");
+}
