Malformed announcements and leave calls change no upstream

What callers saw: a leave call with a body that can't be read ended the executor that its path names, as one without a body does. A heartbeat with a service or zone that exists nowhere took a known executor out of its group. A heartbeat whose decoder threw was rejected without a word of why and without a log line. An id such as "%ff" was passed on to other VMs, which drop the whole message with the announcements of up to 100 upstreams, as a text in it isn't UTF-8.

parseLeave() is an error if there is a body that can't be read; no body, or an object without `born`, still stands for the known incarnation (PartitionTest sends such calls). An announcement of a known upstream whose pool or failure domain is another one, which isn't declared, is rejected. Ids are 1 to 256 printable ASCII characters, and the texts that are passed on have up to 256 bytes. All rejections, of any exception, are answered with 400 and the cause, logged as E203 (within the log's limit of repeats) and counted in citronpitch_announcements_rejected_total.

PlatformTest.malformedEntriesOfAnotherWriterChangeNothing: real processes; while jobs are served, another writer sends 25 heartbeats, leave calls and ids to each control VM, and each eighth response of the executors is unreadable.

--- a/include/citronpitch/workdeclaration.h
+++ b/include/citronpitch/workdeclaration.h
@@ -56,6 +56,8 @@
     std::vector<PoolDeclaration> pools;
     RequestLimits limits;
 
+    bool hasPool(std::string_view name) const;
+
     /// Queue of @p host whose path prefix is the longest that matches @p path, or null.
     const QueueDeclaration *findQueue(std::string_view host, std::string_view path) const;
 };
--- a/src/core/config/workdeclaration.cpp
+++ b/src/core/config/workdeclaration.cpp
@@ -24,6 +24,11 @@
     return best;
 }
 
+bool WorkDeclaration::hasPool(std::string_view name) const
+{
+    return std::any_of(pools.begin(), pools.end(), [&](const auto &it) { return it.name == name; });
+}
+
 std::string checkDeclaration(const WorkDeclaration &declaration)
 {
     if (declaration.version == 0)
--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -133,6 +133,27 @@
     m_groups.executeActions();
 }
 
+std::string FleetControl::contradictionOf(const FleetAnnouncement &announcement) const
+{
+    const auto it = m_registry.upstreams().find(announcement.upstream.name);
+    if (it == m_registry.upstreams().end())
+        return {};
+    const auto &known = it->second.announcement;
+    if (announcement.domain != known.domain && !hasDomain(announcement.domain))
+        return "the known upstream is not of failure domain \"" + announcement.domain
+            + "\", which doesn't exist";
+    const auto *declaration = m_activeDeclaration.declaration();
+    if (announcement.pool != known.pool && declaration != nullptr && !declaration->hasPool(announcement.pool))
+        return "the known upstream is not of pool \"" + announcement.pool + "\", which is not declared";
+    return {};
+}
+
+void FleetControl::announcementRejected(const std::string &sender, const std::string &error)
+{
+    logEvent(Event::AnnouncementRejected, {{"peer", sender}, {"error", error}});
+    m_metricsPage.metrics().increment(Metric::AnnouncementsRejected, {});
+}
+
 void FleetControl::upstreamLeft(const std::string &name, std::uint64_t incarnation,
                                 std::function<void(bool)> acknowledge)
 {
--- a/src/fleet/fleetcontrol.h
+++ b/src/fleet/fleetcontrol.h
@@ -57,6 +57,13 @@
      */
     void announce(FleetAnnouncement announcement, std::function<void(bool)> acknowledge);
 
+    /// Why @p announcement can't be of the known upstream with its name: its failure domain or pool is
+    /// another one, which doesn't exist. Empty if it can be.
+    std::string contradictionOf(const FleetAnnouncement &announcement) const;
+
+    /// Logs and counts a malformed announcement that this VM got from @p sender.
+    void announcementRejected(const std::string &sender, const std::string &error);
+
     /// Incarnation @p incarnation of upstream @p name has left; zero stands for the known incarnation. Calls
     /// @p acknowledge as announce() does, and with true for an unknown upstream or incarnation.
     void upstreamLeft(const std::string &name, std::uint64_t incarnation,
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -67,9 +67,10 @@
     EventDefinition{Event::UpstreamExpired, EventSeverity::Warning, "upstream's lease expired", "upstream",
                     "The upstream did not renew its lease within `upstreamLeaseMs` and gets no new tasks. "
                     "Check the upstream and the network."},
-    EventDefinition{Event::AnnouncementRejected, EventSeverity::Warning, "announcement rejected",
-                    "peer error",
-                    "The announcement of an upstream is malformed. The sender received the same error text."},
+    EventDefinition{
+        Event::AnnouncementRejected, EventSeverity::Warning, "announcement rejected", "peer error",
+        "The announcement or leave call of an upstream is malformed. No upstream was renewed, changed or "
+        "ended by it. The sender received the same error text."},
     EventDefinition{
         Event::PeerMessageMalformed, EventSeverity::Warning, "malformed message of an entry VM dropped",
         "bytes",
--- a/src/log/metrics.h
+++ b/src/log/metrics.h
@@ -23,6 +23,7 @@
     RunsLost,
     TaskCrashes,
     UpstreamsExpired,
+    AnnouncementsRejected,
     OrderDuration,
     JobsFinished,
     GroupFence,
--- a/tests/decoders/malformedinputtest.cpp
+++ b/tests/decoders/malformedinputtest.cpp
@@ -56,7 +56,7 @@
 TEST(MalformedInputTest, deeplyNestedValuesEndNoVm)
 {
     const auto deep = nested(200'000);
-    EXPECT_EQ(Platform::parseLeave(R"({"born":)" + deep + "}"), 0U);
+    EXPECT_NE(errorOf([&] { return Platform::parseLeave(R"({"born":)" + deep + "}"); }), "");
     EXPECT_EQ(decoded(R"({"ClockMs":)" + deep + "}").verdict, OrderVerdict::NoAnswer);
     EXPECT_EQ(decoded(R"({"Reason":)" + deep + "}", OrderKind::Start, 409).verdict, OrderVerdict::Invalid);
     HttpRequest request;
@@ -113,3 +113,40 @@
     EXPECT_NE(heartbeatError("Capacity", {{"Cpu", 1}, {"MemMb", (1 << 30) + 1}}), "");
     EXPECT_NE(heartbeatError("Capacity", {{"Cpu", 1}, {"MemMb", 1}, {"Gpu", 4294967297}}), "");
 }
+
+// A leave call that can't be read ended the known incarnation, as one without a body does.
+TEST(MalformedInputTest, unreadableLeaveCallsNameNoIncarnation)
+{
+    const auto incarnationOf = [](const std::string &body) {
+        return leaf::try_handle_all([&] { return Platform::parseLeave(body); },
+                                    [](const StepError &) { return std::uint64_t{404}; },
+                                    [] { return std::uint64_t{500}; });
+    };
+    for (const auto *it : {"", "{}", R"({"other":1})"})
+        EXPECT_EQ(incarnationOf(it), 0U) << it;
+    EXPECT_EQ(incarnationOf(R"({"born":1700000000000})"), 1'700'000'000'000U);
+    for (const auto *it :
+         {"{", "[]", "null", "5", "\xff", R"({"born":"5"})", R"({"born":null})", R"({"born":-5})",
+          R"({"born":5.0})", R"({"born":18446744073709551615})", R"({"born":1e999})"})
+        EXPECT_EQ(incarnationOf(it), 404U) << it;
+}
+
+// One name that is not UTF-8 made other VMs drop the whole message with announcements of 100 upstreams.
+TEST(MalformedInputTest, namesThatOtherVmsCannotReadAreRejected)
+{
+    const auto errorOfId = [](const std::string &id) {
+        return errorOf([&] {
+            return Platform::parseHeartbeat(
+                id,
+                R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Seq":1,"born":1,)"
+                R"("ClockMs":1,"Capacity":{"Cpu":1,"MemMb":1}})");
+        });
+    };
+    EXPECT_EQ(errorOfId("i-7f3a91c2"), "");
+    for (const auto &it : {std::string(), std::string("\xff"), std::string("a\r\nb"), std::string("a b"),
+                           std::string("a\0", 2), std::string(257, 'a')})
+        EXPECT_NE(errorOfId(it).find("id in the path"), std::string::npos) << it;
+    for (const auto *it : {"Service", "Zone"})
+        EXPECT_NE(heartbeatError(it, std::string(257, 'a')).find("256"), std::string::npos);
+    EXPECT_NE(heartbeatError("Labels", {"a", std::string(257, 'a')}).find("256"), std::string::npos);
+}
--- a/tests/integration/platformtest.cpp
+++ b/tests/integration/platformtest.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <csignal>
 #include <filesystem>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -165,6 +166,50 @@
 
 constexpr const char *jobId = "0123456789abcdef";
 
+std::string nestedLists()
+{
+    return std::string(200'000, '[') + std::string(200'000, ']');
+}
+
+/// Heartbeats under the name of a known executor, each of which names no executor to use. Most claim a later
+/// incarnation that drains, so that accepting one would end the executor.
+std::vector<std::string> malformedHeartbeats()
+{
+    const Json valid{{"Service", "pool"},    {"Address", "127.0.0.1:9"},
+                     {"Zone", "a"},          {"State", "draining"},
+                     {"Seq", 1'000'000'000}, {"born", 1'800'000'000'000},
+                     {"ClockMs", 1},         {"Capacity", {{"Cpu", 1}, {"MemMb", 1}}}};
+    const std::vector<std::pair<const char *, Json>> fields{{"Service", "unnamed"},
+                                                            {"Service", 5},
+                                                            {"Zone", "nowhere"},
+                                                            {"State", "resting"},
+                                                            {"State", nullptr},
+                                                            {"Address", "127.0.0.1:80x"},
+                                                            {"Address", "no host:9"},
+                                                            {"Address", "999.1.1.1:9"},
+                                                            {"Address", "127.0.0.1:70000"},
+                                                            {"Seq", "1"},
+                                                            {"Seq", -1},
+                                                            {"born", -1},
+                                                            {"born", 1.5},
+                                                            {"ClockMs", 18446744073709551615U},
+                                                            {"ClockMs", nullptr},
+                                                            {"Capacity", 7},
+                                                            {"Capacity", {{"Cpu", 4294967297}, {"MemMb", 1}}},
+                                                            {"Labels", {1}}};
+    std::vector<std::string> bodies{"", "{", "null", "[]", "\xff"};
+    for (const auto &[name, value] : fields) {
+        auto body = valid;
+        body[name] = value;
+        bodies.push_back(body.dump());
+    }
+    for (const auto &it : {nestedLists(), std::string("1e999")}) {
+        const auto text = valid.dump();
+        bodies.push_back(text.substr(0, text.size() - 1) + ",\"Other\":" + it + "}");
+    }
+    return bodies;
+}
+
 std::string errorOf(const std::function<leaf::result<void>()> &parse)
 {
     return leaf::try_handle_all(
@@ -249,6 +294,67 @@
     EXPECT_EQ(fleet.starts(), starts);
 }
 
+/// Guards against VMs that end, stop following their upstreams, or end a known upstream because another
+/// writer sent entries that can't be read, and against runs that are lost when a response can't be.
+TEST_F(PlatformTest, malformedEntriesOfAnotherWriterChangeNothing)
+{
+    static const std::vector<std::string> responses{R"({"ClockMs":)" + nestedLists() + "}",
+                                                    R"({"ClockMs":18446744073709551615})",
+                                                    R"({"ClockMs":1e999})",
+                                                    R"({"ClockMs":1,"Running":[["t",4294967297]]})",
+                                                    "[",
+                                                    "null",
+                                                    ""};
+    // The executors outlive this function.
+    const auto changed = std::make_shared<std::atomic<std::size_t>>(0);
+    for (std::size_t i = 0; i < fleet.executors(); ++i) {
+        boost::asio::post(fleet.executorLoop(), [this, i, changed] {
+            fleet.executor(i).responding = [changed, n = std::size_t{0}](HttpResponse &response) mutable {
+                if (++n % 8 == 0)
+                    response = {200, responses[(*changed)++ % responses.size()], {}};
+            };
+        });
+    }
+    ASSERT_TRUE(becomesReady());
+    const auto heartbeats = malformedHeartbeats();
+    const std::vector<std::string> leaves{"{",
+                                          "[]",
+                                          "null",
+                                          R"({"born":)" + nestedLists() + "}",
+                                          R"({"born":"1"})",
+                                          R"({"born":-1})",
+                                          R"({"born":1e999})"};
+    std::size_t rejected = 0;
+    const auto post = [&](std::size_t control, const std::string &path, const std::string &body) {
+        const auto status = callOnce(fleet.control(control), {"POST", path, {}, body}).status;
+        EXPECT_EQ(status, 400) << control << path << body.substr(0, 300);
+        rejected += control == 0 ? 1 : 0;
+    };
+    for (std::size_t i = 0; i < heartbeats.size(); ++i) {
+        for (std::size_t control = 0; control < fleet.controls(); ++control) {
+            post(control, "/instances/i-0/heartbeat", heartbeats[i]);
+            post(control, "/instances/i-1/leave", leaves[i % leaves.size()]);
+            post(control, "/instances/%ff/heartbeat", "{}");
+        }
+        char id[17];
+        std::snprintf(id, sizeof(id), "%016zx", i);
+        // A start whose response can't be read may have to wait for the end of its lease.
+        EXPECT_TRUE(waitFor([&] { return submit(id, platformJob(8)).status == 200; })) << i;
+    }
+    EXPECT_GT(*changed, responses.size());
+    EXPECT_GT(fleet.executor(0).starts(), 0U);
+    const auto page = callOnce(fleet.metrics(0), {"GET", "/metrics"}).body;
+    EXPECT_NE(page.find("citronpitch_announcements_rejected_total " + std::to_string(rejected) + "\n"),
+              std::string::npos)
+        << page;
+    EXPECT_NE(fleet.logOf(0).find("E203"), std::string::npos);
+    EXPECT_EQ(callOnce(fleet.readiness(entry), {"GET", "/ready"}).status, 200);
+    for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+        fleet.process(vm).signal(SIGTERM);
+        EXPECT_EQ(fleet.process(vm).wait(), 0) << fleet.logOf(vm);
+    }
+}
+
 /// Guards against starts on an executor that has announced that it leaves, and against VMs that exit with an
 /// error on SIGTERM.
 TEST_F(PlatformTest, leavingExecutorGetsNoStartsAndShutdownSucceeds)
--- a/tests/support/fakeexecutor.cpp
+++ b/tests/support/fakeexecutor.cpp
@@ -142,8 +142,12 @@
         respond({421, "{}", {}});
     else if (order.kind == OrderKind::Start && m_startDelay > Duration())
         carryOutLate(order);
-    else
-        respond(carryOut(order));
+    else {
+        auto response = carryOut(order);
+        if (responding)
+            responding(response);
+        respond(std::move(response));
+    }
     return nullptr;
 }
 
--- a/tests/support/fakeexecutor.h
+++ b/tests/support/fakeexecutor.h
@@ -61,6 +61,9 @@
     std::function<void(const std::string &task)> started;
     std::function<void(const std::string &task)> done;
 
+    /// Called with each response before it is sent, to change it.
+    std::function<void(HttpResponse &response)> responding;
+
     /// Called with the tasks that ran whenever the executor has crashed.
     std::function<void(const std::vector<std::string> &tasks)> crashed;
 
