Check what VMs take from each other

Found by reading: port 65616 of a peer's announcement was narrowed to 80; clocks, ages and remaining times near the limits of 64 bits overflowed when they were added; a first task near 2^32 wrapped. The link to a peer is connected to under the name that the peer, or another one, states, and libzmq throws for a name such as "a b", which ends the VM.

Times are bounded to 30 days. Messages from, and mentions of, VMs whose name can't be an address are dropped.

--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -339,12 +339,16 @@
 void FleetControl::announcementReceived(const std::string &vm, const wire::Announcement &message)
 {
     const auto announcement = fromWire(message);
-    if (m_registry.update(announcement, now() - Duration(message.age_us())))
-        m_groups.announce(m_registry.upstreams().at(announcement.upstream.name));
+    if (!announcement) {
+        logEvent(Event::PeerMessageMalformed, {{"bytes", std::to_string(message.ByteSizeLong())}});
+        return;
+    }
+    if (m_registry.update(*announcement, arrivalOf(now(), message.age_us())))
+        m_groups.announce(m_registry.upstreams().at(announcement->upstream.name));
     // A new holder may have requested the registry of this VM before the announcement arrived here, and the
     // VM that the upstream has told may not know this holder yet.
-    const bool isLeaving = announcement.upstream.leaving || announcement.hasLeft;
-    if (const auto *holder = isLeaving ? entryHolderOf(announcement) : nullptr) {
+    const bool isLeaving = announcement->upstream.leaving || announcement->hasLeft;
+    if (const auto *holder = isLeaving ? entryHolderOf(*announcement) : nullptr) {
         wire::Message passedOn;
         *passedOn.mutable_announcement() = message;
         passedOn.mutable_announcement()->set_request(0);
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -182,8 +182,12 @@
 void FleetEntry::announcementReceived(const std::string &vm, const wire::Announcement &message)
 {
     const auto announcement = fromWire(message);
-    if (m_registry.update(announcement, now() - Duration(message.age_us())))
-        m_groups.announce(m_registry.upstreams().at(announcement.upstream.name));
+    if (!announcement) {
+        logEvent(Event::PeerMessageMalformed, {{"bytes", std::to_string(message.ByteSizeLong())}});
+        return;
+    }
+    if (m_registry.update(*announcement, arrivalOf(now(), message.age_us())))
+        m_groups.announce(m_registry.upstreams().at(announcement->upstream.name));
     if (message.request() == 0)
         return;
     wire::Message reply;
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -1,5 +1,6 @@
 #include "fleet/fleetmember.h"
 
+#include "fleet/fleetwire.h"
 #include "log/eventlog.h"
 #include "net/eventloop.h"
 #include "store/randomnumber.h"
@@ -308,7 +309,8 @@
 void FleetMember::received(std::string_view bytes)
 {
     wire::Message message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
+        || !isVmName(message.sender())) {
         logEvent(Event::PeerMessageMalformed, {{"bytes", std::to_string(bytes.size())}});
         return;
     }
@@ -386,8 +388,10 @@
 {
     const auto &heartbeat = message.heartbeat();
     std::vector<FleetPeer> controlVms;
-    for (const auto &it : heartbeat.control_vms())
-        controlVms.push_back(peerFromWire(it));
+    for (const auto &it : heartbeat.control_vms()) {
+        if (isVmName(it.name()))
+            controlVms.push_back(peerFromWire(it));
+    }
     auto peer = peerFromWire(heartbeat.self());
     peer.name = message.sender();
     peer.incarnation = message.incarnation();
--- a/src/fleet/fleetwire.cpp
+++ b/src/fleet/fleetwire.cpp
@@ -3,11 +3,33 @@
 #include "wire/fleet.pb.h"
 
 #include <algorithm>
+#include <cctype>
+#include <limits>
 
 namespace Citronpitch {
 
 namespace wire = citronpitch::wire::fleet;
 
+namespace {
+
+/// Longer than any time in a message, and short enough that sums of many fit into 64 bits.
+constexpr Duration maximumTime = std::chrono::hours(24 * 30);
+/// The limit of the decoder of heartbeats; leases are added to clocks.
+constexpr std::int64_t maximumClockMs = (std::int64_t{1} << 53) - 1;
+constexpr std::size_t maximumVmNameBytes = 256;
+
+Duration durationOf(std::int64_t microseconds)
+{
+    return std::clamp(Duration(microseconds), -maximumTime, maximumTime);
+}
+
+bool isClock(std::int64_t clockMs)
+{
+    return clockMs >= 0 && clockMs <= maximumClockMs;
+}
+
+} // namespace
+
 void toWire(TimePoint now, const RoutedJob &from, const std::string &group, wire::RunJob *to)
 {
     to->set_number(from.origin.number);
@@ -108,13 +130,15 @@
     if (from.state() >= crashStateNames.size())
         return std::nullopt;
     return TaskCrash{from.task(), from.upstream(), from.incarnation(), static_cast<CrashState>(from.state()),
-                     now + std::min(Duration(from.remaining_us()), crashRetention)};
+                     now + std::min(durationOf(from.remaining_us()), crashRetention)};
 }
 
 std::optional<RoutedJob> fromWire(TimePoint now, const wire::RunJob &from)
 {
     if (from.tasks_size() == 0 || static_cast<std::size_t>(from.tasks_size()) > maximumTasksPerJob)
         return std::nullopt;
+    if (from.first_task() > maximumTasksPerJob)
+        return std::nullopt;
     RoutedJob job;
     job.origin.number = from.number();
     job.pool = from.pool();
@@ -125,12 +149,12 @@
     job.isResent = from.is_resent();
     job.submission.key = from.key();
     job.submission.className = from.class_name();
-    job.submission.deadline = now + Duration(from.remaining_us());
+    job.submission.deadline = now + durationOf(from.remaining_us());
     auto &tasks = job.submission.tasks;
     for (const auto &it : from.tasks()) {
         const bool isRepeated = it.has_previous_payload() && !tasks.empty();
         tasks.push_back({isRepeated ? tasks.back().payload : it.payload(),
-                         Duration(it.declared_us()),
+                         durationOf(it.declared_us()),
                          {it.millicores(), it.memory_bytes(), it.accelerators()}});
     }
     return job;
@@ -145,12 +169,15 @@
     answer.reason = static_cast<Reason>(from.reason());
     answer.detail = from.detail();
     if (from.return_after_us() > 0)
-        answer.retryAt = now + Duration(from.return_after_us());
+        answer.retryAt = now + durationOf(from.return_after_us());
     return answer;
 }
 
-FleetAnnouncement fromWire(const wire::Announcement &from)
+std::optional<FleetAnnouncement> fromWire(const wire::Announcement &from)
 {
+    const bool isPort = from.port() > 0 && from.port() <= std::numeric_limits<std::uint16_t>::max();
+    if (!isPort || from.name().empty() || !isClock(from.clock_ms()))
+        return std::nullopt;
     FleetAnnouncement announcement;
     auto &upstream = announcement.upstream;
     upstream.name = from.name();
@@ -168,14 +195,37 @@
     return announcement;
 }
 
+std::optional<AnnouncementRenewal> fromWire(const wire::Renewal &from)
+{
+    if (!isClock(from.clock_ms()))
+        return std::nullopt;
+    return AnnouncementRenewal{from.name(), from.incarnation(), from.sequence(), from.clock_ms()};
+}
+
+TimePoint arrivalOf(TimePoint now, std::int64_t microseconds)
+{
+    return now - durationOf(microseconds);
+}
+
+bool isVmName(std::string_view name)
+{
+    constexpr std::string_view punctuation = ".-:%_[]";
+    const auto isAlphanumeric = [](char it) { return std::isalnum(static_cast<unsigned char>(it)) != 0; };
+    return !name.empty() && name.size() <= maximumVmNameBytes
+        && (isAlphanumeric(name.front()) || name.front() == '[' || name.front() == ':')
+        && std::all_of(name.begin(), name.end(), [&](char it) {
+               return isAlphanumeric(it) || punctuation.find(it) != std::string_view::npos;
+           });
+}
+
 GroupLoad fromWire(const wire::GroupLoad &from)
 {
     GroupLoad load{from.group(),      from.fence(),    from.is_open(),
-                   from.free_tasks(), from.parallel(), Duration(from.waiting_us())};
+                   from.free_tasks(), from.parallel(), durationOf(from.waiting_us())};
     for (const auto &it : from.classes()) {
-        ClassLoad of{it.class_name(), it.free_tasks(), Duration(it.wait_us()), {}};
+        ClassLoad of{it.class_name(), it.free_tasks(), durationOf(it.wait_us()), {}};
         if (it.has_longest_wait_us())
-            of.longestWait = Duration(it.longest_wait_us());
+            of.longestWait = durationOf(it.longest_wait_us());
         load.classes.push_back(std::move(of));
     }
     return load;
--- a/src/fleet/fleetwire.h
+++ b/src/fleet/fleetwire.h
@@ -3,7 +3,9 @@
 #include "citronpitch/fleetannouncement.h"
 #include "citronpitch/groupdispatcher.h"
 
+#include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace citronpitch::wire::fleet {
 class Announcement;
@@ -32,7 +34,14 @@
 std::optional<TaskCrash> fromWire(TimePoint now, const citronpitch::wire::fleet::TaskCrash &from);
 std::optional<RoutedJob> fromWire(TimePoint now, const citronpitch::wire::fleet::RunJob &from);
 std::optional<Answer> fromWire(TimePoint now, const citronpitch::wire::fleet::JobEnded &from);
-FleetAnnouncement fromWire(const citronpitch::wire::fleet::Announcement &from);
+std::optional<FleetAnnouncement> fromWire(const citronpitch::wire::fleet::Announcement &from);
+std::optional<AnnouncementRenewal> fromWire(const citronpitch::wire::fleet::Renewal &from);
+
+/// Time at which an announcement of age @p microseconds arrived at the first VM.
+TimePoint arrivalOf(TimePoint now, std::int64_t microseconds);
+
+/// Whether @p name can name a VM that this one connects to. The library of the links throws for others.
+bool isVmName(std::string_view name);
 GroupLoad fromWire(const citronpitch::wire::fleet::GroupLoad &from);
 
 } // namespace Citronpitch
--- a/src/fleet/upstreamregistry.cpp
+++ b/src/fleet/upstreamregistry.cpp
@@ -1,5 +1,7 @@
 #include "fleet/upstreamregistry.h"
 
+#include "fleet/fleetwire.h"
+
 #include "wire/fleet.pb.h"
 
 #include <utility>
@@ -54,8 +56,10 @@
 {
     bool isComplete = true;
     for (const auto &it : batch.renewals()) {
-        const AnnouncementRenewal renewal{it.name(), it.incarnation(), it.sequence(), it.clock_ms()};
-        const bool isKnown = renew(renewal, now - Duration(it.age_us()));
+        const auto renewal = fromWire(it);
+        if (!renewal)
+            continue;
+        const bool isKnown = renew(*renewal, arrivalOf(now, it.age_us()));
         if (isKnown)
             renewed(m_upstreams.at(it.name()));
         isComplete = isComplete && isKnown;
--- a/tests/decoders/malformedinputtest.cpp
+++ b/tests/decoders/malformedinputtest.cpp
@@ -1,6 +1,9 @@
 #include "daemon/callerapi.h"
+#include "fleet/fleetwire.h"
 #include "platform/executorcodec.h"
 
+#include "wire/fleet.pb.h"
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -9,6 +12,7 @@
 using namespace Citronpitch;
 using Json = nlohmann::json;
 namespace leaf = boost::leaf;
+namespace wire = citronpitch::wire::fleet;
 
 namespace {
 
@@ -150,3 +154,40 @@
         EXPECT_NE(heartbeatError(it, std::string(257, 'a')).find("256"), std::string::npos);
     EXPECT_NE(heartbeatError("Labels", {"a", std::string(257, 'a')}).find("256"), std::string::npos);
 }
+
+// Port 65616 of a peer's announcement was taken for port 80, and times near the limits overflowed when they
+// were added.
+TEST(MalformedInputTest, fieldsOfPeerMessagesOutOfRangeAreNotTakenForOthers)
+{
+    const auto now = timePointOf(1'700'000'000'000'000);
+    wire::Announcement announcement;
+    announcement.set_name("i-1");
+    announcement.set_port(80);
+    EXPECT_TRUE(fromWire(announcement));
+    announcement.set_port(65616);
+    EXPECT_FALSE(fromWire(announcement));
+    announcement.set_port(80);
+    announcement.set_clock_ms(std::numeric_limits<std::int64_t>::max());
+    EXPECT_FALSE(fromWire(announcement));
+    wire::Renewal renewal;
+    renewal.set_clock_ms(-1);
+    EXPECT_FALSE(fromWire(renewal));
+    wire::RunJob job;
+    job.add_tasks()->set_declared_us(std::numeric_limits<std::int64_t>::max());
+    job.set_remaining_us(std::numeric_limits<std::int64_t>::max());
+    ASSERT_TRUE(fromWire(now, job));
+    EXPECT_GT(fromWire(now, job)->submission.deadline, now);
+    EXPECT_LT(fromWire(now, job)->submission.tasks[0].declaredTime * 640, Duration::max() / 640);
+    EXPECT_GT(arrivalOf(now, std::numeric_limits<std::int64_t>::min()), now);
+    job.set_first_task(std::numeric_limits<std::uint32_t>::max());
+    EXPECT_FALSE(fromWire(now, job));
+}
+
+// The library of the links throws for such addresses, which ended the VM that a peer had told of them.
+TEST(MalformedInputTest, namesThatNoVmHasAreNotConnectedTo)
+{
+    for (const auto *it : {"10.0.0.1:80", "[::1]:80", "::1:80", "vm-1.example:80"})
+        EXPECT_TRUE(isVmName(it)) << it;
+    for (const auto *it : {"", " ", "*:80", "a b:80", "a;b:80", "-a:80", "\xff:80", "a/b:80"})
+        EXPECT_FALSE(isVmName(it)) << it;
+}
