--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -133,6 +133,27 @@
     m_groups.executeActions();
 }
 
+std::string FleetControl::contradictionOf(const FleetAnnouncement &announcement) const
+{
+    const auto it = m_registry.upstreams().find(announcement.upstream.name);
+    if (it == m_registry.upstreams().end())
+        return {};
+    const auto &known = it->second.announcement;
+    if (announcement.domain != known.domain && !hasDomain(announcement.domain))
+        return "the known upstream is not of failure domain \"" + announcement.domain
+            + "\", which doesn't exist";
+    const auto *declaration = m_activeDeclaration.declaration();
+    if (announcement.pool != known.pool && declaration != nullptr && !declaration->hasPool(announcement.pool))
+        return "the known upstream is not of pool \"" + announcement.pool + "\", which is not declared";
+    return {};
+}
+
+void FleetControl::announcementRejected(const std::string &sender, const std::string &error)
+{
+    logEvent(Event::AnnouncementRejected, {{"peer", sender}, {"error", error}});
+    m_metricsPage.metrics().increment(Metric::AnnouncementsRejected, {});
+}
+
 void FleetControl::upstreamLeft(const std::string &name, std::uint64_t incarnation,
                                 std::function<void(bool)> acknowledge)
 {
@@ -318,12 +339,16 @@
 void FleetControl::announcementReceived(const std::string &vm, const wire::Announcement &message)
 {
     const auto announcement = fromWire(message);
-    if (m_registry.update(announcement, now() - Duration(message.age_us())))
-        m_groups.announce(m_registry.upstreams().at(announcement.upstream.name));
+    if (!announcement) {
+        logEvent(Event::PeerMessageMalformed, {{"bytes", std::to_string(message.ByteSizeLong())}});
+        return;
+    }
+    if (m_registry.update(*announcement, arrivalOf(now(), message.age_us())))
+        m_groups.announce(m_registry.upstreams().at(announcement->upstream.name));
     // A new holder may have requested the registry of this VM before the announcement arrived here, and the
     // VM that the upstream has told may not know this holder yet.
-    const bool isLeaving = announcement.upstream.leaving || announcement.hasLeft;
-    if (const auto *holder = isLeaving ? entryHolderOf(announcement) : nullptr) {
+    const bool isLeaving = announcement->upstream.leaving || announcement->hasLeft;
+    if (const auto *holder = isLeaving ? entryHolderOf(*announcement) : nullptr) {
         wire::Message passedOn;
         *passedOn.mutable_announcement() = message;
         passedOn.mutable_announcement()->set_request(0);
