Leases count from the last tick, and stops don't extend them

Whether this is the way in which the users saw it is not known.

An entry VM is cut off and the connections of its callers break, so they submit again 1.3 s later, at another entry VM and in another group. The holder of the first run is paused, for less than a lease, when it would suspect the entry VM. When it continues, its next poll renews the lease before or after the tick that ends the job: the bound of an unanswered stop was one lease after the first stop order. So the run could continue until 600 ms (612 on a slow clock) after the end of the pause, and the arithmetic of suspicion, lease and retry time was wrong by the whole pause.

The lease in an order now counts from the last tick, which looks at the reachability of entry VMs, cancels and deadlines; and the first stop order of a run bounds it by the lease that was granted before. Polls are answered at once while the tick is late, so that the lease is renewed soon after a short pause. An upstream that has answered since the last tick is not concluded to be silent because of the time between them: its other answers may still have to be read.

Evidence: FleetTest.runOfAnUnreachableEntryVm... failed with pauses of 350 to 550 ms (of 50 to 600), now with none.

--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -36,6 +36,9 @@
     Duration maximumPollDelay = std::chrono::milliseconds(500);
     /// Time without an answer after which polls no longer renew the lease, so that it expires soon.
     Duration renewalTimeout = std::chrono::milliseconds(300);
+    /// Time since the last tick after which polls are answered at once, so that the next one can extend the
+    /// lease.
+    Duration maximumTickAge = std::chrono::milliseconds(80);
     /// Lower bound for the rate of an upstream's clock, in thousandths of real time.
     int minimumClockRatePermille = 980;
 };
@@ -189,8 +192,8 @@
     {
         OrderId stopOrder = 0;
         TimePoint stopRetryAt;
-        /// When the run must have ended, which bounds the lease in all orders: one lease after the first stop
-        /// order.
+        /// When the run must have ended, which bounds the lease in all orders: the end of the lease at the
+        /// first stop order.
         std::optional<TimePoint> endDeadline;
     };
 
@@ -297,6 +300,7 @@
     std::uint64_t m_nextPoll = 1;
     bool m_isPolling = false;
     Duration m_lag{};
+    TimePoint m_tickedAt;
     Duration m_pollDelay{};
     TimePoint m_nextPollAt;
     std::optional<TimePoint> m_lastAnswerAt;
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -7,6 +7,8 @@
 
 namespace Citronpitch {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 constexpr int thousand = 1000;
@@ -37,6 +39,7 @@
     , m_send(std::move(send))
     , m_foreignRuns(isBefore)
     , m_fence(m_options.takeFence())
+    , m_tickedAt(now)
 {
     updateClock(now, announcement.clockMs);
     sendPoll(now);
@@ -134,6 +137,10 @@
 
 void UpstreamRuns::tick(TimePoint now, Duration lag)
 {
+    // The first answer after a pause is not the last one that waits to be read.
+    if (m_lastAnswerAt && *m_lastAnswerAt > m_tickedAt)
+        lag = std::max(lag, now - m_tickedAt);
+    m_tickedAt = now;
     m_lag = lag;
     if (m_isTakenOver || m_isReplaced)
         return;
@@ -271,8 +278,9 @@
 
 std::int64_t UpstreamRuns::newLeaseMs(TimePoint now) const
 {
-    // The lease applies to all runs of the upstream, also to those that it must not extend.
-    const auto end = std::min(now + m_options.lease, earliestEndDeadline().value_or(TimePoint::max()));
+    // The lease applies to all runs of the upstream, also to those that it must not extend. After a pause,
+    // answers may be read before what ends a run, so it counts from the last tick.
+    const auto end = std::min(m_tickedAt + m_options.lease, earliestEndDeadline().value_or(TimePoint::max()));
     return std::max<std::int64_t>(0, clockLowerBound(now) + toMilliseconds(end - now));
 }
 
@@ -339,7 +347,8 @@
         order.leaseMs = newLeaseMs(now);
     const bool isConfirming = std::any_of(m_runs.begin(), m_runs.end(),
                                           [](const auto &it) { return it.second.isStopAcknowledged; });
-    if (m_isFenceKnown && !m_isUnresponsive && !isConfirming && !m_runs.empty())
+    const bool isTickLate = now - m_tickedAt > m_options.maximumTickAge;
+    if (m_isFenceKnown && !m_isUnresponsive && !isConfirming && !isTickLate && !m_runs.empty())
         order.wait = m_options.longPollTimeout;
     order.timeout = m_options.orderTimeout + order.wait;
     m_isPolling = true;
@@ -352,7 +361,8 @@
     order.task = task;
     order.run = run;
     stop.stopRetryAt = now + m_options.retryDelay;
-    stop.endDeadline = stop.endDeadline.value_or(now + m_options.lease);
+    const auto granted = milliseconds(std::max<std::int64_t>(0, m_leaseMs - clockLowerBound(now)));
+    stop.endDeadline = stop.endDeadline.value_or(now + std::min<Duration>(granted, m_options.lease));
     stop.stopOrder = send(std::move(order), {OrderKind::Stop, task, run, 0, now});
 }
 
