--- a/include/citronpitch/upstreamruns.h
+++ b/include/citronpitch/upstreamruns.h
@@ -36,6 +36,9 @@
     Duration maximumPollDelay = std::chrono::milliseconds(500);
     /// Time without an answer after which polls no longer renew the lease, so that it expires soon.
     Duration renewalTimeout = std::chrono::milliseconds(300);
+    /// Time since the last tick after which polls are answered at once, so that the next one can extend the
+    /// lease.
+    Duration maximumTickAge = std::chrono::milliseconds(80);
     /// Lower bound for the rate of an upstream's clock, in thousandths of real time.
     int minimumClockRatePermille = 980;
 };
@@ -194,8 +197,8 @@
     {
         OrderId stopOrder = 0;
         TimePoint stopRetryAt;
-        /// When the run must have ended, which bounds the lease in all orders: one lease after the first stop
-        /// order.
+        /// When the run must have ended, which bounds the lease in all orders: the end of the lease at the
+        /// first stop order.
         std::optional<TimePoint> endDeadline;
     };
 
@@ -215,6 +218,8 @@
         bool hasRun = false;
         /// Whether it is known to be the present incarnation that has the run, by its list or its clock.
         bool isConfirmed = false;
+        /// Whether the present incarnation has listed the run.
+        bool isListed = false;
         /// Whether the upstream has restarted since the start order was sent.
         bool hasUpstreamRestarted = false;
         /// Whether the silence of the upstream was recorded for the count of crashes.
@@ -320,6 +325,7 @@
     std::uint64_t m_nextPoll = 1;
     bool m_isPolling = false;
     Duration m_lag{};
+    TimePoint m_tickedAt;
     Duration m_pollDelay{};
     TimePoint m_nextPollAt;
     std::optional<TimePoint> m_lastAnswerAt;
--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -7,6 +7,8 @@
 
 namespace Citronpitch {
 
+using std::chrono::milliseconds;
+
 namespace {
 
 constexpr int thousand = 1000;
@@ -37,6 +39,7 @@
     , m_send(std::move(send))
     , m_foreignRuns(isBefore)
     , m_fence(m_options.takeFence())
+    , m_tickedAt(now)
 {
     updateClock(now, announcement.clockMs);
     sendPoll(now);
@@ -135,6 +138,10 @@
 
 void UpstreamRuns::tick(TimePoint now, Duration lag)
 {
+    // The first answer after a pause is not the last one that waits to be read.
+    if (m_lastAnswerAt && *m_lastAnswerAt > m_tickedAt)
+        lag = std::max(lag, now - m_tickedAt);
+    m_tickedAt = now;
     m_lag = lag;
     if (m_isTakenOver || m_isReplaced)
         return;
@@ -297,8 +304,9 @@
 
 std::int64_t UpstreamRuns::newLeaseMs(TimePoint now) const
 {
-    // The lease applies to all runs of the upstream, also to those that it must not extend.
-    const auto end = std::min(now + m_options.lease, earliestEndDeadline().value_or(TimePoint::max()));
+    // The lease applies to all runs of the upstream, also to those that it must not extend. After a pause,
+    // answers may be read before what ends a run, so it counts from the last tick.
+    const auto end = std::min(m_tickedAt + m_options.lease, earliestEndDeadline().value_or(TimePoint::max()));
     return std::max<std::int64_t>(0, clockLowerBound(now) + toMilliseconds(end - now));
 }
 
@@ -368,7 +376,9 @@
     const bool isConfirming = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &it) {
         return it.second.isStopAcknowledged && !it.second.isEndConfirmed;
     });
-    if (m_isFenceKnown && !m_isUnresponsive && !isConfirming && (!m_runs.empty() || isStartOrderOut(now)))
+    const bool isTickLate = now - m_tickedAt > m_options.maximumTickAge;
+    const bool isWorthWaiting = !m_runs.empty() || isStartOrderOut(now);
+    if (m_isFenceKnown && !m_isUnresponsive && !isConfirming && !isTickLate && isWorthWaiting)
         order.wait = m_options.longPollTimeout;
     order.timeout = m_options.orderTimeout + order.wait;
     m_isPolling = true;
@@ -381,7 +391,8 @@
     order.task = task;
     order.run = run;
     stop.stopRetryAt = now + m_options.retryDelay;
-    stop.endDeadline = stop.endDeadline.value_or(now + m_options.lease);
+    const auto granted = milliseconds(std::max<std::int64_t>(0, m_leaseMs - clockLowerBound(now)));
+    stop.endDeadline = stop.endDeadline.value_or(now + std::min<Duration>(granted, m_options.lease));
     stop.stopOrder = send(std::move(order), {OrderKind::Stop, task, run, 0, now});
 }
 
@@ -499,7 +510,7 @@
             m_foreignRuns.try_emplace(it);
             continue;
         }
-        own->second.hasRun = own->second.isConfirmed = true;
+        own->second.hasRun = own->second.isConfirmed = own->second.isListed = true;
         own->second.incarnationInDoubt.reset();
     }
     std::erase_if(m_foreignRuns, [&](const auto &it) { return !running.contains(it.first); });
@@ -641,7 +652,8 @@
     m_nextPollAt = {};
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto next = std::next(it);
-        if (it->second.isConfirmed)
+        // The clocks of two incarnations that began soon after each other don't tell them apart.
+        if (it->second.isListed)
             lose(it, RunLoss::UpstreamRestarted);
         it = next;
     }
@@ -651,6 +663,7 @@
         it.isStopNeeded = true;
         it.isStopAcknowledged = false;
         it.isEndConfirmed = false;
+        it.isConfirmed = false;
         it.hasUpstreamRestarted = true;
         it.stopOrder = 0;
         it.stopRetryAt = {};
