--- a/tests/decoders/mutatortest.cpp
+++ b/tests/decoders/mutatortest.cpp
@@ -36,9 +36,9 @@
     std::function<leaf::result<void>(const std::string &)> decode;
 };
 
-void PrintTo(const Format &format, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const Format &format)
 {
-    *out << format.name;
+    return out << format.name;
 }
 
 const std::string heartbeat =
