UpstreamRuns: start orders that are out are remembered however their run ended

What callers could see: a task that runs twice at the same time. A job is cancelled before its start is answered, and the stop is confirmed first; or another upstream answers at the address before the start times out.

Cause: only starts that had timed out while their run was known counted as out. The upstream was not polled, so its next incarnation could execute the order in the whole time until its announcement.

--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -561,7 +561,7 @@
 void UpstreamRuns::finish(std::map<std::string, Run>::iterator it, RunOutcome outcome, OrderVerdict verdict)
 {
     concludeDoubt(it->first, it->second, CrashState::Inconclusive);
-    if (it->second.phase == Phase::Unconfirmed && !it->second.isStartAnswered && !it->second.hasRun)
+    if (!it->second.isStartAnswered && !it->second.hasRun)
         m_startOrdersEndAt = std::max(m_startOrdersEndAt, it->second.startOrderEndsAt);
     m_finished.push_back({it->second.attempt, it->first, it->second.run, outcome, verdict});
     m_finished.back().basis = {m_announcement.upstream.incarnation, m_leaseMs, m_clockMs, m_orders.size()};
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -494,3 +494,34 @@
     runs.tick(now);
     EXPECT_EQ(runs.takeFinished().size(), 1U);
 }
+
+// Only a start that was unanswered before another upstream answered was remembered.
+TEST_F(UpstreamRunsTest, startIsOutIfAnotherUpstreamAnsweredBeforeItsTimeout)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    const auto startOrder = lastOrder(OrderKind::Start);
+    answerAsOther(lastOrder(OrderKind::Poll));
+    m_now += 80ms;
+    m_runs->orderEnded(m_now, startOrder, {});
+    EXPECT_TRUE(m_runs->isIdle());
+    EXPECT_TRUE(m_runs->isStartOrderOut(m_now));
+}
+
+// The start of a job that was cancelled before its answer was forgotten.
+TEST_F(UpstreamRunsTest, startIsOutIfItsStopWasConfirmedBeforeItsTimeout)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    const auto startOrder = lastOrder(OrderKind::Start);
+    m_now += 5ms;
+    m_runs->stop(m_now, 2);
+    answer(lastOrder(OrderKind::Stop));
+    for (int i = 0; i < 3; ++i) {
+        m_now += 5ms;
+        answer(lastOrder(OrderKind::Poll));
+        m_runs->tick(m_now);
+    }
+    ASSERT_EQ(m_runs->takeFinished().size(), 1U);
+    m_now += 60ms;
+    m_runs->orderEnded(m_now, startOrder, {});
+    EXPECT_TRUE(m_runs->isStartOrderOut(m_now));
+}
