UpstreamRuns: an upstream that has left is polled while a start is out

What callers could see: a task that runs twice at the same time. An upstream confirms the stop of an unanswered start, leaves, and starts again under its name. It was not polled any more, and executed the order in the time until its announcement.

--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -672,10 +672,9 @@
 
 bool UpstreamRuns::hasWork(TimePoint now) const
 {
-    if (m_hasLeft)
-        return !m_runs.empty() || !m_foreignRuns.empty();
-    return !m_isFenceKnown || m_isUnresponsive || isStartOrderOut(now) || !m_runs.empty()
-        || !m_foreignRuns.empty() || m_lastSeenEnd > m_acknowledgedThrough;
+    if (isStartOrderOut(now) || !m_runs.empty() || !m_foreignRuns.empty())
+        return true;
+    return !m_hasLeft && (!m_isFenceKnown || m_isUnresponsive || m_lastSeenEnd > m_acknowledgedThrough);
 }
 
 } // namespace Citronpitch
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -525,3 +525,41 @@
     m_runs->orderEnded(m_now, startOrder, {});
     EXPECT_TRUE(m_runs->isStartOrderOut(m_now));
 }
+
+// An upstream that had left was not polled, and its next incarnation executed the start.
+TEST_F(UpstreamRunsTest, upstreamThatLeavesIsPolledWhileAStartIsOut)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    const auto startOrder = lastOrder(OrderKind::Start);
+    answer(lastOrder(OrderKind::Poll));
+    m_now += 80ms;
+    m_runs->orderEnded(m_now, startOrder, {});
+    for (int i = 0; i < 100; ++i) {
+        answer(lastOrder(OrderKind::Stop));
+        answer(lastOrder(OrderKind::Poll));
+        m_now += 10ms;
+        m_runs->tick(m_now);
+    }
+    ASSERT_EQ(m_runs->takeFinished().size(), 1U);
+    m_runs->stop(m_now, 1);
+    m_running.clear();
+    for (int i = 0; i < 100; ++i) {
+        answer(lastOrder(OrderKind::Stop));
+        answer(lastOrder(OrderKind::Poll));
+        m_now += 10ms;
+        m_runs->tick(m_now);
+    }
+    ASSERT_EQ(m_runs->takeFinished().size(), 1U);
+    ASSERT_TRUE(m_runs->isIdle());
+    ASSERT_TRUE(m_runs->isStartOrderOut(m_now));
+    leave();
+    answer(lastOrder(OrderKind::Poll));
+    const auto sent = m_orders.size();
+    for (int i = 0; i < 300; ++i) {
+        m_now += 10ms;
+        m_runs->tick(m_now);
+        m_runs->orderEnded(m_now, lastOrder(OrderKind::Poll), {});
+    }
+    ASSERT_TRUE(m_runs->isStartOrderOut(m_now));
+    EXPECT_GT(m_orders.size(), sent);
+}
