UpstreamRuns: stops are not repeated on a silent upstream

By reading, each waits for a connection for up to 1 s, and a few such upstreams could use up the connections that a holder opens at the same time.

A stop is sent again once a poll was answered. stopsAreNotRepeatedOnASilentUpstream failed before and passes now.

--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -149,7 +149,9 @@
         leaseExpired(now);
     for (auto &[task, it] : m_runs) {
         const bool isDue = it.isStopNeeded && !it.isStopAcknowledged && it.stopOrder == 0;
-        if (isDue && now >= it.stopRetryAt)
+        // The answer to a poll will show that stops can be executed again.
+        const bool isHeld = it.isSilenceRecorded && !isAnswering(now);
+        if (isDue && !isHeld && now >= it.stopRetryAt)
             sendStop(now, task, it.run, it);
     }
     for (auto &[running, it] : m_foreignRuns) {
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -563,3 +563,29 @@
     ASSERT_TRUE(m_runs->isStartOrderOut(m_now));
     EXPECT_GT(m_orders.size(), sent);
 }
+
+// Stops of runs on a silent upstream were repeated for 16 s and used up the connections of the holder.
+TEST_F(UpstreamRunsTest, stopsAreNotRepeatedOnASilentUpstream)
+{
+    for (std::uint64_t attempt = 2; attempt < 10; ++attempt)
+        m_runs->start(m_now, attempt, "other" + std::to_string(attempt), 1, {});
+    const auto begin = m_now;
+    std::size_t stops = 0;
+    std::deque<std::pair<TimePoint, OrderId>> timeouts;
+    for (auto seen = std::size_t{2}; m_now < begin + 15s; m_now += 10ms) {
+        for (; seen < m_orders.size(); ++seen) {
+            stops += m_orders[seen].kind == OrderKind::Stop ? 1 : 0;
+            timeouts.emplace_back(m_now + m_orders[seen].timeout, m_orders[seen].id);
+        }
+        for (auto n = timeouts.size(); n > 0; --n) {
+            const auto it = timeouts.front();
+            timeouts.pop_front();
+            if (it.first <= m_now)
+                m_runs->orderEnded(m_now, it.second, {});
+            else
+                timeouts.push_back(it);
+        }
+        m_runs->tick(m_now);
+    }
+    EXPECT_LT(stops, 8U * 60);
+}
