UpstreamRuns: a lease that has passed puts off no conclusion

What callers could see: a job that waits until its deadline, and an upstream that gets no tasks, as long as the upstream answers polls but neither the start nor the stops of a run. Each poll carried a lease, although its end had passed, and put off the end of unconfirmed runs. A start after a long poll could also lower that end by 100 ms.

--- a/src/core/runs/upstreamruns.cpp
+++ b/src/core/runs/upstreamruns.cpp
@@ -357,8 +357,8 @@
     m_leaseMs = std::max(m_leaseMs, order.leaseMs);
     if (order.leaseMs > 0) {
         order.sendDeadline = open.sentAt + order.timeout;
-        m_unconfirmedRunsEndAt =
-            *order.sendDeadline + m_options.maximumLease * thousand / m_options.minimumClockRatePermille;
+        const auto longestLease = m_options.maximumLease * thousand / m_options.minimumClockRatePermille;
+        m_unconfirmedRunsEndAt = std::max(m_unconfirmedRunsEndAt, *order.sendDeadline + longestLease);
     }
     open.fence = order.fence;
     open.address = order.address;
@@ -373,8 +373,11 @@
     auto order = newOrder(OrderKind::Poll);
     order.acknowledgedThrough = m_lastSeenEnd;
     // The lease of an unresponsive upstream must expire soon, so that its tasks can run elsewhere.
-    if (isAnswering(now) && !m_runs.empty() && !m_hasLeft)
-        order.leaseMs = newLeaseMs(now);
+    if (isAnswering(now) && !m_runs.empty() && !m_hasLeft) {
+        // A lease that has passed extends nothing, but would put off the end of unconfirmed runs.
+        const auto leaseMs = newLeaseMs(now);
+        order.leaseMs = leaseMs > clockLowerBound(now) ? leaseMs : 0;
+    }
     const bool isConfirming = std::any_of(m_runs.begin(), m_runs.end(), [](const auto &it) {
         return it.second.isStopAcknowledged && !it.second.isEndConfirmed;
     });
--- a/tests/unit/upstreamrunstest.cpp
+++ b/tests/unit/upstreamrunstest.cpp
@@ -589,3 +589,27 @@
     }
     EXPECT_LT(stops, 8U * 60);
 }
+
+// Each poll put off the end of a run whose start and stops stay unanswered.
+TEST_F(UpstreamRunsTest, runWithoutAnAnswerEndsOnAnUpstreamThatAnswersPollsAlone)
+{
+    m_runs->start(m_now, 2, "other", 1, {});
+    const auto startOrder = lastOrder(OrderKind::Start);
+    const auto first = m_now;
+    m_now += 80ms;
+    m_runs->orderEnded(m_now, startOrder, {});
+    std::optional<TimePoint> endedAt;
+    answer(lastOrder(OrderKind::Poll));
+    m_seen = startOrder; // later orders
+    while (m_now < first + 30s) {
+        answerOrders(allStops);
+        m_now += 10ms;
+        m_runs->tick(m_now);
+        for (const auto &it : m_runs->takeFinished()) {
+            if (it.task == "other")
+                endedAt = m_now;
+        }
+    }
+    ASSERT_TRUE(endedAt);
+    EXPECT_LE(*endedAt, first + 17s);
+}
