--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -9,8 +9,8 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <iomanip>
-#include <spawn.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -32,6 +32,7 @@
 constexpr std::size_t firstVm = 1;
 constexpr std::size_t firstExecutor = 101;
 constexpr int statusOk = 200;
+constexpr int logMode = 0644;
 
 /// Each process has loopback addresses of its own.
 std::string ipOf(std::size_t number)
@@ -203,15 +204,17 @@
     const auto variable = "CITRONPITCH_BOOT=" + settings.string();
     std::vector<char *> arguments{const_cast<char *>(program), nullptr};
     std::vector<char *> variables{const_cast<char *>(variable.c_str()), nullptr};
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
-                                     0644);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    if (posix_spawn(&vm.process, program, &actions, nullptr, arguments.data(), variables.data()) != 0)
-        vm.process = 0;
-    posix_spawn_file_actions_destroy(&actions);
+    vm.process = ::fork();
+    if (vm.process != 0)
+        return;
+    // A VM must not outlive this process, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, logMode);
+    ::dup2(output, STDOUT_FILENO);
+    ::dup2(output, STDERR_FILENO);
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::execve(program, arguments.data(), variables.data());
+    ::_exit(1);
 }
 
 Json Fleet::settingsOf(const Vm &vm, bool isFirstStart) const
