Review case 1: a late start runs while its job runs in another group (TWICE)

An executor that was cut off and has started again under its id carries out the start order of its former life 3.2 s late, while the client has sent its job again to another group.

--- a/review/build.sh
+++ b/review/build.sh
@@ -13,7 +13,7 @@
     wait "$it"
 done
 pids=()
-for it in cancelledjob drainedjobs movedexecutor labelledjobs; do
+for it in lateorder cancelledjob drainedjobs movedexecutor labelledjobs; do
     g++ "${flags[@]}" "$it.cpp" bin/http.o bin/executor.o bin/fleet.o -o "bin/$it" &
     pids+=($!)
 done
--- a/review/standins/executor.cpp
+++ b/review/standins/executor.cpp
@@ -57,8 +57,14 @@
     return m_seen;
 }
 
+std::size_t Executor::orders() const
+{
+    return m_orders;
+}
+
 Reply Executor::handle(const Call &call)
 {
+    ++m_orders;
     const auto json = Json::parse(call.body, nullptr, false);
     if (!json.is_object())
         return {statusBadRequest, "{}"};
@@ -200,10 +206,15 @@
 
 void Executor::heartbeatLoop()
 {
+    const auto &address = m_plan.announced.port != 0 ? m_plan.announced : m_plan.own;
     std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
+        if (m_plan.isCut && *m_plan.isCut) {
+            m_changed.wait_for(lock, heartbeatInterval, [this] { return m_isStopping.load(); });
+            continue;
+        }
         const Json body{{"Service", m_plan.service},
-                        {"Address", m_plan.own.text()},
+                        {"Address", address.text()},
                         {"Zone", m_plan.zone},
                         {"Version", "v1"},
                         {"Slots", 8},
--- a/review/standins/executor.h
+++ b/review/standins/executor.h
@@ -29,6 +29,10 @@
     bool guards = true;
     Address own = {};
     std::vector<Address> controls = {};
+    /// The address that it announces, if that is not its own.
+    Address announced = {};
+    /// Whether its machine is cut off from all others; null: never.
+    std::shared_ptr<std::atomic<bool>> isCut = nullptr;
 };
 
 /// A run on an executor as the executor has seen it. End 0: it has not ended.
@@ -59,6 +63,9 @@
 
     std::vector<SeenRun> runs();
 
+    /// Orders that have arrived.
+    std::size_t orders() const;
+
 private:
     struct Running
     {
@@ -85,6 +92,7 @@
     int m_needOfTask;
     Clock::time_point m_bornAt = Clock::now();
     std::int64_t m_born = 0;
+    std::atomic<std::size_t> m_orders = 0;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::string, Running> m_running;
