--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -68,6 +68,20 @@
     std::optional<Duration> longestWait;
 };
 
+/// Capacity of the upstreams that have a label which jobs required recently.
+struct LabelHeadroom
+{
+    std::string label;
+    /// Tasks of typical need that could start immediately.
+    std::uint32_t freeTasks = 0;
+    /// Tasks of typical need that can run concurrently.
+    std::uint32_t parallelTasks = 0;
+    /// Number of the upstreams in service, also while starts are paused there.
+    std::uint32_t upstreams = 0;
+    /// Expected run time of the queued tasks that require the label.
+    Duration waitingWork{};
+};
+
 /// Decisions of admission about jobs whose target scales with their size, since the Dispatcher was created.
 struct AdmissionStatus
 {
@@ -132,7 +146,8 @@
     /// pause also applies to later incarnations.
     void setPaused(TimePoint now, const std::string &upstream, bool isPaused);
 
-    /// Returns why @p submission is refused at @p now, or nothing if it is accepted.
+    /// Returns why @p submission is refused at @p now, or nothing if it is accepted. A job whose constraints
+    /// no upstream in service meets is refused with a retry time, as such an upstream may be added.
     std::optional<Refusal> refusal(TimePoint now, const Submission &submission) const;
 
     /// Adds a job and queues its tasks; those for which @p isQueued returns false only with requeue().
@@ -160,6 +175,12 @@
      */
     std::vector<JobId> takeShedJobs();
 
+    /**
+     * Returns the jobs that place() has shed since the last call because no upstream in service meets their
+     * constraints any more. None of their tasks has started. The owner answers them at once and removes them.
+     */
+    std::vector<JobId> takeUnsuitableJobs();
+
     /**
      * Frees the slot of an attempt and updates the estimates from its result.
      *
@@ -191,8 +212,13 @@
     std::uint32_t parallelTasks() const;
     /// Returns the headroom of each declared class whose service time is learned.
     std::vector<ClassHeadroom> classHeadroom(TimePoint now) const;
+    /// Returns the headroom for each label that jobs required recently; the number of labels is limited.
+    std::vector<LabelHeadroom> labelHeadroom(TimePoint now) const;
+    /// Number of upstreams that run tasks.
+    std::uint32_t servingUpstreams() const;
     AdmissionStatus admissionStatus() const;
-    /// Returns the total expected run time of the queued tasks.
+    /// Returns the total expected run time of the queued tasks. Those that wait for a part of the upstreams
+    /// count only as far as they keep other tasks waiting.
     Duration waitingWork() const;
 
 private:
--- a/include/citronpitch/fleetannouncement.h
+++ b/include/citronpitch/fleetannouncement.h
@@ -23,6 +23,9 @@
 
     /// Whether this announcement only renews the lease of @p earlier.
     bool isRenewalOf(const FleetAnnouncement &earlier) const;
+
+    /// Digest of what renewals leave out, except for whether the upstream leaves or has left. Never zero.
+    std::uint32_t digest() const;
 };
 
 /// What changes in an announcement that only renews the lease of its upstream.
@@ -32,6 +35,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     std::int64_t clockMs = 0;
+    /// FleetAnnouncement::digest() of the renewed announcement; zero if it is not known.
+    std::uint32_t digest = 0;
 };
 
 } // namespace Citronpitch
--- a/include/citronpitch/groupdispatcher.h
+++ b/include/citronpitch/groupdispatcher.h
@@ -122,6 +122,21 @@
     std::optional<Duration> longestWait;
 };
 
+/// Capacity of the upstreams of one pool that have a label.
+struct LabelLoad
+{
+    std::string pool;
+    std::string label;
+    /// Tasks with the usual resource need that could start immediately.
+    std::uint32_t freeTasks = 0;
+    /// Tasks with the usual resource need that can run concurrently.
+    std::uint32_t parallelTasks = 0;
+    /// Number of the upstreams in service, also while starts are paused there.
+    std::uint32_t upstreams = 0;
+    /// Expected total run time of the waiting tasks that require the label.
+    Duration waitingWork{};
+};
+
 /// Load of a group, by which entry VMs choose among groups.
 struct GroupLoad
 {
@@ -137,6 +152,10 @@
     Duration waitingWork{};
     /// Classes that had jobs recently.
     std::vector<ClassLoad> classes;
+    /// Labels that jobs required recently, also those that no upstream has.
+    std::vector<LabelLoad> labels;
+    /// Number of upstreams that run tasks; zero if it is not known.
+    std::uint32_t upstreams = 0;
 };
 
 /// An upstream has seen the fencing token of a later holder.
--- a/include/citronpitch/job.h
+++ b/include/citronpitch/job.h
@@ -24,6 +24,17 @@
     Resources need;
 };
 
+/// Which upstreams may run the tasks of a job, besides those that have the resources.
+struct PlacementConstraints
+{
+    /// Label that an upstream must have; empty if none is required.
+    std::string requiredLabel;
+    /// Maximum number of tasks of the job on one upstream at the same time; zero for no limit.
+    std::uint32_t maximumPerUpstream = 0;
+
+    bool operator==(const PlacementConstraints &) const = default;
+};
+
 /// Job as submitted by a caller. A single request is a job of one task.
 struct Submission
 {
@@ -37,6 +48,7 @@
     std::vector<TaskSpec> tasks;
     /// Hash of the request body; resubmitting the key with another hash is a conflict.
     std::uint64_t bodyHash = 0;
+    PlacementConstraints constraints;
 };
 
 /// What is known about a task when its job is answered.
@@ -103,6 +115,8 @@
     StorageFailed,
     DeadlineOutOfReach,
     DomainEvacuated,
+    /// No upstream in service meets the placement constraints of the job.
+    NoSuitableUpstream,
 };
 
 inline constexpr std::array reasonNames{
@@ -128,6 +142,7 @@
     EnumName<Reason>{Reason::StorageFailed, "storage-failed"},
     EnumName<Reason>{Reason::DeadlineOutOfReach, "deadline-out-of-reach"},
     EnumName<Reason>{Reason::DomainEvacuated, "domain-evacuated"},
+    EnumName<Reason>{Reason::NoSuitableUpstream, "no-suitable-upstream"},
 };
 
 /// Final answer to a submission, or its current state if it is pending.
--- a/include/citronpitch/jobrouter.h
+++ b/include/citronpitch/jobrouter.h
@@ -193,6 +193,8 @@
         std::uint32_t sentTasks = 0;
         /// Those of them that were refused; they occupy nothing.
         std::uint32_t refusedTasks = 0;
+        /// Part of @ref sentTasks by the label that they require.
+        std::map<std::string, std::uint32_t> sentByLabel;
         /// Tasks of this VM that have ended since the report.
         std::uint32_t endedTasks = 0;
         /// Moving average of the slots that other VMs occupy per second, less those that they release.
@@ -224,6 +226,8 @@
         /// if the group reports no such limit.
         Duration classWait{};
         std::optional<Duration> longestWait;
+        /// The job requires a label, and the group has not reported whether it has it.
+        bool isLabelUnknown = false;
     };
 
     /// Number of tasks that one group is to run.
@@ -233,8 +237,13 @@
         std::uint32_t tasks = 0;
     };
 
-    /// Returns the groups that accept jobs, without those of silent VMs if there are others.
-    std::vector<Candidate> candidates(TimePoint now, const std::string &className) const;
+    /// Returns the groups that may take @p job, without those of silent VMs if there are others.
+    std::vector<Candidate> candidates(TimePoint now, const RoutedJob &job) const;
+    /// Reduces @p candidate to what @p group has reported of upstreams that meet the constraints of @p job.
+    /// Returns false if there is none.
+    static bool applyConstraints(const ReportedGroup &group, const RoutedJob &job, Candidate &candidate);
+    /// Refusal of a job that no group may take.
+    Answer noCandidateRefusal(TimePoint now, const RoutedJob &job) const;
     bool isInOwnDomain(const Candidate &candidate) const;
     bool hasAmpleRoom(const Candidate &candidate, std::uint32_t tasks) const;
     /// Returns a group that can start @p tasks immediately, or null. The choice is spread by free capacity.
@@ -245,7 +254,10 @@
     static std::optional<Answer> refusal(TimePoint now, const std::vector<Candidate> &groups,
                                          const Submission &submission);
     Duration expectedWait(const Candidate &candidate, std::uint32_t tasks) const;
-    std::vector<Share> split(const std::vector<Candidate> &groups, std::uint32_t tasks) const;
+    std::vector<Share> split(const std::vector<Candidate> &groups, const RoutedJob &job) const;
+    /// Divides @p tasks among groups that can run only a part of them at a time, by how many they can run.
+    static void addRounds(std::vector<Share> &shares, const std::vector<Candidate> &groups,
+                          std::uint32_t tasks);
     const Candidate *shortestWait(const std::vector<Candidate> &groups, std::uint32_t tasks) const;
     void sendPart(TimePoint now, std::uint64_t job, RoutedJob routed, const Candidate &to, Refusals refusals);
     /// Whether the VM has not acknowledged a part for so long that it may be unreachable.
--- a/include/citronpitch/upstream.h
+++ b/include/citronpitch/upstream.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace Citronpitch {
 
@@ -27,6 +28,8 @@
     /// No tasks are started after this time unless the lease is renewed.
     TimePoint leaseDeadline;
     bool leaving = false;
+    /// Properties that jobs may require, such as its kind and its rack; in any order.
+    std::vector<std::string> labels;
 };
 
 /// How an attempt to run a task ended.
--- a/include/citronpitch/workdeclaration.h
+++ b/include/citronpitch/workdeclaration.h
@@ -27,6 +27,9 @@
     std::uint32_t priority = 0;
     /// Number of failed runs of one task after which its job fails.
     std::uint32_t maximumAttempts = 1;
+    /// Whether a policy that only another service knows restricts the upstreams of its jobs. Such jobs are
+    /// not served.
+    bool hasPlacementPolicy = false;
 };
 
 /// A pool of upstreams that run the same work.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -16,6 +16,9 @@
 /// Minimum retry delay of jobs that fit no upstream since capacities have shrunk.
 constexpr Duration shrunkCapacityRetryDelay = std::chrono::seconds(1);
 
+/// Minimum retry delay of jobs whose constraints no upstream in service meets.
+constexpr Duration unsuitableRetryDelay = std::chrono::seconds(1);
+
 /// Returns @p teams with the quotas that one of @p entryVms entry VMs enforces, rounded up.
 std::vector<TeamDeclaration> quotasPerEntryVm(std::vector<TeamDeclaration> teams, std::uint32_t entryVms)
 {
@@ -102,6 +105,8 @@
 
 std::optional<Refusal> Dispatcher::refusal(TimePoint now, const Submission &submission) const
 {
+    if (!submission.constraints.requiredLabel.empty())
+        m_state->recordLabel(now, submission.constraints.requiredLabel);
     const auto *declared = m_state->configuration.findClass(submission.className);
     if (declared == nullptr)
         return Refusal{Reason::UnknownClass, "no class named " + submission.className + " is declared", {}};
@@ -133,21 +138,35 @@
             jitteredRetryTime(now + shrunkCapacityRetryDelay, shrunkCapacityRetryDelay, submission);
         return Refusal{Reason::Overloaded, text + " at present", retryAt};
     }
+    if (auto refusal = refusalForConstraints(now, submission))
+        return refusal;
     const auto classIndex = classes.find(submission.className).value_or(0);
     AdmissionLoad load;
     const auto job = queuedJobOf(now, classIndex, submission);
     if (job.isProtected) {
         classShares.offered(now, classIndex, job.work);
-        const auto lateness = expectedLateness(now, job, submission.tasks.size());
+        auto lateness = expectedLateness(now, job, submission.tasks.size());
+        if (!job.constraints.requiredLabel.empty())
+            lateness.time = std::max(lateness.time,
+                                     labelledLateness(now, job, submission.tasks.size(),
+                                                      parallelTasksFor(submission.constraints)));
         load.lateness = lateness.time;
         if (lateness.time > Duration())
             ++(lateness.isOfAccepted ? admission.refusedForAccepted : admission.refusedForTarget);
     } else if (serviceTimes.isLearned(classIndex)) {
         load.unloadedTime = job.unloadedTime;
         load.latestEnd = latestExpectedEnd(job);
-        load.workAhead = queue.workDueBefore(dueTime(job));
+        load.workAhead = competingWork(dueTime(job));
+    }
+    load.parallelTasks = std::max(parallelTasks, 1U);
+    if (!job.constraints.requiredLabel.empty() && serviceTimes.isLearned(classIndex) && !job.isProtected) {
+        const auto parallel = std::max(parallelTasksFor(submission.constraints), 1U);
+        const auto ahead = queue.labelledWorkDueBefore(job.constraints.requiredLabel, dueTime(job));
+        if (ahead / parallel > load.workAhead / load.parallelTasks) {
+            load.workAhead = ahead;
+            load.parallelTasks = parallel;
+        }
     }
-    load.parallelTasks = parallelTasks;
     load.queuedOfClass = queue.queuedOfClass(classIndex);
     load.queuedOfTeam = queue.queuedOfTeam(submission.team);
     load.queued = queue.size();
@@ -161,6 +180,37 @@
     return refusal;
 }
 
+std::optional<Refusal> Dispatcher::State::refusalForConstraints(TimePoint now,
+                                                                const Submission &submission) const
+{
+    const auto &label = submission.constraints.requiredLabel;
+    const auto retryAt = jitteredRetryTime(now + unsuitableRetryDelay, unsuitableRetryDelay, submission);
+    for (std::size_t i = 0; i < submission.tasks.size() && !label.empty(); ++i) {
+        const auto &need = submission.tasks[i].need;
+        const bool isAsBefore = i > 0 && need == submission.tasks[i - 1].need;
+        if (isAsBefore || upstreams.canRun(now, need, label))
+            continue;
+        return Refusal{Reason::NoSuitableUpstream,
+                       "admission: task " + std::to_string(i) + " requires label \"" + label + "\" and "
+                           + needText(need) + ", and no upstream in service here offers that",
+                       retryAt};
+    }
+    const auto classIndex = classes.find(submission.className).value_or(0);
+    if (submission.constraints.maximumPerUpstream == 0 || !serviceTimes.isLearned(classIndex))
+        return std::nullopt;
+    // Without other work the job would already be late.
+    const auto job = queuedJobOf(now, classIndex, submission);
+    if (!isOutOfReach(now, job.unloadedTime, submission.deadline))
+        return std::nullopt;
+    return Refusal{
+        Reason::DeadlineOutOfReach,
+        "admission: at most " + std::to_string(submission.constraints.maximumPerUpstream)
+            + " tasks per upstream, and the upstreams here need "
+            + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(job.unloadedTime).count())
+            + " ms for the job",
+        retryAt};
+}
+
 void Dispatcher::add(TimePoint now, JobId job, const Submission &submission,
                      const std::function<bool(std::uint32_t task)> &isQueued)
 {
@@ -171,6 +221,7 @@
     placement.tasks = static_cast<std::uint32_t>(submission.tasks.size());
     for (const auto &it : submission.tasks)
         placement.declaredTimes.push_back(it.declaredTime);
+    placement.constraints = submission.constraints;
     m_state->jobs.insert_or_assign(job, std::move(placement));
     const auto queued = m_state->queuedJobOf(now, classIndex, submission);
     if (queued.isProtected) {
@@ -231,6 +282,7 @@
     }
     m_state->updateBoosts(now);
     m_state->queue.beginRound();
+    m_state->placer.releaseReserved();
     while (true) {
         const auto head = m_state->queue.next(now);
         if (!head)
@@ -249,6 +301,13 @@
             m_state->queue.demote(*head);
             continue;
         }
+        const bool isLabelled = !head->subqueue.requiredLabel.empty();
+        if (isLabelled && m_state->jobs.at(head->job).startsPerRack.empty()
+            && !m_state->hasSuitableUpstream(now, *head)) {
+            m_state->queue.dropTasks(head->job);
+            m_state->unsuitableJobs.push_back(head->job);
+            continue;
+        }
         if (m_state->freeUpstreams == 0) {
             m_state->unmetNeed = m_state->unmetNeed.value_or(head->need);
             break;
@@ -256,8 +315,10 @@
         if (auto placement = m_state->tryStart(now, *head))
             placements.push_back(std::move(*placement));
         else {
-            m_state->unmetNeed = m_state->unmetNeed.value_or(head->need);
-            m_state->queue.skip(head->subqueue);
+            // A task that waits for some of the upstreams says nothing about the others.
+            if (m_state->queue.findJob(head->job)->constraints == PlacementConstraints())
+                m_state->unmetNeed = m_state->unmetNeed.value_or(head->need);
+            m_state->skip(*head);
         }
     }
     m_state->updateContention(now);
@@ -269,6 +330,11 @@
     return std::exchange(m_state->shedJobs, {});
 }
 
+std::vector<JobId> Dispatcher::takeUnsuitableJobs()
+{
+    return std::exchange(m_state->unsuitableJobs, {});
+}
+
 void Dispatcher::setPeers(const std::vector<std::string> &vms)
 {
     m_state->loans.setPeers(m_state->isBaseline() ? std::vector<std::string>() : vms);
@@ -327,8 +393,12 @@
         return;
     m_state->queue.taskEnded(ended->team);
     const auto job = m_state->jobs.find(ended->job);
-    if (job != m_state->jobs.end())
+    if (job != m_state->jobs.end()) {
         std::erase(job->second.openAttempts, attempt);
+        auto &onUpstream = job->second.attemptsPerUpstream;
+        if (const auto n = onUpstream.find(ended->upstream); n != onUpstream.end() && --n->second == 0)
+            onUpstream.erase(n);
+    }
     const bool mayStillRun = ended->isAbandoned && result.outcome == AttemptOutcome::Broken;
     const auto slotFreeAt = m_state->expectedEnd(now, *ended);
     if (mayStillRun && slotFreeAt > now) {
@@ -393,7 +463,7 @@
         const auto unloadedTime = m_state->serviceTimes.expected(classIndex, {});
         const QueuedJob typical{classIndex, {}, now, now + entry.lastTimeToDeadline, unloadedTime};
         headroom.expectedWait =
-            m_state->queue.workDueBefore(m_state->dueTime(typical)) / std::max(m_state->parallelTasks, 1U);
+            m_state->competingWork(m_state->dueTime(typical)) / std::max(m_state->parallelTasks, 1U);
         if (entry.declaration.targetStretch > 0)
             headroom.longestWait = m_state->latestExpectedEnd(typical) - unloadedTime - now;
         list.push_back(std::move(headroom));
@@ -401,6 +471,35 @@
     return list;
 }
 
+std::vector<LabelHeadroom> Dispatcher::labelHeadroom(TimePoint now) const
+{
+    std::vector<LabelHeadroom> list;
+    for (const auto &[label, until] : m_state->recentLabels) {
+        if (until <= now)
+            continue;
+        LabelHeadroom headroom;
+        headroom.label = label;
+        for (const auto &[name, upstream] : m_state->upstreams.byName()) {
+            const auto &entry = m_state->upstreams.at(upstream);
+            if (!entry.hasLabel(label) || !entry.isInService(now))
+                continue;
+            headroom.freeTasks += entry.isFree ? m_state->freeTasksOf(entry) : 0;
+            headroom.parallelTasks += entry.parallelTasks;
+            ++headroom.upstreams;
+        }
+        headroom.waitingWork = m_state->queue.labelledWorkDueBefore(label, TimePoint::max());
+        list.push_back(std::move(headroom));
+    }
+    return list;
+}
+
+std::uint32_t Dispatcher::servingUpstreams() const
+{
+    std::uint32_t n = 0;
+    m_state->forEachServing({}, [&](const auto &) { ++n; });
+    return n;
+}
+
 AdmissionStatus Dispatcher::admissionStatus() const
 {
     auto status = m_state->admission;
@@ -410,7 +509,7 @@
 
 Duration Dispatcher::waitingWork() const
 {
-    return m_state->queue.workDueBefore(TimePoint::max());
+    return m_state->competingWork(TimePoint::max());
 }
 
 std::uint32_t Dispatcher::queuedTasks() const
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -85,6 +85,11 @@
 constexpr double usableSmoothing = 0.02;
 constexpr double minimumUsableShare = 0.5;
 
+/// How long after a job that requires a label the headroom for the label is reported.
+constexpr Duration labelReportPeriod = std::chrono::seconds(10);
+/// Limits the size of load reports, whatever labels callers require.
+constexpr std::size_t maximumReportedLabels = 16;
+
 /// Whether there is free capacity for any task.
 bool hasFreeCapacity(const UpstreamEntry &entry)
 {
@@ -202,6 +207,7 @@
                                          const Submission &submission) const
 {
     QueuedJob job{classIndex, submission.team, now, submission.deadline};
+    job.constraints = submission.constraints;
     Duration work{};
     for (const auto &it : submission.tasks) {
         const auto expected = serviceTimes.expected(classIndex, it.declaredTime);
@@ -209,7 +215,12 @@
         job.longestTask = std::max(job.longestTask, expected);
     }
     job.work = work;
-    job.unloadedTime = std::max(job.longestTask, work / std::max(parallelTasks, 1U));
+    const auto parallel = std::max(parallelTasksFor(submission.constraints), 1U);
+    job.unloadedTime = std::max(job.longestTask, work / parallel);
+    if (submission.constraints.maximumPerUpstream > 0) {
+        const auto rounds = (submission.tasks.size() + parallel - 1) / parallel;
+        job.unloadedTime = std::max(job.unloadedTime, job.longestTask * static_cast<std::int64_t>(rounds));
+    }
     job.usefulUntil = usefulUntil(job);
     job.isProtected = scalesWithJob(classIndex) && serviceTimes.isLearned(classIndex);
     return job;
@@ -232,32 +243,149 @@
     forecastAt = now;
     forecastSetVersion = upstreamSetVersion;
     startedSinceForecast = {};
+    forecast.rebuild(now, usableSlots(), expectedEnds({}));
+}
+
+std::vector<TimePoint> Dispatcher::State::expectedEnds(std::string_view label) const
+{
     std::vector<TimePoint> ends;
     ends.reserve(busySlots());
     for (const auto &[id, it] : attempts.all()) {
         const auto &entry = upstreams.at(it.upstream);
-        if (entry.parallelTasks > 0 && entry.announcement.incarnation == it.incarnation)
+        if (entry.parallelTasks > 0 && entry.announcement.incarnation == it.incarnation
+            && entry.hasLabel(label))
             ends.push_back(it.expectedEnd);
     }
     for (const auto &[end, it] : abandonedAttempts) {
-        if (upstreams.at(it.upstream).parallelTasks > 0)
+        const auto &entry = upstreams.at(it.upstream);
+        if (entry.parallelTasks > 0 && entry.hasLabel(label))
             ends.push_back(end);
     }
-    forecast.rebuild(now, usableSlots(), ends);
+    return ends;
+}
+
+void Dispatcher::State::forEachServing(std::string_view label,
+                                       const std::function<void(const UpstreamEntry &)> &visit) const
+{
+    for (const auto &[name, upstream] : upstreams.byName()) {
+        const auto &entry = upstreams.at(upstream);
+        if (entry.parallelTasks > 0 && entry.hasLabel(label))
+            visit(entry);
+    }
+}
+
+std::uint32_t Dispatcher::State::parallelTasksFor(const PlacementConstraints &constraints) const
+{
+    if (constraints == PlacementConstraints())
+        return parallelTasks;
+    std::uint32_t sum = 0;
+    const auto limit = constraints.maximumPerUpstream;
+    forEachServing(constraints.requiredLabel, [&](const auto &it) {
+        sum += limit > 0 ? std::min(limit, it.parallelTasks) : it.parallelTasks;
+    });
+    return sum;
+}
+
+void Dispatcher::State::forEachRestriction(
+    const std::function<void(const RestrictedWork &work, std::uint32_t parallel)> &visit) const
+{
+    const std::string *label = nullptr;
+    std::uint32_t parallelOfLabel = 0;
+    std::uint64_t upstreamsOfLabel = 0;
+    for (const auto &[key, it] : queue.restrictedWork()) {
+        if (label == nullptr || *label != key.requiredLabel) {
+            label = &key.requiredLabel;
+            parallelOfLabel = 0;
+            upstreamsOfLabel = 0;
+            forEachServing(*label, [&](const auto &entry) {
+                parallelOfLabel += entry.parallelTasks;
+                ++upstreamsOfLabel;
+            });
+        }
+        const auto most = key.maximumPerUpstream > 0 ? key.maximumPerUpstream * upstreamsOfLabel
+                                                     : std::uint64_t{parallelOfLabel};
+        visit(it, static_cast<std::uint32_t>(std::min<std::uint64_t>(most, parallelOfLabel)));
+    }
+}
+
+Duration Dispatcher::State::competingWork(TimePoint due) const
+{
+    const auto all = queue.workDueBefore(due);
+    if (queue.restrictedWork().empty())
+        return all;
+    // How much restricted work competes depends on the wait, and the wait on that work.
+    constexpr int iterations = 3;
+    auto ahead = all;
+    for (int i = 0; i < iterations; ++i) {
+        const auto wait = ahead / std::max(parallelTasks, 1U);
+        ahead = all;
+        forEachRestriction([&](const RestrictedWork &it, std::uint32_t parallel) {
+            ahead -= std::max(it.dueBefore(due) - wait * parallel, Duration());
+        });
+    }
+    return ahead;
+}
+
+std::uint32_t Dispatcher::State::competingTasks() const
+{
+    auto n = queue.size();
+    forEachRestriction([&](const RestrictedWork &it, std::uint32_t parallel) {
+        n -= it.tasks - std::min(it.tasks, parallel);
+    });
+    return n;
+}
+
+void Dispatcher::State::recordLabel(TimePoint now, const std::string &label)
+{
+    std::erase_if(recentLabels, [&](const auto &it) { return it.second <= now; });
+    if (recentLabels.size() >= maximumReportedLabels && !recentLabels.contains(label))
+        recentLabels.erase(
+            std::min_element(recentLabels.begin(), recentLabels.end(),
+                             [](const auto &left, const auto &right) { return left.second < right.second; }));
+    recentLabels[label] = now + labelReportPeriod;
+}
+
+bool Dispatcher::State::hasSuitableUpstream(TimePoint now, const SubqueueHead &head) const
+{
+    return upstreams.canRun(now, head.need, head.subqueue.requiredLabel);
+}
+
+Duration Dispatcher::State::labelledLateness(TimePoint now, const QueuedJob &job, std::size_t tasks,
+                                             std::uint32_t parallel) const
+{
+    const double slots = std::max(parallel * usableShare, 1.0);
+    const auto ends = expectedEnds(job.constraints.requiredLabel);
+    const double idle =
+        slots - static_cast<double>(ends.size() + queue.labelledTasks(job.constraints.requiredLabel));
+    if (idle >= static_cast<double>(tasks))
+        return {};
+    CapacityForecast labelled;
+    labelled.rebuild(now, slots, ends);
+    const auto due = dueTime(job);
+    const auto ahead =
+        queue.labelledWorkDueBefore(job.constraints.requiredLabel, due) + job.work - job.longestTask / 2;
+    const double timeRatio = std::clamp(measuredTime / expectedTime, minimumTimeRatio, maximumTimeRatio);
+    const double excess =
+        static_cast<double>(ahead.count()) * timeRatio - labelled.availableUntil(due + startTolerance);
+    return Duration(static_cast<std::int64_t>(std::ceil(excess / slots)));
 }
 
 double Dispatcher::State::excessAt(std::int64_t number, Duration work) const
 {
     const auto time = WorkTable::middleOf(number);
     const double timeRatio = std::clamp(measuredTime / expectedTime, minimumTimeRatio, maximumTimeRatio);
-    const auto ahead = work + queue.unprotectedWorkDueBefore(time) + startedSinceForecast;
+    auto ahead = work + queue.unprotectedWorkDueBefore(time) + startedSinceForecast;
+    const auto length = std::max(time - forecastAt, Duration());
+    forEachRestriction([&](const RestrictedWork &it, std::uint32_t parallel) {
+        ahead -= std::max(it.dueBefore(time) - length * parallel, Duration());
+    });
     return static_cast<double>(ahead.count()) * timeRatio - forecast.availableUntil(time + startTolerance);
 }
 
 Dispatcher::State::Lateness Dispatcher::State::expectedLateness(TimePoint now, const QueuedJob &job,
                                                                 std::size_t tasks)
 {
-    const double idle = usableSlots() - static_cast<double>(busySlots() + queue.size());
+    const double idle = usableSlots() - static_cast<double>(busySlots() + competingTasks());
     if (idle >= static_cast<double>(tasks))
         return {};
     updateForecast(now);
@@ -379,8 +507,7 @@
 void Dispatcher::State::updateUpstream(TimePoint now, UpstreamIndex upstream)
 {
     auto &entry = upstreams.at(upstream);
-    const bool isInService =
-        !entry.announcement.leaving && !entry.isPaused && entry.announcement.leaseDeadline > now;
+    const bool isInService = entry.isInService(now) && !entry.isPaused;
     const auto limit = isBaseline() ? std::nullopt : health.taskLimit(upstream);
     const auto usable = isInService ? parallelTasksOf(entry.usable) : 0;
     const auto newParallelTasks = limit ? std::min(usable, *limit) : usable;
@@ -567,7 +694,16 @@
 bool Dispatcher::State::isContended(JobId job) const
 {
     const std::size_t ownTasks = jobs.at(job).tasks;
-    const auto queuedOfOthers = queue.size() - std::min<std::size_t>(queue.size(), ownTasks);
+    const auto &constraints = jobs.at(job).constraints;
+    if (!constraints.requiredLabel.empty()) {
+        const std::size_t queued = queue.labelledTasks(constraints.requiredLabel);
+        const auto others = queued - std::min(queued, ownTasks);
+        const auto parallel = parallelTasksFor(constraints);
+        if (parallel > 0 && others + expectedEnds(constraints.requiredLabel).size() >= parallel)
+            return true;
+    }
+    const std::size_t competing = competingTasks();
+    const auto queuedOfOthers = competing - std::min(competing, ownTasks);
     return parallelTasks > 0
         && static_cast<double>(queuedOfOthers + busySlots())
         >= (hasScalingClass ? usableSlots() : static_cast<double>(parallelTasks));
@@ -588,8 +724,12 @@
     // The longest task decides when the job ends, and as at admission a margin covers slow upstreams.
     if (job.usefulUntil < head.deadline && now + job.longestTask > latestExpectedEnd(job))
         return true;
-    const auto one = serviceTimes.expected(head.subqueue.classIndex, {});
-    return now + one * infeasibleNumerator / infeasibleDenominator > head.deadline;
+    return isOutOfReach(now, serviceTimes.expected(head.subqueue.classIndex, {}), head.deadline);
+}
+
+bool Dispatcher::State::isOutOfReach(TimePoint now, Duration time, TimePoint deadline)
+{
+    return now + time * infeasibleNumerator / infeasibleDenominator > deadline;
 }
 
 void Dispatcher::State::shed(JobId job)
@@ -601,7 +741,7 @@
 std::optional<Placement> Dispatcher::State::tryStart(TimePoint now, const SubqueueHead &head)
 {
     if (isBaseline()) {
-        const auto upstream = chooseForBaseline(head.need);
+        const auto upstream = chooseForBaseline(head);
         return upstream ? std::optional(start(now, head, *upstream)) : std::nullopt;
     }
     const auto &ranking = rankingOf(now, head.subqueue.classIndex);
@@ -616,8 +756,10 @@
     if (choice.outcome == PlacementOutcome::NoFreeUpstream) {
         if (!choice.hasRoom)
             return std::nullopt;
-        const auto other = bestFilling(now, head, choice.upstream, false);
-        return other ? std::optional(start(now, *other, choice.upstream)) : std::nullopt;
+        if (const auto other = bestFilling(now, head, choice.upstream, false))
+            return start(now, *other, choice.upstream);
+        reserveFor(head, choice.upstream);
+        return std::nullopt;
     }
     const auto last = queue.leastUrgent(head.subqueue);
     if (last.deadline <= now)
@@ -627,6 +769,21 @@
                                                     : std::nullopt;
 }
 
+void Dispatcher::State::skip(const SubqueueHead &head)
+{
+    if (placer.isHeldByLimit(head.need, jobs.at(head.job)))
+        queue.skipTasks(head);
+    else
+        queue.skip(head.subqueue);
+}
+
+void Dispatcher::State::reserveFor(const SubqueueHead &head, UpstreamIndex upstream)
+{
+    const auto &total = upstreams.at(upstream).total;
+    if (!head.subqueue.requiredLabel.empty() && total.contains(costOf(head.need, total)))
+        placer.reserve(upstream);
+}
+
 std::optional<SubqueueHead> Dispatcher::State::bestFilling(TimePoint now, const SubqueueHead &head,
                                                            UpstreamIndex upstream, bool fits) const
 {
@@ -692,15 +849,16 @@
     return slots;
 }
 
-std::optional<UpstreamIndex> Dispatcher::State::chooseForBaseline(const Resources &need) const
+std::optional<UpstreamIndex> Dispatcher::State::chooseForBaseline(const SubqueueHead &head) const
 {
+    const auto &job = jobs.at(head.job);
     std::vector<BaselineCandidate> candidates;
     std::vector<UpstreamIndex> indexes;
     std::size_t position = 0;
     for (const auto &[name, upstream] : upstreams.byName()) {
         ++position;
         const auto &entry = upstreams.at(upstream);
-        if (!entry.isFree || !entry.free().contains(costOf(need, entry.total)))
+        if (!entry.isFree || !placer.mayTake(upstream, head.need, job))
             continue;
         candidates.push_back({position, entry.inFlight});
         indexes.push_back(upstream);
@@ -739,6 +897,8 @@
     ++job.startsPerRack[entry.rack];
     const auto id = attempts.add(attempt);
     job.openAttempts.push_back(id);
+    if (job.constraints.maximumPerUpstream > 0)
+        ++job.attemptsPerUpstream[upstream];
     updateUpstream(now, upstream);
     const auto &announcement = entry.announcement;
     return {head.job, task, id, announcement.name, announcement.address, announcement.port};
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -63,6 +63,29 @@
     /// Admission control of a job that the configuration allows: returns why it is refused, or nothing.
     std::optional<Refusal> refusalForLoad(TimePoint now, const Submission &submission);
 
+    /// Returns why no upstream in service can take a task of @p submission, or nothing if there is one.
+    std::optional<Refusal> refusalForConstraints(TimePoint now, const Submission &submission) const;
+    /// Whether an upstream in service has the label that the tasks of @p head require, and room for one when
+    /// it is idle.
+    bool hasSuitableUpstream(TimePoint now, const SubqueueHead &head) const;
+    /// Returns how many tasks of typical need of a job with @p constraints can run concurrently.
+    std::uint32_t parallelTasksFor(const PlacementConstraints &constraints) const;
+    /// Calls @p visit with each upstream that has @p label and accepts tasks.
+    void forEachServing(std::string_view label,
+                        const std::function<void(const UpstreamEntry &)> &visit) const;
+    /// Calls @p visit with each group of queued tasks that only a part of the upstreams can take, and how
+    /// many of them can run concurrently.
+    void forEachRestriction(
+        const std::function<void(const RestrictedWork &work, std::uint32_t parallel)> &visit) const;
+    /// Returns the expected run time of the queued tasks that are due before @p due and compete with a task
+    /// that any upstream can take. Tasks that are restricted to some upstreams use only those.
+    Duration competingWork(TimePoint due) const;
+    /// Returns the number of queued tasks, without those that wait for upstreams which they are restricted
+    /// to.
+    std::uint32_t competingTasks() const;
+    /// Remembers that a job requires @p label.
+    void recordLabel(TimePoint now, const std::string &label);
+
     /// Returns a job with the estimates that determine its position in the queue.
     QueuedJob queuedJobOf(TimePoint now, ClassIndex classIndex, const Submission &submission) const;
 
@@ -79,12 +102,20 @@
     /// overtake, is expected to start its last task.
     Lateness expectedLateness(TimePoint now, const QueuedJob &job, std::size_t tasks);
 
+    /// Returns how late @p job, which requires a label, is expected to start its last task behind the queued
+    /// tasks that require the same label; zero or less if it is in time. It can run @p parallel tasks at
+    /// once.
+    Duration labelledLateness(TimePoint now, const QueuedJob &job, std::size_t tasks,
+                              std::uint32_t parallel) const;
+
     /// Returns the number of tasks that can run concurrently, as observed when tasks wait: their needs don't
     /// fill the upstreams evenly.
     double usableSlots() const;
     /// Number of attempts that occupy capacity.
     std::size_t busySlots() const;
     void updateForecast(TimePoint now);
+    /// Returns the expected ends of the attempts on the upstreams with @p label.
+    std::vector<TimePoint> expectedEnds(std::string_view label) const;
     /// Returns the expected run time of the queued tasks up to bucket @p number of TaskQueue::protectedWork()
     /// minus the slot time that is available for them, in microseconds. @p work is that of the protected
     /// ones.
@@ -140,6 +171,9 @@
     /// are lent.
     bool isContended(JobId job) const;
 
+    /// Whether work of the expected @p time is of no use any more, as it would end well after @p deadline.
+    static bool isOutOfReach(TimePoint now, Duration time, TimePoint deadline);
+
     /// Whether the deadline of a job has passed or, for a job without starts under load, usefulUntil() leaves
     /// too little time for a single task.
     bool isInfeasible(TimePoint now, const SubqueueHead &head) const;
@@ -147,6 +181,12 @@
     /// Removes the queued tasks of a job, which the owner answers.
     void shed(JobId job);
 
+    /// Skips @p head, which could not be started, and those behind it that can't be started either.
+    void skip(const SubqueueHead &head);
+    /// Keeps the room that becomes free on @p upstream for @p head, so that smaller tasks which may run
+    /// elsewhere don't take it.
+    void reserveFor(const SubqueueHead &head, UpstreamIndex upstream);
+
     /// Starts the task of @p head or another one of its subqueue; nothing if the subqueue has to wait.
     std::optional<Placement> tryStart(TimePoint now, const SubqueueHead &head);
     /// Returns how many tasks of a class, arriving now, would start at once on upstreams that are fast
@@ -158,7 +198,7 @@
     /// fastest free upstream: while few slots are busy, for a class without learned service time, and for a
     /// target that does not scale with the size of the job.
     std::optional<Duration> sufficientServiceTime(TimePoint now, const SubqueueHead &head) const;
-    std::optional<UpstreamIndex> chooseForBaseline(const Resources &need) const;
+    std::optional<UpstreamIndex> chooseForBaseline(const SubqueueHead &head) const;
     Placement start(TimePoint now, const SubqueueHead &head, UpstreamIndex upstream);
     /// Returns the task that fills the room on @p upstream best, among those that are about as urgent as
     /// @p head; @p head itself if it @p fits there and none is larger.
@@ -203,6 +243,10 @@
     std::multimap<TimePoint, InFlightAttempt> abandonedAttempts;
     /// Jobs that were shed since the last call of takeShedJobs().
     std::vector<JobId> shedJobs;
+    /// Jobs that were shed since the last call of takeUnsuitableJobs().
+    std::vector<JobId> unsuitableJobs;
+    /// Labels that jobs required recently, with the times until which their headroom is reported.
+    std::map<std::string, TimePoint> recentLabels;
     std::uint32_t freeUpstreams = 0;
     std::uint32_t parallelTasks = 0;
     /// Moving average of the need of recent tasks, and the value that parallel tasks are computed with.
--- a/src/core/dispatch/placer.cpp
+++ b/src/core/dispatch/placer.cpp
@@ -17,19 +17,6 @@
     return rack < job.startsPerRack.size() ? job.startsPerRack[rack] : 0;
 }
 
-/// Whether a task is expected to end sooner by waiting for an upstream that is faster than @p rank by
-/// slowRatio.
-bool isWaitingBetter(const UpstreamRanking &ranking, std::size_t rank, std::uint32_t tasksAhead)
-{
-    const double time = static_cast<double>(ranking.at(rank).time.count());
-    const auto faster = ranking.countFasterThan(Duration(static_cast<std::int64_t>(time / slowRatio)));
-    const double rate = ranking.throughputOf(faster);
-    if (rate <= 0)
-        return false;
-    const double fastTime = static_cast<double>(ranking.at(faster - 1).time.count());
-    return tasksAhead / rate + fastTime < time;
-}
-
 } // namespace
 
 Placer::Placer(const UpstreamTable &upstreams)
@@ -47,7 +34,9 @@
         const auto upstream = ranking.at(*rank).upstream;
         if (ranking.at(*rank).isSingleTaskOnly && job.tasks > 1)
             continue;
-        if (!fits(upstream, need)) {
+        if (!isAllowed(upstream, job))
+            continue;
+        if (!hasRoom(upstream, need)) {
             const auto free = m_upstreams.at(upstream).free().resources.millicores;
             if (free > mostFree) {
                 mostFree = free;
@@ -59,7 +48,7 @@
             avoided = avoided.value_or(*rank);
             continue;
         }
-        if (isWaitingBetter(ranking, *rank, tasksAhead))
+        if (isWaitingBetter(ranking, *rank, tasksAhead, job))
             return {PlacementOutcome::WaitForFaster, 0};
         return {PlacementOutcome::Start, ranking.at(bestOfTied(ranking, *rank, need, job)).upstream};
     }
@@ -70,7 +59,33 @@
 
 bool Placer::isSuitable(UpstreamIndex upstream, const Resources &need, const JobPlacementState &job) const
 {
-    return fits(upstream, need) && !isAvoided(upstream, job);
+    return mayTake(upstream, need, job) && !isAvoided(upstream, job);
+}
+
+bool Placer::mayTake(UpstreamIndex upstream, const Resources &need, const JobPlacementState &job) const
+{
+    return isAllowed(upstream, job) && hasRoom(upstream, need);
+}
+
+bool Placer::isHeldByLimit(const Resources &need, const JobPlacementState &job) const
+{
+    if (job.constraints.maximumPerUpstream == 0)
+        return false;
+    return std::any_of(job.attemptsPerUpstream.begin(), job.attemptsPerUpstream.end(), [&](const auto &it) {
+        const auto &entry = m_upstreams.at(it.first);
+        return entry.isFree && entry.hasLabel(job.constraints.requiredLabel) && hasReachedLimit(it.first, job)
+            && hasRoom(it.first, need);
+    });
+}
+
+void Placer::reserve(UpstreamIndex upstream)
+{
+    m_reserved.push_back(upstream);
+}
+
+void Placer::releaseReserved()
+{
+    m_reserved.clear();
 }
 
 std::optional<UpstreamIndex> Placer::chooseSufficient(const UpstreamRanking &ranking, const Resources &need,
@@ -79,27 +94,71 @@
 {
     std::size_t examined = 0;
     auto rank = ranking.previousFree(ranking.countFasterThan(maximumTime));
-    for (; rank && ++examined <= maximumComparedUpstreams; rank = ranking.previousFree(*rank)) {
+    for (; rank && examined < maximumComparedUpstreams; rank = ranking.previousFree(*rank)) {
         const auto &it = ranking.at(*rank);
-        const bool isAllowed = !it.isSingleTaskOnly || job.tasks == 1;
-        if (isAllowed && fits(it.upstream, need) && !isAvoided(it.upstream, job))
+        if (!isAllowed(it.upstream, job))
+            continue;
+        ++examined;
+        const bool isUsable = !it.isSingleTaskOnly || job.tasks == 1;
+        if (isUsable && hasRoom(it.upstream, need) && !isAvoided(it.upstream, job))
             return it.upstream;
     }
     return std::nullopt;
 }
 
-bool Placer::fits(UpstreamIndex upstream, const Resources &need) const
+bool Placer::hasRoom(UpstreamIndex upstream, const Resources &need) const
 {
     const auto &entry = m_upstreams.at(upstream);
     return entry.free().contains(costOf(need, entry.total));
 }
 
+bool Placer::isAllowed(UpstreamIndex upstream, const JobPlacementState &job) const
+{
+    return m_upstreams.at(upstream).hasLabel(job.constraints.requiredLabel) && !hasReachedLimit(upstream, job)
+        && std::find(m_reserved.begin(), m_reserved.end(), upstream) == m_reserved.end();
+}
+
+bool Placer::hasReachedLimit(UpstreamIndex upstream, const JobPlacementState &job) const
+{
+    const auto limit = job.constraints.maximumPerUpstream;
+    if (limit == 0)
+        return false;
+    const auto it = job.attemptsPerUpstream.find(upstream);
+    return it != job.attemptsPerUpstream.end() && it->second >= limit;
+}
+
 bool Placer::isAvoided(UpstreamIndex upstream, const JobPlacementState &job) const
 {
     return std::find(job.avoidedUpstreams.begin(), job.avoidedUpstreams.end(), upstream)
         != job.avoidedUpstreams.end();
 }
 
+bool Placer::isWaitingBetter(const UpstreamRanking &ranking, std::size_t rank, std::uint32_t tasksAhead,
+                             const JobPlacementState &job) const
+{
+    const double time = static_cast<double>(ranking.at(rank).time.count());
+    const auto faster = ranking.countFasterThan(Duration(static_cast<std::int64_t>(time / slowRatio)));
+    double rate = ranking.throughputOf(faster);
+    if (rate <= 0)
+        return false;
+    double fastTime = static_cast<double>(ranking.at(faster - 1).time.count());
+    const auto &[label, limit] = job.constraints;
+    if (!label.empty() || limit > 0) {
+        // Upstreams that take no task of the job don't shorten its wait.
+        rate = 0;
+        for (std::size_t i = 0; i < faster; ++i) {
+            const auto &it = ranking.at(i);
+            if (it.time <= Duration() || !m_upstreams.at(it.upstream).hasLabel(label))
+                continue;
+            fastTime = static_cast<double>(it.time.count());
+            rate += (limit > 0 ? std::min(limit, it.parallelTasks) : it.parallelTasks) / fastTime;
+        }
+        if (rate <= 0)
+            return false;
+    }
+    return tasksAhead / rate + fastTime < time;
+}
+
 std::size_t Placer::bestOfTied(const UpstreamRanking &ranking, std::size_t first, const Resources &need,
                                const JobPlacementState &job) const
 {
@@ -111,8 +170,8 @@
             break;
         const auto use = startsInRack(job, ranking.at(*rank).rack);
         const auto upstream = ranking.at(*rank).upstream;
-        const bool isAllowed = !ranking.at(*rank).isSingleTaskOnly || job.tasks == 1;
-        if (use >= bestUse || !isAllowed || !fits(upstream, need) || isAvoided(upstream, job))
+        const bool isUsable = !ranking.at(*rank).isSingleTaskOnly || job.tasks == 1;
+        if (use >= bestUse || !isUsable || !mayTake(upstream, need, job) || isAvoided(upstream, job))
             continue;
         best = *rank;
         bestUse = use;
--- a/src/core/dispatch/placer.h
+++ b/src/core/dispatch/placer.h
@@ -3,6 +3,7 @@
 #include "core/dispatch/taskqueue.h"
 #include "core/dispatch/upstreamranking.h"
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -21,6 +22,9 @@
     std::vector<UpstreamIndex> avoidedUpstreams;
     /// Attempts in flight.
     std::vector<AttemptId> openAttempts;
+    PlacementConstraints constraints;
+    /// Number of attempts in flight on each upstream; only kept if the constraints limit it.
+    std::map<UpstreamIndex, std::uint32_t> attemptsPerUpstream;
 };
 
 /// Result of choosing an upstream for a task.
@@ -72,13 +76,32 @@
     /// Whether a task of @p job with @p need can be started on @p upstream, and was not tried there before.
     bool isSuitable(UpstreamIndex upstream, const Resources &need, const JobPlacementState &job) const;
 
+    /// Whether @p upstream may take a task of @p job with @p need now: it has the capacity, and the
+    /// constraints of the job allow it.
+    bool mayTake(UpstreamIndex upstream, const Resources &need, const JobPlacementState &job) const;
+
+    /// Whether only the limit of tasks per upstream keeps a task of @p job from a free upstream.
+    bool isHeldByLimit(const Resources &need, const JobPlacementState &job) const;
+
+    /// Reserves @p upstream until the next call of releaseReserved(): mayTake() returns false for it.
+    void reserve(UpstreamIndex upstream);
+    void releaseReserved();
+
 private:
-    bool fits(UpstreamIndex upstream, const Resources &need) const;
+    bool hasRoom(UpstreamIndex upstream, const Resources &need) const;
+    /// Whether the constraints of @p job allow one more task on @p upstream.
+    bool isAllowed(UpstreamIndex upstream, const JobPlacementState &job) const;
+    bool hasReachedLimit(UpstreamIndex upstream, const JobPlacementState &job) const;
     bool isAvoided(UpstreamIndex upstream, const JobPlacementState &job) const;
+    /// Whether a task is expected to end sooner by waiting for an upstream that is faster than @p rank by a
+    /// fixed ratio.
+    bool isWaitingBetter(const UpstreamRanking &ranking, std::size_t rank, std::uint32_t tasksAhead,
+                         const JobPlacementState &job) const;
     std::size_t bestOfTied(const UpstreamRanking &ranking, std::size_t first, const Resources &need,
                            const JobPlacementState &job) const;
 
     const UpstreamTable &m_upstreams;
+    std::vector<UpstreamIndex> m_reserved;
 };
 
 } // namespace Citronpitch
--- a/src/core/dispatch/taskqueue.cpp
+++ b/src/core/dispatch/taskqueue.cpp
@@ -27,15 +27,39 @@
     auto operator<=>(const Urgency &) const = default;
 };
 
-SubqueueKey subqueueOf(ClassIndex classIndex, const Resources &need)
+SubqueueKey subqueueOf(const QueuedJob &job, const Resources &need)
 {
-    return {classIndex, static_cast<int>(std::bit_width(need.millicores)),
+    return {job.classIndex, static_cast<int>(std::bit_width(need.millicores)),
             static_cast<int>(std::bit_width(need.memoryBytes)),
-            static_cast<int>(std::bit_width(need.accelerators))};
+            static_cast<int>(std::bit_width(need.accelerators)), job.constraints.requiredLabel};
+}
+
+/// Adds @p work, which may be negative, to a bucket, and removes it when it is empty.
+void addToBucket(std::map<std::int64_t, Duration> &buckets, std::int64_t number, Duration work)
+{
+    const auto it = buckets.try_emplace(number).first;
+    it->second += work;
+    if (it->second <= Duration())
+        buckets.erase(it);
+}
+
+/// Returns the sum of the buckets up to the one of @p due.
+Duration sumUntil(const std::map<std::int64_t, Duration> &buckets, TimePoint due)
+{
+    Duration sum{};
+    const auto last = workBucketOf(due);
+    for (auto it = buckets.begin(); it != buckets.end() && it->first <= last; ++it)
+        sum += it->second;
+    return sum;
 }
 
 } // namespace
 
+Duration RestrictedWork::dueBefore(TimePoint due) const
+{
+    return sumUntil(work, due);
+}
+
 TaskQueue::TaskQueue(DueTime dueTime, DueTime demotedDueTime, DueTime lateTime)
     : m_dueTime(std::move(dueTime))
     , m_demotedDueTime(std::move(demotedDueTime))
@@ -97,10 +121,7 @@
         return;
     }
     batch.tasks.push_back(task.task);
-    ++m_size;
-    ++m_queuedOfClass[it->second.queued.classIndex];
-    ++batch.flow->team->queued;
-    addWork(batch, batch.work);
+    addTasks(batch, 1);
 }
 
 void TaskQueue::dropTasks(JobId job)
@@ -126,6 +147,12 @@
 void TaskQueue::beginRound()
 {
     ++m_round;
+    while (!m_skipped.empty()) {
+        auto &batch = *m_skipped.back();
+        unskip(batch);
+        batch.flow->batches.emplace(BatchKey{batch.due, batch.order}, &batch);
+        updateHead(*batch.flow);
+    }
 }
 
 std::optional<SubqueueHead> TaskQueue::next(TimePoint now) const
@@ -180,6 +207,28 @@
     m_subqueues.at(subqueue).skippedInRound = m_round;
 }
 
+void TaskQueue::skipTasks(const SubqueueHead &head)
+{
+    auto &job = m_jobs.at(head.job);
+    const auto it = std::find_if(job.batches.begin(), job.batches.end(), [&](const auto &batch) {
+        return batch->need == head.need && !batch->tasks.empty();
+    });
+    auto &batch = **it;
+    auto &flow = *batch.flow;
+    flow.batches.erase({batch.due, batch.order});
+    batch.isSkipped = true;
+    ++flow.skipped;
+    m_skipped.push_back(&batch);
+    updateHead(flow);
+}
+
+void TaskQueue::unskip(Batch &batch)
+{
+    std::erase(m_skipped, &batch);
+    batch.isSkipped = false;
+    --batch.flow->skipped;
+}
+
 std::uint32_t TaskQueue::take(const SubqueueHead &head)
 {
     auto &job = m_jobs.at(head.job);
@@ -194,10 +243,7 @@
         return task;
     }
     batch.tasks.pop_back();
-    --m_size;
-    --m_queuedOfClass[head.subqueue.classIndex];
-    --batch.flow->team->queued;
-    addWork(batch, -batch.work);
+    addTasks(batch, -1);
     return task;
 }
 
@@ -305,11 +351,30 @@
 
 Duration TaskQueue::unprotectedWorkDueBefore(TimePoint due) const
 {
-    Duration work{};
-    const auto last = workBucketOf(due);
-    for (auto it = m_work.begin(); it != m_work.end() && it->first <= last; ++it)
-        work += it->second;
-    return work;
+    return sumUntil(m_work, due);
+}
+
+Duration TaskQueue::labelledWorkDueBefore(const std::string &label, TimePoint due) const
+{
+    Duration sum{};
+    for (auto it = m_restrictedWork.lower_bound({label, 0, 0});
+         it != m_restrictedWork.end() && it->first.requiredLabel == label; ++it)
+        sum += it->second.dueBefore(due);
+    return sum;
+}
+
+std::uint32_t TaskQueue::labelledTasks(const std::string &label) const
+{
+    std::uint32_t n = 0;
+    for (auto it = m_restrictedWork.lower_bound({label, 0, 0});
+         it != m_restrictedWork.end() && it->first.requiredLabel == label; ++it)
+        n += it->second.tasks;
+    return n;
+}
+
+const std::map<RestrictionKey, RestrictedWork> &TaskQueue::restrictedWork() const
+{
+    return m_restrictedWork;
 }
 
 const WorkTable &TaskQueue::protectedWork() const
@@ -348,6 +413,9 @@
     batch.order = m_nextOrder++;
     batch.deadline = job.queued.deadline;
     batch.isProtected = job.queued.isProtected;
+    const auto &[label, limit] = job.queued.constraints;
+    if (!label.empty() || limit > 0)
+        batch.restriction = {label, limit, limit > 0 ? id : 0};
     return batch;
 }
 
@@ -366,8 +434,7 @@
 void TaskQueue::enqueue(const Job &job, Batch &batch)
 {
     auto &team = this->team(job.queued.team);
-    const auto subqueue = subqueueOf(job.queued.classIndex, batch.need);
-    const auto n = static_cast<std::uint32_t>(batch.tasks.size());
+    const auto subqueue = subqueueOf(job.queued, batch.need);
     auto &flow = team.flows[subqueue];
     flow.subqueue = subqueue;
     flow.team = &team;
@@ -377,22 +444,17 @@
     flow.batches.emplace(BatchKey{batch.due, batch.order}, &batch);
     if (subqueue.classIndex >= m_queuedOfClass.size())
         m_queuedOfClass.resize(subqueue.classIndex + 1);
-    m_size += n;
-    m_queuedOfClass[subqueue.classIndex] += n;
-    team.queued += n;
-    addWork(batch, batch.work * n);
+    addTasks(batch, static_cast<std::int64_t>(batch.tasks.size()));
     updateHead(flow);
 }
 
 void TaskQueue::dequeue(Batch &batch)
 {
     auto &flow = *batch.flow;
-    const auto n = static_cast<std::uint32_t>(batch.tasks.size());
+    if (batch.isSkipped)
+        unskip(batch);
     flow.batches.erase({batch.due, batch.order});
-    m_size -= n;
-    m_queuedOfClass[flow.subqueue.classIndex] -= n;
-    flow.team->queued -= n;
-    addWork(batch, -batch.work * n);
+    addTasks(batch, -static_cast<std::int64_t>(batch.tasks.size()));
     batch.flow = nullptr;
     updateHead(flow);
 }
@@ -410,7 +472,7 @@
     }
     if (subqueue.withinQuota.empty() && subqueue.atQuota.empty())
         m_subqueues.erase(flow.subqueue);
-    if (flow.batches.empty())
+    if (flow.batches.empty() && flow.skipped == 0)
         flow.team->flows.erase(SubqueueKey(flow.subqueue));
 }
 
@@ -427,16 +489,26 @@
         m_teams.erase(it);
 }
 
-void TaskQueue::addWork(const Batch &batch, Duration work)
+void TaskQueue::addTasks(const Batch &batch, std::int64_t tasks)
 {
-    if (batch.isProtected && !batch.isDemoted) {
-        m_protectedWork.add(batch.due, work);
-        return;
+    const auto &key = batch.flow->subqueue;
+    // Unsigned sums wrap around, so that a negative number subtracts.
+    const auto n = static_cast<std::uint32_t>(tasks);
+    const auto work = batch.work * tasks;
+    m_size += n;
+    m_queuedOfClass[key.classIndex] += n;
+    batch.flow->team->queued += n;
+    if (batch.restriction) {
+        const auto it = m_restrictedWork.try_emplace(*batch.restriction).first;
+        it->second.tasks += n;
+        addToBucket(it->second.work, workBucketOf(batch.due), work);
+        if (it->second.tasks == 0)
+            m_restrictedWork.erase(it);
     }
-    const auto it = m_work.try_emplace(workBucketOf(batch.due)).first;
-    it->second += work;
-    if (it->second <= Duration())
-        m_work.erase(it);
+    if (batch.isProtected && !batch.isDemoted)
+        m_protectedWork.add(batch.due, work);
+    else
+        addToBucket(m_work, workBucketOf(batch.due), work);
 }
 
 bool TaskQueue::hasReachedQuota(const Team &team)
--- a/src/core/dispatch/taskqueue.h
+++ b/src/core/dispatch/taskqueue.h
@@ -2,6 +2,7 @@
 
 #include "citronpitch/claimtable.h"
 #include "citronpitch/configuration.h"
+#include "citronpitch/job.h"
 #include "citronpitch/resources.h"
 #include "core/dispatch/upstreamtable.h"
 #include "core/dispatch/worktable.h"
@@ -36,6 +37,7 @@
     /// Whether admission has promised the target: the job is due at the latest time at which its last task
     /// has to start.
     bool isProtected = false;
+    PlacementConstraints constraints;
 };
 
 /// A queued task and its need.
@@ -47,7 +49,7 @@
     Duration work{};
 };
 
-/// Key of the tasks of one class with similar needs, which fit the same upstreams.
+/// Key of the tasks of one class with similar needs and the same label, which fit the same upstreams.
 struct SubqueueKey
 {
     ClassIndex classIndex = 0;
@@ -55,9 +57,32 @@
     int millicores = 0;
     int memory = 0;
     int accelerators = 0;
+    std::string requiredLabel;
     auto operator<=>(const SubqueueKey &) const = default;
 };
 
+/// Key of queued tasks that only a part of the upstreams can take: those that require a label, or those of
+/// one job with a limit per upstream.
+struct RestrictionKey
+{
+    std::string requiredLabel;
+    /// Zero for no limit; otherwise @ref job is the job that it applies to.
+    std::uint32_t maximumPerUpstream = 0;
+    JobId job = 0;
+    auto operator<=>(const RestrictionKey &) const = default;
+};
+
+/// Queued tasks with one RestrictionKey.
+struct RestrictedWork
+{
+    std::uint32_t tasks = 0;
+    /// Expected run time by bucket of due times.
+    std::map<std::int64_t, Duration> work;
+
+    /// Returns the part of the work that is due before @p due, rounded up to a bucket.
+    Duration dueBefore(TimePoint due) const;
+};
+
 /// The next task of a subqueue.
 struct SubqueueHead
 {
@@ -131,6 +156,9 @@
     /// Skips @p subqueue for the rest of the round.
     void skip(const SubqueueKey &subqueue);
 
+    /// Skips the tasks with the job and need of @p head for the rest of the round, but not those behind them.
+    void skipTasks(const SubqueueHead &head);
+
     /// Removes and returns the next task with the job and need of @p head, which must be queued.
     std::uint32_t take(const SubqueueHead &head);
 
@@ -168,6 +196,13 @@
     /// Returns the part of workDueBefore() that belongs to no protected job, or to demoted ones.
     Duration unprotectedWorkDueBefore(TimePoint due) const;
 
+    /// Returns the part of workDueBefore() that requires @p label.
+    Duration labelledWorkDueBefore(const std::string &label, TimePoint due) const;
+    /// Returns the number of queued tasks that require @p label.
+    std::uint32_t labelledTasks(const std::string &label) const;
+    /// Returns the queued tasks that are restricted to a part of the upstreams, sorted by label.
+    const std::map<RestrictionKey, RestrictedWork> &restrictedWork() const;
+
     /// Returns the expected run time of the queued tasks of protected jobs that are not demoted.
     const WorkTable &protectedWork() const;
 
@@ -191,7 +226,11 @@
         Flow *flow = nullptr;
         /// Its due time has passed.
         bool isDemoted = false;
+        /// In m_skipped instead of its flow until the next round.
+        bool isSkipped = false;
         bool isProtected = false;
+        /// Nothing if any upstream can take its tasks.
+        std::optional<RestrictionKey> restriction;
         /// Time after which the batch is demoted.
         TimePoint lateTime;
     };
@@ -216,6 +255,8 @@
         SubqueueKey subqueue;
         Team *team = nullptr;
         std::map<BatchKey, Batch *> batches;
+        /// Number of its batches in m_skipped.
+        std::size_t skipped = 0;
         /// Key of the flow in the subqueue, in withinQuota or atQuota as hasReachedQuota selects.
         std::optional<BatchKey> headKey;
         bool hasReachedQuota = false;
@@ -249,7 +290,9 @@
     void updateHead(Flow &flow);
     void updateHeads(Team &team);
     void removeTeamIfIdle(const std::string &name);
-    void addWork(const Batch &batch, Duration work);
+    /// Adds @p tasks tasks of @p batch, which may be negative, to the sums of queued tasks and work.
+    void addTasks(const Batch &batch, std::int64_t tasks);
+    void unskip(Batch &batch);
     static bool hasReachedQuota(const Team &team);
     const std::map<BatchKey, Flow *> &headsOf(const Subqueue &subqueue) const;
 
@@ -265,6 +308,9 @@
     /// Expected run time of the queued tasks that m_protectedWork does not contain, by bucket of due times.
     std::map<std::int64_t, Duration> m_work;
     WorkTable m_protectedWork;
+    std::map<RestrictionKey, RestrictedWork> m_restrictedWork;
+    /// Batches that are skipped in this round.
+    std::vector<Batch *> m_skipped;
     std::uint64_t m_nextOrder = 1;
     std::uint64_t m_round = 1;
     std::uint32_t m_size = 0;
--- a/src/core/dispatch/upstreamtable.cpp
+++ b/src/core/dispatch/upstreamtable.cpp
@@ -11,6 +11,17 @@
     return left;
 }
 
+bool UpstreamEntry::isInService(TimePoint now) const
+{
+    return !announcement.leaving && announcement.leaseDeadline > now;
+}
+
+bool UpstreamEntry::hasLabel(std::string_view label) const
+{
+    const auto &labels = announcement.labels;
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
 UpstreamTable::AnnounceResult UpstreamTable::announce(const UpstreamAnnouncement &announcement)
 {
     const auto known = m_names.find(announcement.name);
@@ -106,6 +117,15 @@
                        [&](const auto &it) { return it.capacity.contains(costOf(need, it.capacity)); });
 }
 
+bool UpstreamTable::canRun(TimePoint now, const Resources &need, std::string_view label) const
+{
+    return std::any_of(m_names.begin(), m_names.end(), [&](const auto &it) {
+        const auto &entry = m_entries[it.second];
+        return entry.isInService(now) && entry.hasLabel(label)
+            && entry.total.contains(costOf(need, entry.total));
+    });
+}
+
 bool UpstreamTable::couldRunBefore(const Resources &need) const
 {
     return std::any_of(m_names.begin(), m_names.end(), [&](const auto &it) {
--- a/src/core/dispatch/upstreamtable.h
+++ b/src/core/dispatch/upstreamtable.h
@@ -42,6 +42,12 @@
 
     /// Returns the part of @ref usable that is not in use.
     Capacity free() const;
+
+    /// Whether it has a lease and is not leaving; starts may be paused all the same.
+    bool isInService(TimePoint now) const;
+
+    /// Whether the upstream has @p label; true for an empty one.
+    bool hasLabel(std::string_view label) const;
 };
 
 /// Effect of an announcement.
@@ -81,6 +87,10 @@
     /// Whether a task with @p need fits the total capacity of any known upstream.
     bool canEverRun(const Resources &need) const;
 
+    /// Whether a task with @p need fits the total capacity of an upstream with @p label that is neither
+    /// leaving nor without a lease at @p now.
+    bool canRun(TimePoint now, const Resources &need, std::string_view label) const;
+
     /// Whether a task with @p need fitted the capacity that any known upstream had in its incarnation.
     bool couldRunBefore(const Resources &need) const;
 
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -412,7 +412,7 @@
 GroupLoad GroupDispatcher::load(TimePoint now) const
 {
     const bool isOpen = !m_isClosed && !m_startDeadline && !m_isOverloaded;
-    GroupLoad load{m_options.group, m_options.fence, isOpen, 0, 0, {}, {}};
+    GroupLoad load{m_options.group, m_options.fence, isOpen};
     if (m_startDeadline)
         return load;
     for (const auto &[name, it] : m_pools) {
@@ -421,6 +421,10 @@
         load.waitingWork += it.waitingWork();
         for (auto &of : it.classHeadroom(now))
             load.classes.push_back({std::move(of.className), of.tasks, of.expectedWait, of.longestWait});
+        for (auto &of : it.labelHeadroom(now))
+            load.labels.push_back(
+                {name, std::move(of.label), of.freeTasks, of.parallelTasks, of.upstreams, of.waitingWork});
+        load.upstreams += it.servingUpstreams();
     }
     std::uint32_t reservedTasks = 0;
     for (const auto &[origin, it] : m_reservations)
@@ -429,6 +433,8 @@
     subtractReserved(load.freeTasks);
     for (auto &it : load.classes)
         subtractReserved(it.freeTasks);
+    for (auto &it : load.labels)
+        subtractReserved(it.freeTasks);
     return load;
 }
 
@@ -559,6 +565,17 @@
                        "dispatch: the deadline can't be met with the tasks already waiting",
                        now + closedRetryDelay});
         }
+        for (const auto id : dispatcher.takeUnsuitableJobs()) {
+            const auto job = m_jobs.find(id);
+            if (job == m_jobs.end() || job->second.isEnded)
+                continue;
+            const auto &label = job->second.routed.submission.constraints.requiredLabel;
+            refuseJob(now, id,
+                      {Reason::NoSuitableUpstream,
+                       "dispatch: the last upstream here with label \"" + label
+                           + "\" and room for the task is no longer in service",
+                       now + closedRetryDelay});
+        }
     }
 }
 
--- a/src/core/runs/jobrouter.cpp
+++ b/src/core/runs/jobrouter.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Citronpitch {
@@ -240,9 +241,9 @@
     open.callers.push_back(caller);
     m_byKey[open.key] = number;
     m_byCaller[caller] = number;
-    const auto groups = candidates(now, job.submission.className);
+    const auto groups = candidates(now, job);
     if (groups.empty()) {
-        answer(number, noGroupRefusal(now));
+        answer(number, noCandidateRefusal(now, job));
         return true;
     }
     open.latestStart = latestStart(now, groups, open.deadline);
@@ -252,7 +253,7 @@
         return true;
     }
     auto first = job.submission.tasks.begin();
-    const auto shares = split(groups, static_cast<std::uint32_t>(job.submission.tasks.size()));
+    const auto shares = split(groups, job);
     m_totals.splitJobs += shares.size() > 1 ? 1 : 0;
     for (const auto &it : shares) {
         auto part = job;
@@ -297,6 +298,9 @@
         if (answer.retryAt)
             part.refusals.retryAt =
                 std::min(part.refusals.retryAt.value_or(*answer.retryAt), *answer.retryAt);
+        // The part could not have waited there, so it may still wait in another group.
+        if (answer.reason == Reason::NoSuitableUpstream)
+            part.refusals.hasTriedToWait = false;
         if (!m_jobs.at(part.job).isStarted && placeAgain(now, part)) {
             ++m_totals.placedAfterRefusal;
             return;
@@ -385,10 +389,57 @@
 
 bool JobRouter::canServe() const
 {
-    return !candidates({}, {}).empty();
+    return !candidates({}, RoutedJob()).empty();
 }
 
-std::vector<JobRouter::Candidate> JobRouter::candidates(TimePoint now, const std::string &className) const
+Answer JobRouter::noCandidateRefusal(TimePoint now, const RoutedJob &job) const
+{
+    auto answer = noGroupRefusal(now);
+    if (!canServe())
+        return answer;
+    answer.reason = Reason::NoSuitableUpstream;
+    answer.detail =
+        "router: no upstream in service has label \"" + job.submission.constraints.requiredLabel + "\"";
+    answer.retryAt = jitteredRetryTime(now + noGroupRetryDelay, noGroupRetryDelay, job.submission);
+    return answer;
+}
+
+bool JobRouter::applyConstraints(const ReportedGroup &group, const RoutedJob &job, Candidate &candidate)
+{
+    const auto &label = job.submission.constraints.requiredLabel;
+    const auto limit = job.submission.constraints.maximumPerUpstream;
+    auto upstreams = group.load.upstreams;
+    if (!label.empty()) {
+        const auto &labels = group.load.labels;
+        const auto it = std::find_if(labels.begin(), labels.end(), [&](const auto &of) {
+            return of.label == label && of.pool == job.pool;
+        });
+        candidate.isLabelUnknown = it == labels.end();
+        if (!candidate.isLabelUnknown) {
+            if (it->upstreams == 0)
+                return false;
+            upstreams = it->upstreams;
+            // The upstreams with the label may be paused for a moment.
+            const auto parallel = std::max(it->parallelTasks, 1U);
+            const auto sent = group.sentByLabel.find(label);
+            const auto taken = sent == group.sentByLabel.end() ? 0 : sent->second;
+            const auto free = it->freeTasks - std::min(it->freeTasks, taken);
+            candidate.parallelTasks = std::min(candidate.parallelTasks, parallel);
+            candidate.startableTasks = std::min(candidate.startableTasks, free);
+            candidate.waitingWork = std::max(candidate.waitingWork, it->waitingWork);
+            candidate.classWait = std::max(candidate.classWait, it->waitingWork / parallel);
+        }
+    }
+    if (limit > 0 && upstreams > 0) {
+        const auto most = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+            std::uint64_t{limit} * upstreams, std::numeric_limits<std::uint32_t>::max()));
+        candidate.parallelTasks = std::min(candidate.parallelTasks, most);
+        candidate.startableTasks = std::min(candidate.startableTasks, most);
+    }
+    return true;
+}
+
+std::vector<JobRouter::Candidate> JobRouter::candidates(TimePoint now, const RoutedJob &job) const
 {
     std::vector<Candidate> list;
     std::vector<Candidate> silent;
@@ -413,16 +464,17 @@
         const auto ended = load.waitingWork > Duration() ? 0 : group.endedTasks;
         const auto taken = group.sentTasks - std::min(group.sentTasks, ended) + takenByOthers;
         const auto remaining = [taken](std::uint32_t slots) { return slots - std::min(slots, taken); };
-        Candidate candidate{it.group,         it.vm, it.fence, load.parallelTasks, remaining(load.freeTasks),
-                            load.waitingWork, {},    {}};
+        Candidate candidate{it.group,        it.vm, it.fence, load.parallelTasks, remaining(load.freeTasks),
+                            load.waitingWork};
         for (const auto &of : load.classes) {
-            if (of.className != className)
+            if (of.className != job.submission.className)
                 continue;
             candidate.startableTasks = remaining(of.freeTasks);
             candidate.classWait = std::max(of.expectedWait - age, Duration());
             candidate.longestWait = of.longestWait;
         }
-        (isSilent(now, vm->second) ? silent : list).push_back(std::move(candidate));
+        if (applyConstraints(group, job, candidate))
+            (isSilent(now, vm->second) ? silent : list).push_back(std::move(candidate));
     }
     return list.empty() ? silent : list;
 }
@@ -540,11 +592,17 @@
 }
 
 std::vector<JobRouter::Share> JobRouter::split(const std::vector<Candidate> &groups,
-                                               std::uint32_t tasks) const
+                                               const RoutedJob &job) const
 {
+    auto tasks = static_cast<std::uint32_t>(job.submission.tasks.size());
     if (const auto *withRoom = chooseWithRoom(groups, tasks))
         return {{withRoom, tasks}};
     const auto *whole = shortestWait(groups, tasks);
+    // A part that a group can't run could only be placed in a group without another part.
+    const bool isAnyLabelUnknown =
+        std::any_of(groups.begin(), groups.end(), [](const auto &it) { return it.isLabelUnknown; });
+    if (isAnyLabelUnknown)
+        return {{whole, tasks}};
     // No group can start the whole job immediately: each gets as many tasks as it has free slots, and the
     // group with the shortest expected wait gets the rest.
     std::vector<const Candidate *> byStartableTasks;
@@ -563,6 +621,10 @@
     }
     if (tasks == 0)
         return shares;
+    if (job.submission.constraints.maximumPerUpstream > 0) {
+        addRounds(shares, groups, tasks);
+        return shares;
+    }
     const auto known =
         std::find_if(shares.begin(), shares.end(), [&](const auto &it) { return it.candidate == whole; });
     if (known == shares.end())
@@ -572,6 +634,31 @@
     return shares;
 }
 
+void JobRouter::addRounds(std::vector<Share> &shares, const std::vector<Candidate> &groups,
+                          std::uint32_t tasks)
+{
+    const auto shareOf = [&](const Candidate &candidate) -> Share & {
+        const auto it = std::find_if(shares.begin(), shares.end(),
+                                     [&](const auto &share) { return share.candidate == &candidate; });
+        if (it != shares.end())
+            return *it;
+        shares.push_back({&candidate, 0});
+        return shares.back();
+    };
+    const auto load = [&](const Candidate &candidate) {
+        const auto it = std::find_if(shares.begin(), shares.end(),
+                                     [&](const auto &share) { return share.candidate == &candidate; });
+        const auto before = it == shares.end() ? 0 : it->tasks;
+        return static_cast<double>(before + 1) / candidate.parallelTasks;
+    };
+    for (; tasks > 0; --tasks) {
+        const auto next =
+            std::min_element(groups.begin(), groups.end(),
+                             [&](const auto &left, const auto &right) { return load(left) < load(right); });
+        ++shareOf(*next).tasks;
+    }
+}
+
 void JobRouter::sendPart(TimePoint now, std::uint64_t job, RoutedJob routed, const Candidate &to,
                          Refusals refusals)
 {
@@ -579,8 +666,12 @@
     routed.origin.number = number;
     routed.fence = to.fence;
     routed.isResent = false;
-    if (auto *group = findReport(to.vm, to.group))
-        group->sentTasks += static_cast<std::uint32_t>(routed.submission.tasks.size());
+    if (auto *group = findReport(to.vm, to.group)) {
+        const auto tasks = static_cast<std::uint32_t>(routed.submission.tasks.size());
+        group->sentTasks += tasks;
+        if (const auto &label = routed.submission.constraints.requiredLabel; !label.empty())
+            group->sentByLabel[label] += tasks;
+    }
     m_jobs.at(job).parts.insert(number);
     m_actions.emplace_back(SendJob{to.vm, to.group, routed});
     const auto resendInterval =
@@ -595,7 +686,7 @@
     const auto &job = m_jobs.at(part.job);
     if (now >= job.latestStart)
         return false;
-    auto groups = candidates(now, part.routed.submission.className);
+    auto groups = candidates(now, part.routed);
     // A group gets at most one part of a job.
     std::erase_if(groups, [&](const auto &it) {
         const auto refused = part.refusals.groups.find(it.group);
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -96,6 +96,12 @@
     executeActions();
 }
 
+void FleetEntry::unsupportedJobRefused(const std::string &peer, const std::string &key,
+                                       const std::string &field)
+{
+    logEvent(Event::JobNotSupported, {{"peer", peer}, {"key", key}, {"field", field}});
+}
+
 const WorkDeclaration *FleetEntry::declaration() const
 {
     return m_activeDeclaration.declaration();
--- a/src/fleet/fleetentry.h
+++ b/src/fleet/fleetentry.h
@@ -52,6 +52,11 @@
     /// Withdraws @p caller, which no longer waits for its answer.
     void cancel(CallerId caller);
 
+    /// Logs that job @p key of @p peer was refused without submit(), since @p field asks for what is not
+    /// supported.
+    static void unsupportedJobRefused(const std::string &peer, const std::string &key,
+                                      const std::string &field);
+
     /// The active declaration; null before the first.
     const WorkDeclaration *declaration() const;
 
--- a/src/fleet/fleetwire.cpp
+++ b/src/fleet/fleetwire.cpp
@@ -43,6 +43,8 @@
     to->set_reserve(from.reserve);
     to->set_fence(from.fence);
     to->set_is_resent(from.isResent);
+    to->set_required_label(from.submission.constraints.requiredLabel);
+    to->set_max_per_upstream(from.submission.constraints.maximumPerUpstream);
     const std::string *previous = nullptr;
     for (const auto &it : from.submission.tasks) {
         auto *task = to->add_tasks();
@@ -87,6 +89,7 @@
     to->set_is_gone(from.hasLeft);
     to->set_clock_ms(from.clockMs);
     to->set_age_us((now - arrivedAt).count());
+    to->mutable_labels()->Assign(upstream.labels.begin(), upstream.labels.end());
 }
 
 void toWire(TimePoint now, TimePoint arrivedAt, const FleetAnnouncement &from, wire::Renewal *to)
@@ -96,6 +99,7 @@
     to->set_sequence(from.sequence);
     to->set_clock_ms(from.clockMs);
     to->set_age_us((now - arrivedAt).count());
+    to->set_digest(from.digest());
 }
 
 void toWire(TimePoint now, const TaskCrash &from, wire::TaskCrash *to)
@@ -123,6 +127,16 @@
         if (it.longestWait)
             of->set_longest_wait_us(it.longestWait->count());
     }
+    for (const auto &it : from.labels) {
+        auto *of = to->add_labels();
+        of->set_pool(it.pool);
+        of->set_label(it.label);
+        of->set_free_tasks(it.freeTasks);
+        of->set_parallel(it.parallelTasks);
+        of->set_upstreams(it.upstreams);
+        of->set_waiting_us(it.waitingWork.count());
+    }
+    to->set_upstreams(from.upstreams);
 }
 
 std::optional<TaskCrash> fromWire(TimePoint now, const wire::TaskCrash &from)
@@ -147,6 +161,7 @@
     job.reserve = from.reserve();
     job.fence = from.fence();
     job.isResent = from.is_resent();
+    job.submission.constraints = {from.required_label(), from.max_per_upstream()};
     job.submission.key = from.key();
     job.submission.className = from.class_name();
     job.submission.deadline = now + durationOf(from.remaining_us());
@@ -192,6 +207,7 @@
     announcement.sequence = from.sequence();
     announcement.clockMs = from.clock_ms();
     announcement.hasLeft = from.is_gone();
+    upstream.labels.assign(from.labels().begin(), from.labels().end());
     return announcement;
 }
 
@@ -199,7 +215,8 @@
 {
     if (!isClock(from.clock_ms()))
         return std::nullopt;
-    return AnnouncementRenewal{from.name(), from.incarnation(), from.sequence(), from.clock_ms()};
+    return AnnouncementRenewal{from.name(), from.incarnation(), from.sequence(), from.clock_ms(),
+                               from.digest()};
 }
 
 TimePoint arrivalOf(TimePoint now, std::int64_t microseconds)
@@ -228,6 +245,10 @@
             of.longestWait = durationOf(it.longest_wait_us());
         load.classes.push_back(std::move(of));
     }
+    for (const auto &it : from.labels())
+        load.labels.push_back({it.pool(), it.label(), it.free_tasks(), it.parallel(), it.upstreams(),
+                               durationOf(it.waiting_us())});
+    load.upstreams = from.upstreams();
     return load;
 }
 
--- a/src/fleet/upstreamregistry.cpp
+++ b/src/fleet/upstreamregistry.cpp
@@ -44,6 +44,9 @@
     if (it == m_upstreams.end() || it->second.announcement.upstream.incarnation != renewal.incarnation)
         return false;
     auto renewed = it->second.announcement;
+    // What the upstream has announced since, such as other labels, has not arrived here.
+    if (renewal.sequence > renewed.sequence && renewal.digest != 0 && renewal.digest != renewed.digest())
+        return false;
     renewed.sequence = renewal.sequence;
     renewed.clockMs = renewal.clockMs;
     if (!renewed.upstream.leaving && !renewed.hasLeft)
--- a/src/fleet/upstreamregistry.h
+++ b/src/fleet/upstreamregistry.h
@@ -35,8 +35,8 @@
     /// Records @p announcement. Returns false if a newer one is known or the upstream has left.
     bool update(const FleetAnnouncement &announcement, TimePoint arrivedAt);
 
-    /// Renews the announcement of an upstream that did not change otherwise. Returns false if no upstream
-    /// with that name and incarnation is known; an older sequence number has no effect.
+    /// Renews the announcement of an upstream that did not change otherwise. Returns false, and renews
+    /// nothing, if the announcement that is renewed is not known; an older sequence number has no effect.
     bool renew(const AnnouncementRenewal &renewal, TimePoint arrivedAt);
 
     /// Applies the renewals of @p batch, which arrived at @p now, and calls @p renewed with each upstream
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -116,6 +116,12 @@
     EventDefinition{Event::CallerRequestRejected, EventSeverity::Warning,
                     "malformed request of a caller rejected", "peer error",
                     "The caller received the same error text; no task was run."},
+    EventDefinition{
+        Event::JobNotSupported, EventSeverity::Warning, "job refused: a field is not supported",
+        "peer key field",
+        "The job asks for what this program does not do. The caller was told the field; no task was "
+        "run. See the table in docs/design/constraints.md.",
+        requestRepeatLimitMultiplier},
     EventDefinition{Event::DocumentActivated, EventSeverity::Info, "declared document is active", "version",
                     "This VM uses this version from now on."},
     EventDefinition{Event::DocumentUnreadable, EventSeverity::Error, "can't decode the declared document",
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -41,6 +41,7 @@
     ClaimsRecovered = 450,
     ClaimStorageFailed = 451,
     CallerRequestRejected = 500,
+    JobNotSupported = 501,
     DocumentActivated = 600,
     DocumentUnreadable = 601,
     DocumentRejected = 602,
--- a/tests/integration/platformtest.cpp
+++ b/tests/integration/platformtest.cpp
@@ -27,16 +27,19 @@
 class PlatformTest : public testing::Test
 {
 protected:
-    explicit PlatformTest(const Json &settings = Json::object())
+    explicit PlatformTest(const Json &settings = Json::object(),
+                          const std::vector<std::string> &executorDomains = {"a", "b"},
+                          const std::vector<std::vector<std::string>> &executorLabels = {})
         : folder(std::filesystem::temp_directory_path()
                  / ("citronpitch-platform-" + std::to_string(getpid())))
         , fleet({std::string(CITRONPITCH_PROGRAMS) + "/citronpitch-platform",
                  folder,
                  {"a", "b", "a"},
                  {"a"},
-                 {"a", "b"},
+                 executorDomains,
                  false,
-                 settings})
+                 settings,
+                 executorLabels})
     {
         fleet.startExecutors();
     }
@@ -74,6 +77,23 @@
     PlatformFleet fleet;
 };
 
+/// Executors of two kinds, of which one is in each failure domain.
+class PlatformLabelTest : public PlatformTest
+{
+protected:
+    PlatformLabelTest()
+        : PlatformTest(Json::object(), {"a", "b", "a"}, {{"a", "r1"}, {"b", "r1"}, {"b", "r2"}})
+    {
+    }
+
+    HttpResponse submitStep(const std::string &id, unsigned tasks, const Json &fields)
+    {
+        auto job = platformJob(tasks);
+        job["Steps"][0].update(fields);
+        return submit(id, job);
+    }
+};
+
 /// Logs debug events.
 class PlatformTraceTest : public PlatformTest
 {
@@ -223,6 +243,25 @@
         [](const StepError &error) { return error.text(); }, [] { return std::string("unknown"); });
 }
 
+std::optional<Platform::ClientJob> parseJob(const Json &job)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<Platform::ClientJob>> {
+            HttpRequest request;
+            request.body = job.dump();
+            BOOST_LEAF_ASSIGN(auto parsed,
+                              Platform::parseJob(TimePoint(), jobId, QueueDeclaration(), request));
+            return std::optional(std::move(parsed));
+        },
+        [] { return std::optional<Platform::ClientJob>(); });
+}
+
+std::string unsupportedField(const Json &job)
+{
+    const auto parsed = parseJob(job);
+    return parsed ? parsed->unsupportedField : "unreadable";
+}
+
 std::string parseJobError(const Json &body, const std::string &clientTimeout = "1000")
 {
     HttpRequest request;
@@ -549,6 +588,50 @@
     EXPECT_EQ(fleet.executor(0).starts(), starts);
 }
 
+// Jobs that require a label ran on any executor (review/5).
+TEST_F(PlatformLabelTest, jobsRunOnlyOnExecutorsWithTheirLabel)
+{
+    ASSERT_TRUE(becomesReady());
+    ASSERT_TRUE(waitFor([&] {
+        return submitStep("00000000000000aa", 1, {{"RequiredLabel", "b"}}).status == 200;
+    }));
+    const auto starts = fleet.executor(0).starts();
+    unsigned completed = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto id = "00000000000001" + std::to_string(10 + i);
+        completed += submitStep(id, 3, {{"RequiredLabel", "b"}, {"MaxPerServer", 1 + i % 2}}).status == 200;
+    }
+    EXPECT_GT(completed, 0U);
+    EXPECT_EQ(fleet.executor(0).starts(), starts);
+    EXPECT_TRUE(waitFor([&] {
+        submitStep("00000000000000ab", 1, {{"RequiredLabel", "a"}});
+        return fleet.executor(0).starts() > starts;
+    }));
+}
+
+// What can't be served is refused at once, and its id leads to the cause.
+TEST_F(PlatformLabelTest, jobsThatNoExecutorMayTakeAreRefusedAtOnce)
+{
+    ASSERT_TRUE(becomesReady());
+    ASSERT_TRUE(waitFor([&] { return submit("00000000000000aa", platformJob(1)).status == 200; }));
+    const auto starts = fleet.starts();
+    const auto begin = std::chrono::steady_clock::now();
+    const auto refused = submitStep("00000000000000ab", 1, {{"RequiredLabel", "c"}});
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_NE(refused.body.find("label"), std::string::npos) << refused.body;
+    EXPECT_TRUE(std::any_of(refused.headers.begin(), refused.headers.end(),
+                            [](const auto &it) { return it.name == "Retry-After"; }));
+    const auto gang = submitStep("00000000000000ac", 2, {{"Gang", true}});
+    EXPECT_EQ(gang.status, 503);
+    EXPECT_NE(gang.body.find("Gang"), std::string::npos) << gang.body;
+    EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::milliseconds(1500));
+    EXPECT_EQ(fleet.starts(), starts);
+    EXPECT_TRUE(waitFor([&] {
+        const auto log = fleet.logOf(entry);
+        return log.find("00000000000000ab") != std::string::npos && log.find("E501") != std::string::npos;
+    }));
+}
+
 TEST(PlatformCodecTest, jobErrorsNameTheInvalidField)
 {
     EXPECT_EQ(parseJobError(platformJob(2)), "");
@@ -565,6 +648,62 @@
     EXPECT_NE(parseJobError(longSpec).find("4000"), std::string::npos);
 }
 
+// A job with a demand that is not met was accepted, and run without it (review/5 is one of them).
+TEST(PlatformCodecTest, everyFieldThatIsNotKeptIsRefusedByName)
+{
+    struct Field
+    {
+        const char *name;
+        Json value;
+        /// What the refusal names; empty if the job is served.
+        std::string refused;
+    };
+    const std::vector<Field> fields{
+        {"After", {0}, "Steps[0].After"},
+        {"Gang", true, "Steps[0].Gang"},
+        {"LongRunning", true, "Steps[0].LongRunning"},
+        {"TargetMs", 50, "Steps[0].TargetMs"},
+        {"Fills", true, "Steps[0].Fills"},
+        {"MayMiss", 1, "Steps[0].MayMiss"},
+        {"RepeatCount", 3, "Steps[0].RepeatCount"},
+        {"Gang", false, ""},
+        {"After", Json::array(), ""},
+        {"MayMiss", 0, ""},
+        {"SameRack", true, ""},
+        {"Affinity", "r1-3", ""},
+        {"Checkpointing", true, ""},
+        {"Speculative", true, ""},
+        {"Image", "i", ""},
+        {"RequiredLabel", "b", ""},
+        {"MaxPerServer", 2, ""},
+    };
+    for (const auto &it : fields) {
+        auto job = platformJob(1);
+        job["Steps"][0][it.name] = it.value;
+        EXPECT_EQ(unsupportedField(job), it.refused) << it.name << " " << it.value;
+    }
+    auto repeated = platformJob(1);
+    repeated["RepeatCount"] = 2;
+    EXPECT_EQ(unsupportedField(repeated), "RepeatCount");
+}
+
+TEST(PlatformCodecTest, constraintsOfAJobAreKept)
+{
+    auto job = platformJob(2);
+    job["Steps"][0]["RequiredLabel"] = "b";
+    job["Steps"][0]["MaxPerServer"] = 3;
+    const auto parsed = parseJob(job);
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(parsed->job.submission.constraints, (PlacementConstraints{"b", 3}));
+    job["Steps"][0]["RequiredLabel"] = 7;
+    EXPECT_NE(parseJobError(job).find("RequiredLabel"), std::string::npos);
+    job["Steps"][0]["RequiredLabel"] = std::string(257, 'b');
+    EXPECT_NE(parseJobError(job).find("256"), std::string::npos);
+    job["Steps"][0]["RequiredLabel"] = "b";
+    job["Steps"][0]["MaxPerServer"] = -1;
+    EXPECT_NE(parseJobError(job).find("MaxPerServer"), std::string::npos);
+}
+
 TEST(PlatformCodecTest, heartbeatErrorsNameTheInvalidField)
 {
     EXPECT_EQ(parseHeartbeatError("", {}), "");
--- a/tests/integration/upstreamregistrytest.cpp
+++ b/tests/integration/upstreamregistrytest.cpp
@@ -66,3 +66,19 @@
     EXPECT_EQ(known().announcement.sequence, 6U);
     EXPECT_TRUE(known().announcement.upstream.leaving);
 }
+
+// News in the same incarnation, such as other labels, that did not arrive must not be renewed away.
+TEST_F(UpstreamRegistryTest, renewalOfNewsThatDidNotArriveIsReported)
+{
+    auto relabelled = announcement;
+    relabelled.upstream.labels = {"b"};
+    EXPECT_FALSE(relabelled.isRenewalOf(announcement));
+    EXPECT_FALSE(registry.renew({"u0", 7, 6, 0, relabelled.digest()}, start + retention));
+    EXPECT_EQ(known().arrivedAt, start);
+    EXPECT_TRUE(registry.renew({"u0", 7, 6, 0, announcement.digest()}, start + retention));
+    relabelled.sequence = 7;
+    registry.update(relabelled, start + retention);
+    // Of a VM that has not heard of the news yet.
+    EXPECT_TRUE(registry.renew({"u0", 7, 6, 0, announcement.digest()}, start + retention));
+    EXPECT_EQ(known().announcement.upstream.labels, std::vector<std::string>{"b"});
+}
--- a/tests/support/fakeexecutor.cpp
+++ b/tests/support/fakeexecutor.cpp
@@ -114,7 +114,7 @@
                     {"Slots", 4},
                     {"State", m_isLeaving ? "draining" : "ready"},
                     {"Capacity", {{"Cpu", 4000}, {"MemMb", 4096}, {"Gpu", 0}}},
-                    {"Labels", {"a", "r1"}},
+                    {"Labels", m_plan.labels},
                     {"ClockMs", m_model.clockMs(now())},
                     {"Seq", ++m_sequence},
                     {"born", born()}};
--- a/tests/support/fakeexecutor.h
+++ b/tests/support/fakeexecutor.h
@@ -27,6 +27,7 @@
     std::vector<Endpoint> controls;
     /// Rate of its clock, in thousandths of real time.
     int clockRate = 1000;
+    std::vector<std::string> labels{"a", "r1"};
 };
 
 /**
--- a/tests/support/groupharness.cpp
+++ b/tests/support/groupharness.cpp
@@ -33,6 +33,7 @@
     it = std::make_unique<SimulatedUpstream>(m_now, options);
     it->onStarted = [this, name = options.name](const std::string &task) {
         ++starts[task];
+        checkLimit(name, task);
         if (crashesUnder[task] >= crashLimit)
             ++startsAfterCrashes[task];
         if (crashes && crashes(task))
@@ -74,6 +75,7 @@
     else
         announcement.upstream.slots = n;
     announcement.upstream.incarnation = model.incarnation();
+    announcement.upstream.labels = m_announcedLabels[name] = labels[name];
     announcement.upstream.leaseDeadline = m_now + lease;
     announcement.domain = "domain";
     announcement.pool = "pool";
@@ -127,6 +129,7 @@
     job.submission.className = "work";
     job.submission.deadline = m_now + timeout;
     job.submission.tasks.resize(tasks);
+    job.submission.constraints = m_constraints.try_emplace(key, constraints).first->second;
     job.age = age;
     m_dispatcher->submit(m_now, job);
     executeActions();
@@ -199,8 +202,30 @@
     }
 }
 
+void GroupHarness::checkLabel(const RunOrder &order)
+{
+    const auto &label = m_constraints[order.task.substr(0, order.task.rfind('.'))].requiredLabel;
+    const auto &announced = m_announcedLabels[order.upstream];
+    if (!label.empty() && std::find(announced.begin(), announced.end(), label) == announced.end())
+        ++misplacedStarts;
+}
+
+void GroupHarness::checkLimit(const std::string &upstream, const std::string &task)
+{
+    const auto job = task.substr(0, task.rfind('.') + 1);
+    const auto limit = m_constraints[job.substr(0, job.size() - 1)].maximumPerUpstream;
+    if (limit == 0 || m_strayRuns.contains({upstream, task}))
+        return;
+    std::uint32_t n = 0;
+    for (const auto &[running, run] : m_upstreams.at(upstream)->running())
+        n += running.starts_with(job) && !m_strayRuns.contains({upstream, running}) ? 1 : 0;
+    misplacedStarts += n > limit ? 1 : 0;
+}
+
 void GroupHarness::sendOrder(const RunOrder &order)
 {
+    if (order.kind == OrderKind::Start)
+        checkLabel(order);
     const auto draw = m_random() % thousand;
     const auto timeout = m_now + order.timeout;
     Event event{Event::Kind::Execute, m_fence, order, {}, true};
--- a/tests/support/groupharness.h
+++ b/tests/support/groupharness.h
@@ -55,6 +55,13 @@
     /// Announces another capacity of an upstream, which executes more all the same if its options say so.
     void setSlots(const std::string &name, std::uint32_t slots);
 
+    /// Labels that each upstream announces, from its next announcement on.
+    std::map<std::string, std::vector<std::string>> labels;
+    /// Constraints of the jobs that are submitted from now on.
+    PlacementConstraints constraints;
+    /// Start orders for upstreams without the label of their job, and starts beyond its limit per upstream.
+    unsigned misplacedStarts = 0;
+
     /// Whether upstreams announce processors instead of slots; a task needs one slot's worth.
     bool countsResources = false;
 
@@ -122,6 +129,8 @@
         bool isLate = false;
     };
 
+    void checkLabel(const RunOrder &order);
+    void checkLimit(const std::string &upstream, const std::string &task);
     FleetAnnouncement announcementOf(const std::string &name, Duration lease);
     void executeActions();
     void sendOrder(const RunOrder &order);
@@ -145,6 +154,9 @@
     /// Announced slots, where they are not the usual two.
     std::map<std::string, std::uint32_t> m_slots;
     std::map<std::string, bool> m_unreachable;
+    /// Labels as announced, and the constraints of each job by its key.
+    std::map<std::string, std::vector<std::string>> m_announcedLabels;
+    std::map<std::string, PlacementConstraints> m_constraints;
     /// Upstreams that a started task crashes, and when.
     std::map<std::string, TimePoint> m_crashing;
     /// When crashed upstreams are back.
--- a/tests/support/platformfleet.cpp
+++ b/tests/support/platformfleet.cpp
@@ -68,10 +68,11 @@
         }
         // Clocks of upstreams may be up to 2 % slow.
         const int clockRate = i % 2 == 0 ? 1000 : 980;
-        m_executors.push_back(std::make_unique<FakeExecutor>(
-            m_executorLoop,
-            FakeExecutorPlan{"i-" + std::to_string(i), m_plan.executorDomains[i], own, announced,
-                             controlEndpoints, clockRate}));
+        FakeExecutorPlan executorPlan{
+            "i-" + std::to_string(i), m_plan.executorDomains[i], own, announced, controlEndpoints, clockRate};
+        if (i < m_plan.executorLabels.size())
+            executorPlan.labels = m_plan.executorLabels[i];
+        m_executors.push_back(std::make_unique<FakeExecutor>(m_executorLoop, std::move(executorPlan)));
     }
     for (std::size_t i = 0; i < vms(); ++i)
         start(i, true);
--- a/tests/support/platformfleet.h
+++ b/tests/support/platformfleet.h
@@ -33,6 +33,8 @@
     bool hasProxies = false;
     /// Settings of all VMs in addition to those that the fleet needs.
     nlohmann::json settings = nlohmann::json::object();
+    /// Labels of each executor; those beyond the list have the usual ones.
+    std::vector<std::vector<std::string>> executorLabels;
 };
 
 /**
--- a/tests/unit/jobroutertest.cpp
+++ b/tests/unit/jobroutertest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
+
 using namespace Citronpitch;
 
 namespace {
@@ -558,3 +561,113 @@
     EXPECT_TRUE(isGroupEvacuated("a/4/1", {{"a", 3}}));
     EXPECT_FALSE(isGroupEvacuated("ab", {{"a", 3}}));
 }
+
+namespace {
+
+/// Reports that the upstreams of a group with label "b" can run @p parallel tasks at once, and are idle.
+GroupLoad loadWithLabel(const std::string &group, std::uint64_t fence, std::uint32_t parallel,
+                        std::uint32_t upstreams)
+{
+    GroupLoad load{group, fence, true, 100, 100, {}, {}};
+    load.labels = {{"", "b", parallel, parallel, upstreams, {}}};
+    load.upstreams = 8;
+    return load;
+}
+
+RoutedJob labelledJob(const std::string &key, std::size_t tasks, std::uint32_t limit = 0)
+{
+    auto job = jobOf(key, tasks);
+    job.submission.constraints = {"b", limit};
+    return job;
+}
+
+} // namespace
+
+// Load reports count tasks of the usual need, so a job went to a group of which no upstream may take it.
+TEST(JobRouterTest, jobGoesToAGroupWithItsLabel)
+{
+    auto router = routerWith(8, 8);
+    router.loadReported(start, "vm-a", {loadWithLabel("a", 1, 0, 0)});
+    router.loadReported(start, "vm-b", {loadWithLabel("b", 2, 4, 1)});
+    router.submit(start, 1, labelledJob("k", 4));
+    const auto sent = actionsOf<SendJob>(router.takeActions());
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].vm, "vm-b");
+    EXPECT_EQ(sent[0].job.submission.constraints.requiredLabel, "b");
+}
+
+// Reports come every 100 ms; the jobs in between went to the same few upstreams.
+TEST(JobRouterTest, sentTasksCountAgainstTheUpstreamsWithTheirLabel)
+{
+    auto router = routerWith(100, 100);
+    router.loadReported(start, "vm-a", {loadWithLabel("a", 1, 4, 1)});
+    router.loadReported(start, "vm-b", {loadWithLabel("b", 2, 4, 1)});
+    std::map<std::string, std::size_t> tasks;
+    for (int i = 0; i < 4; ++i) {
+        router.submit(start, static_cast<CallerId>(i), labelledJob("k" + std::to_string(i), 2));
+        for (const auto &it : actionsOf<SendJob>(router.takeActions()))
+            tasks[it.group] += it.job.submission.tasks.size();
+    }
+    EXPECT_EQ(tasks, (std::map<std::string, std::size_t>{{"a", 4}, {"b", 4}}));
+}
+
+TEST(JobRouterTest, jobIsNotRefusedWhileUpstreamsWithItsLabelArePaused)
+{
+    auto router = routerWith(8, 8);
+    router.loadReported(start, "vm-a", {loadWithLabel("a", 1, 0, 0)});
+    router.loadReported(start, "vm-b", {loadWithLabel("b", 2, 0, 1)});
+    router.submit(start, 1, labelledJob("k", 4));
+    const auto sent = actionsOf<SendJob>(router.takeActions());
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].group, "b");
+}
+
+TEST(JobRouterTest, jobIsRefusedAtOnceIfNoGroupHasItsLabel)
+{
+    auto router = routerWith(8, 8);
+    router.loadReported(start, "vm-a", {loadWithLabel("a", 1, 0, 0)});
+    router.loadReported(start, "vm-b", {loadWithLabel("b", 2, 0, 0)});
+    router.submit(start, 1, labelledJob("k", 4));
+    const auto actions = router.takeActions();
+    EXPECT_TRUE(actionsOf<SendJob>(actions).empty());
+    const auto answers = actionsOf<AnswerCaller>(actions);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].answer.reason, Reason::NoSuitableUpstream);
+    EXPECT_NE(answers[0].answer.detail.find("\"b\""), std::string::npos);
+    ASSERT_TRUE(answers[0].answer.retryAt);
+    EXPECT_LE(*answers[0].answer.retryAt, start + std::chrono::seconds(3));
+    // Such an upstream was added.
+    router.loadReported(start, "vm-b", {loadWithLabel("b", 2, 4, 1)});
+    router.submit(start, 2, labelledJob("l", 4));
+    EXPECT_EQ(actionsOf<SendJob>(router.takeActions()).size(), 1U);
+}
+
+// Until the groups have reported a label, one after the other is asked, also when none has free capacity.
+TEST(JobRouterTest, jobWithAnUnreportedLabelIsTriedInEveryGroup)
+{
+    auto router = routerWithGroups({0, 0, 0, 0});
+    router.submit(start, 1, labelledJob("k", 4));
+    std::set<std::string> groups;
+    for (auto sent = actionsOf<SendJob>(router.takeActions()); !sent.empty();
+         sent = actionsOf<SendJob>(router.takeActions())) {
+        ASSERT_EQ(sent.size(), 1U) << "the job is not split";
+        groups.insert(sent[0].group);
+        auto refused = answerOf(Outcome::Refused);
+        refused.reason = Reason::NoSuitableUpstream;
+        router.holderAnswered(start, sent[0].vm, sent[0].job.origin.number, refused);
+    }
+    EXPECT_EQ(groups.size(), 4U);
+}
+
+// The rest of a job that runs in several rounds went to one group, which needed most of them alone.
+TEST(JobRouterTest, roundsOfALimitedJobAreSpreadOverTheGroups)
+{
+    auto router = routerWith(8, 8);
+    router.loadReported(start, "vm-a", {loadWithLabel("a", 1, 20, 2)});
+    router.loadReported(start, "vm-b", {loadWithLabel("b", 2, 60, 6)});
+    router.submit(start, 1, labelledJob("k", 24, 1));
+    std::map<std::string, std::size_t> tasks;
+    for (const auto &it : actionsOf<SendJob>(router.takeActions()))
+        tasks[it.group] = it.job.submission.tasks.size();
+    EXPECT_EQ(tasks, (std::map<std::string, std::size_t>{{"a", 6}, {"b", 18}}));
+}
