What incomplete messages hold is bounded where bytes are read

What callers saw: clients that sent trailers without end behind a chunked body ended a process for want of memory, and with it the connections and jobs of ordinary callers.

Cause: limits on the parts of a message that were thought of, and none where bytes are read. Beast limits the header and the body; the buffer of a connection had no maximum, so everything that the parser can't use before its end was kept: trailers, one long trailer, the extension of a chunk. And the limits of a connection, times the connections allowed, exceed the memory of a machine: 16 KiB of header fields without a text take 350 KB. All listeners had the fault (callers, control port, readiness, metrics, citronpitchd), and the client had it for responses.

HeldBytes sums up what the incomplete requests and unread responses of a listener hold; beyond maximumIncompleteBytes the largest is given up, so ordinary requests are read while others fill the memory. That includes bodies that are announced and don't come. Refusals are logged as E502 and counted by listener and limit.

--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -58,7 +58,8 @@
 
 FleetControl::FleetControl(boost::asio::io_context &io, const FleetSettings &settings,
                            FleetControlHooks hooks)
-    : m_activeDeclaration(std::move(hooks.parse))
+    : m_collectListeners(std::move(hooks.collect))
+    , m_activeDeclaration(std::move(hooks.parse))
     , m_settings(settings)
     , m_registry(settings.announcementInterval * retentionAnnouncementIntervals)
     , m_relay(relayInterval)
@@ -637,6 +638,8 @@
 {
     m_groups.collect(metrics);
     m_member.collect(metrics);
+    if (m_collectListeners)
+        m_collectListeners(metrics);
 }
 
 } // namespace Citronpitch
--- a/src/fleet/fleetcontrol.h
+++ b/src/fleet/fleetcontrol.h
@@ -34,6 +34,8 @@
     std::function<void(const RunOrder &order, std::function<void(const OrderResult &)> ended)> sendOrder;
     /// Returns the name under which a task runs on its upstream.
     std::function<std::string(const std::string &key, std::uint32_t task)> nameTask;
+    /// Adds the metrics of the owner's listeners at a scrape; may be empty.
+    std::function<void(Metrics &)> collect;
 };
 
 /**
@@ -146,6 +148,7 @@
     void sendRegistry(const std::string &vm, const citronpitch::wire::fleet::RegistryRequest &request);
     void collect(Metrics &metrics) const;
 
+    std::function<void(Metrics &)> m_collectListeners;
     ActiveDeclaration m_activeDeclaration;
     FleetSettings m_settings;
     UpstreamRegistry m_registry;
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -49,6 +49,7 @@
 FleetEntry::FleetEntry(boost::asio::io_context &io, const FleetSettings &settings, FleetEntryHooks hooks)
     : m_io(io)
     , m_settings(settings)
+    , m_collectListeners(std::move(hooks.collect))
     , m_activeDeclaration(std::move(hooks.parse))
     , m_router(routerOptionsOf(settings))
     , m_registry(settings.announcementInterval * retentionAnnouncementIntervals)
@@ -354,6 +355,8 @@
     metrics.setTotal(Metric::JobsSplit, {"started"}, totals.startedSplitJobs);
     m_groups.collect(metrics);
     m_member.collect(metrics);
+    if (m_collectListeners)
+        m_collectListeners(metrics);
 }
 
 void FleetEntry::answer(const WaitingCaller &caller, const Answer &answer)
--- a/src/fleet/fleetentry.h
+++ b/src/fleet/fleetentry.h
@@ -30,6 +30,8 @@
     std::function<void(const RunOrder &order, std::function<void(const OrderResult &)> ended)> sendOrder;
     /// Returns the name under which a task runs on its upstream.
     std::function<std::string(const std::string &key, std::uint32_t task)> nameTask;
+    /// Adds the metrics of the owner's listeners at a scrape; may be empty.
+    std::function<void(Metrics &)> collect;
 };
 
 /// Receives the only answer to a caller's job.
@@ -105,6 +107,7 @@
 
     boost::asio::io_context &m_io;
     FleetSettings m_settings;
+    std::function<void(Metrics &)> m_collectListeners;
     ActiveDeclaration m_activeDeclaration;
     JobRouter m_router;
     /// Upstreams of the groups that this VM holds.
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -122,6 +122,12 @@
         "The job asks for what this program does not do. The caller was told the field; no task was "
         "run. See the table in docs/design/constraints.md.",
         requestRepeatLimitMultiplier},
+    EventDefinition{
+        Event::RequestTooLarge, EventSeverity::Warning, "request refused while it was read", "peer limit",
+        "An incomplete request exceeded a limit; nothing of it was handled, and its connection was "
+        "closed. `limit`: header, trailers, body, bodiesInAll, incompleteInAll or readTime. "
+        "`incompleteInAll`: all connections together held too much, and this one most. See "
+        "docs/OPERATIONS.md."},
     EventDefinition{Event::DocumentActivated, EventSeverity::Info, "declared document is active", "version",
                     "This VM uses this version from now on."},
     EventDefinition{Event::DocumentUnreadable, EventSeverity::Error, "can't decode the declared document",
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -42,6 +42,7 @@
     ClaimStorageFailed = 451,
     CallerRequestRejected = 500,
     JobNotSupported = 501,
+    RequestTooLarge = 502,
     DocumentActivated = 600,
     DocumentUnreadable = 601,
     DocumentRejected = 602,
--- a/src/log/metrics.cpp
+++ b/src/log/metrics.cpp
@@ -79,6 +79,9 @@
     MetricDefinition{Metric::ConfigurationLogEntries, MetricKind::Gauge,
                      "citronpitch_configuration_log_entries", "",
                      "Entries of the replicated log after its snapshot."},
+    MetricDefinition{
+        Metric::RequestsRefused, MetricKind::Counter, "citronpitch_requests_refused_total", "listener limit",
+        "Requests that were refused before they were read whole, by the limit that they exceeded."},
 };
 
 /// Bounds of the histogram buckets: the lower one of the first bucket, then the upper ones, from the duration
--- a/src/log/metrics.h
+++ b/src/log/metrics.h
@@ -42,6 +42,7 @@
     ConfigurationIsLeader,
     ConfigurationVoters,
     ConfigurationLogEntries,
+    RequestsRefused,
 };
 
 enum class MetricKind {
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -279,6 +279,13 @@
     armTimer();
 }
 
+void HttpClient::hold(HttpConnection &connection, std::uint64_t bytes)
+{
+    m_held.set(&connection, bytes);
+    while (m_held.total() > m_limits.maximumIncompleteBytes)
+        m_held.largest()->close();
+}
+
 void HttpClient::connectionOpened()
 {
     --m_opening;
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -2,6 +2,7 @@
 
 #include "citronpitch/eventlooplag.h"
 #include "citronpitch/timepoint.h"
+#include "net/heldbytes.h"
 #include "net/httptypes.h"
 #include "settings/settings.h"
 
@@ -80,6 +81,10 @@
     std::size_t maximumOpening = unlimited;
     /// Exchanges that wait for a connection; further ones end as Limited at once.
     std::size_t maximumWaiting = unlimited;
+    /// Size of the body of a response; a larger one ends as Incomplete.
+    std::uint64_t maximumResponseBytes = std::uint64_t{64} << 20;
+    /// Memory that the responses that are being read hold together. Beyond it the largest ends as Incomplete.
+    std::uint64_t maximumIncompleteBytes = std::uint64_t{256} << 20;
 };
 
 /**
@@ -152,12 +157,16 @@
 
     /// Called by HttpConnection.
     void connectionOpened();
+    /// Sets what the incomplete response on @p connection holds, and closes the connections with the largest
+    /// ones until the rest is within the limit.
+    void hold(HttpConnection &connection, std::uint64_t bytes);
     void exchangeFinished(const std::shared_ptr<HttpConnection> &connection, ExchangeId exchange,
                           const ExchangeHandler &handler, const ClientResponse &response);
     void connectionClosed(const std::shared_ptr<HttpConnection> &connection, bool wasOpening);
 
     boost::asio::io_context &m_io;
     HttpClientLimits m_limits;
+    HeldBytes<HttpConnection> m_held;
     std::map<Endpoint, Peer> m_peers;
     std::map<ExchangeId, std::shared_ptr<HttpConnection>> m_active;
     std::map<ExchangeId, WaitingExchange> m_waiting;
--- a/src/net/httpconnection.cpp
+++ b/src/net/httpconnection.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-constexpr std::uint64_t maximumResponseBytes = std::uint64_t{64} << 20;
+constexpr std::uint32_t maximumHeaderBytes = 8 << 10;
+/// What is held of a response beside its body: the header, the line before a chunk, or the trailers.
+constexpr std::size_t maximumBufferBytes = std::size_t{24} << 10;
+constexpr std::size_t maximumReadBytes = std::size_t{16} << 10;
 constexpr Duration connectTimeout = std::chrono::seconds(1);
 /// Limits by how much a peer can extend an exchange that sends its response piece by piece.
 constexpr int maximumExtensions = 10;
@@ -20,6 +23,7 @@
 HttpConnection::HttpConnection(HttpClient &client, boost::asio::io_context &io, Endpoint endpoint)
     : m_client(&client)
     , m_stream(io)
+    , m_buffer(maximumBufferBytes)
     , m_endpoint(std::move(endpoint))
 {
 }
@@ -143,16 +147,54 @@
 void HttpConnection::read()
 {
     m_parser.emplace();
-    m_parser->body_limit(maximumResponseBytes);
-    http::async_read(m_stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](beast::error_code ec, std::size_t) {
-                         if (self->m_isClosed)
-                             return;
-                         if (ec)
-                             self->close();
-                         else
-                             self->handleResponse();
-                     });
+    m_parser->header_limit(maximumHeaderBytes);
+    m_parser->body_limit(m_client->m_limits.maximumResponseBytes);
+    if (m_buffer.size() > 0)
+        parse();
+    else
+        readMore();
+}
+
+void HttpConnection::readMore()
+{
+    const auto room = beast::read_size(m_buffer, maximumReadBytes);
+    if (room == 0) {
+        close();
+        return;
+    }
+    m_stream.async_read_some(m_buffer.prepare(room),
+                             [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                                 if (self->m_isClosed)
+                                     return;
+                                 // A response without a length ends with the connection.
+                                 if (ec == boost::asio::error::eof && self->m_parser->got_some())
+                                     self->m_parser->put_eof(ec);
+                                 if (ec) {
+                                     self->close();
+                                     return;
+                                 }
+                                 self->m_buffer.commit(n);
+                                 self->parse();
+                             });
+}
+
+void HttpConnection::parse()
+{
+    beast::error_code ec;
+    while (!m_parser->is_done() && m_buffer.size() > 0 && !ec)
+        m_buffer.consume(m_parser->put(m_buffer.data(), ec));
+    if (ec && ec != http::error::need_more) {
+        close();
+        return;
+    }
+    if (m_parser->is_done()) {
+        handleResponse();
+        return;
+    }
+    const auto self = shared_from_this();
+    m_client->hold(*this, m_buffer.capacity() + m_parser->get().body().capacity());
+    if (!m_isClosed)
+        readMore();
 }
 
 void HttpConnection::handleResponse()
@@ -182,6 +224,8 @@
     const auto exchange = std::exchange(m_exchange, 0);
     const auto handler = std::exchange(m_handler, nullptr);
     const auto self = shared_from_this();
+    m_client->hold(*this, 0);
+    m_parser.reset();
     if (keepAlive) {
         watchForRemoteClose();
     } else {
--- a/src/net/httpconnection.h
+++ b/src/net/httpconnection.h
@@ -45,6 +45,9 @@
     void connect();
     void write();
     void read();
+    void readMore();
+    /// Parses what has arrived, and reads on or handles the response.
+    void parse();
     void handleResponse();
     void watchForRemoteClose();
     void finishExchange(const ClientResponse &response, bool keepAlive);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "net/httpserver.h"
 
+#include "log/eventlog.h"
+#include "log/metrics.h"
 #include "net/httpsession.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -130,9 +132,37 @@
     const auto it = m_connectionsPerAddress.find(session->remoteAddress());
     if (it != m_connectionsPerAddress.end() && --it->second == 0)
         m_connectionsPerAddress.erase(it);
+    m_held.set(session.get(), 0);
     m_sessions.erase(session);
 }
 
+void HttpServer::collect(Metrics &metrics, const std::string &listener) const
+{
+    for (const auto &[limit, n] : m_refused)
+        metrics.setTotal(Metric::RequestsRefused, {listener, std::string(enumName(requestLimitNames, limit))},
+                         n);
+}
+
+bool HttpServer::hold(HttpSession &session, std::uint64_t bytes)
+{
+    m_held.set(&session, bytes);
+    while (m_held.total() > m_limits.maximumIncompleteBytes) {
+        auto *largest = m_held.largest();
+        m_held.set(largest, 0);
+        if (largest == &session)
+            return false;
+        largest->giveUp();
+    }
+    return true;
+}
+
+void HttpServer::recordRefusal(const std::string &address, RequestLimit limit)
+{
+    ++m_refused[limit];
+    logEvent(Event::RequestTooLarge,
+             {{"peer", address}, {"limit", std::string(enumName(requestLimitNames, limit))}});
+}
+
 bool HttpServer::reserveBodyBytes(std::uint64_t bytes)
 {
     if (m_bodyBytes + bytes > m_limits.maximumBodyBytesInAll)
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "citronpitch/nametable.h"
+
+#include "net/heldbytes.h"
 #include "net/httptypes.h"
 #include "settings/settings.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -16,12 +20,25 @@
 namespace Citronpitch {
 
 class HttpSession;
+class Metrics;
+
+/// Limits whose excess ends the reading of a request.
+enum class RequestLimit { Header, Trailers, Body, BodiesInAll, IncompleteInAll, ReadTime };
+
+inline constexpr std::array requestLimitNames{
+    EnumName<RequestLimit>{RequestLimit::Header, "header"},
+    EnumName<RequestLimit>{RequestLimit::Trailers, "trailers"},
+    EnumName<RequestLimit>{RequestLimit::Body, "body"},
+    EnumName<RequestLimit>{RequestLimit::BodiesInAll, "bodiesInAll"},
+    EnumName<RequestLimit>{RequestLimit::IncompleteInAll, "incompleteInAll"},
+    EnumName<RequestLimit>{RequestLimit::ReadTime, "readTime"},
+};
 
 /**
  * @brief Accepts HTTP/1.1 connections on one address and passes each request to a handler.
  *
- * Enforces the limits on body size, header size, number of connections and idle time. Used by Daemon for
- * callers, upstreams and operators, and by the fake upstream.
+ * Enforces the limits on body size, header size, memory of incomplete requests, number of connections and
+ * idle time. Used by Daemon for callers, upstreams and operators, and by the fake upstream.
  */
 class HttpServer
 {
@@ -49,6 +66,10 @@
     /// Returns the number of open connections.
     std::size_t connectionCount() const;
 
+    /// Adds the number of requests that were refused before they were read whole, with @p listener as the
+    /// name of this server.
+    void collect(Metrics &metrics, const std::string &listener) const;
+
 private:
     friend class HttpSession;
 
@@ -57,6 +78,10 @@
     void acceptPending();
     std::optional<HttpResponse> rejectionFor(const std::string &address) const;
     void remove(const std::shared_ptr<HttpSession> &session);
+    /// Sets what the incomplete request or the response of @p session holds, and gives up the largest ones of
+    /// all sessions until the rest is within the limit. Returns false if that of @p session is one of them.
+    bool hold(HttpSession &session, std::uint64_t bytes);
+    void recordRefusal(const std::string &address, RequestLimit limit);
     bool reserveBodyBytes(std::uint64_t bytes);
     void releaseBody(std::uint64_t bytes);
 
@@ -68,6 +93,8 @@
     std::set<std::shared_ptr<HttpSession>> m_sessions;
     std::map<std::string, std::uint32_t> m_connectionsPerAddress;
     std::uint64_t m_bodyBytes = 0;
+    HeldBytes<HttpSession> m_held;
+    std::map<RequestLimit, std::uint64_t> m_refused;
     bool m_isClosingAfterResponse = false;
     bool m_isDraining = false;
 };
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -5,7 +5,9 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <iterator>
 
 namespace Citronpitch {
 
@@ -15,6 +17,23 @@
 namespace {
 
 constexpr std::size_t initialReadBytes = 4096;
+constexpr std::size_t maximumReadBytes = std::size_t{16} << 10;
+/// Room for the line before a chunk, or for a part of a body, beside a header or trailers of the maximum
+/// size.
+constexpr std::size_t lineBytes = std::size_t{8} << 10;
+/// Memory of a parsed header field beside its text, which is small in a header of many fields.
+constexpr std::uint64_t bytesPerField = 128;
+
+constexpr int statusBadRequest = 400;
+constexpr int statusTimeout = 408;
+constexpr int statusBodyTooLarge = 413;
+constexpr int statusHeaderTooLarge = 431;
+constexpr int statusUnavailable = 503;
+
+HttpResponse errorResponse(int status, const std::string &cause)
+{
+    return {status, R"({"error":"read request: )" + cause + "\"}", {}};
+}
 
 } // namespace
 
@@ -67,11 +86,20 @@
     m_parser.emplace();
     m_parser->header_limit(limits.maximumHeaderBytes);
     m_parser->body_limit(limits.maximumBodyBytes);
+    m_isHeaderAccepted = false;
+    m_headerBytes = 0;
+    // Of an incomplete request the buffer holds what the parser can't use yet: the header, the line before a
+    // chunk, or the trailers.
+    m_buffer.max_size(std::max<std::size_t>(limits.maximumHeaderBytes + lineBytes, m_buffer.size()));
     // The idle timeout applies until the first byte arrives, the read timeout to the rest of the request.
     if (m_buffer.size() > 0) {
-        readHeader();
+        startReadTimer();
+        parse();
         return;
     }
+    // An idle connection keeps no large buffer.
+    if (m_buffer.capacity() > initialReadBytes)
+        m_buffer.shrink_to_fit();
     m_stream.expires_after(limits.idleTimeout);
     m_stream.async_read_some(m_buffer.prepare(initialReadBytes),
                              [self = shared_from_this()](beast::error_code ec, std::size_t n) {
@@ -82,28 +110,40 @@
                                      return;
                                  }
                                  self->m_buffer.commit(n);
-                                 self->readHeader();
+                                 self->startReadTimer();
+                                 self->parse();
                              });
 }
 
-void HttpSession::readHeader()
+void HttpSession::readMore()
 {
-    m_hasRequestInProgress = true;
-    m_stream.expires_never();
-    startReadTimer();
-    http::async_read_header(m_stream, m_buffer, *m_parser,
-                            [self = shared_from_this()](beast::error_code ec, std::size_t) {
-                                if (self->m_isClosed)
-                                    return;
-                                if (ec)
-                                    self->handleReadError(ec);
-                                else
-                                    self->readBody();
-                            });
+    const auto room = beast::read_size(m_buffer, maximumReadBytes);
+    if (room == 0) {
+        refuse(RequestLimit::Trailers, statusHeaderTooLarge,
+               "the trailers or the line of a chunk are too long");
+        return;
+    }
+    m_stream.async_read_some(m_buffer.prepare(room),
+                             [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                                 if (self->m_isClosed)
+                                     return;
+                                 if (self->m_isGivenUp) {
+                                     self->refuse(RequestLimit::IncompleteInAll, statusUnavailable,
+                                                  "too many bytes of incomplete requests; retry later");
+                                     return;
+                                 }
+                                 if (ec) {
+                                     self->handleReadError(ec);
+                                     return;
+                                 }
+                                 self->m_buffer.commit(n);
+                                 self->parse();
+                             });
 }
 
 void HttpSession::startReadTimer()
 {
+    m_stream.expires_never();
     m_readTimer.expires_after(m_server->m_limits.readTimeout);
     m_readTimer.async_wait([self = shared_from_this()](beast::error_code ec) {
         if (ec || self->m_isClosed)
@@ -113,56 +153,84 @@
     });
 }
 
-void HttpSession::readBody()
+void HttpSession::parse()
 {
-    if (m_rejection) {
-        write(*m_rejection, false);
+    m_hasRequestInProgress = true;
+    beast::error_code ec;
+    while (!m_parser->is_done() && m_buffer.size() > 0 && !ec) {
+        m_buffer.consume(m_parser->put(m_buffer.data(), ec));
+        if (!ec && m_parser->is_header_done() && !std::exchange(m_isHeaderAccepted, true) && !acceptHeader())
+            return;
+    }
+    if (ec && ec != http::error::need_more) {
+        handleReadError(ec);
         return;
     }
-    m_bodyBytes = m_parser->content_length().value_or(m_server->m_limits.maximumBodyBytes);
-    if (m_parser->is_done())
-        m_bodyBytes = 0;
-    if (!m_server->reserveBodyBytes(m_bodyBytes)) {
-        m_bodyBytes = 0;
-        write({503,
-               R"({"error":"read request: too many request body bytes in flight; retry later"})",
-               {{"Retry-After", "1"}}},
-              false);
+    if (!m_server->hold(*this, heldBytes())) {
+        refuse(RequestLimit::IncompleteInAll, statusUnavailable,
+               "too many bytes of incomplete requests; retry later");
         return;
     }
-    if (m_parser->is_done()) {
+    if (m_parser->is_done())
         handle();
+    else
+        readMore();
+}
+
+bool HttpSession::acceptHeader()
+{
+    if (m_rejection) {
+        write(*m_rejection, false);
+        return false;
+    }
+    const auto &message = m_parser->get();
+    m_headerBytes = static_cast<std::uint64_t>(std::distance(message.begin(), message.end())) * bytesPerField;
+    // The bytes of a body of unknown length count as they arrive, in hold().
+    m_bodyBytes = m_parser->is_done() ? 0 : m_parser->content_length().value_or(0);
+    if (m_server->reserveBodyBytes(m_bodyBytes))
+        return true;
+    m_bodyBytes = 0;
+    refuse(RequestLimit::BodiesInAll, statusUnavailable,
+           "too many request body bytes in flight; retry later");
+    return false;
+}
+
+std::uint64_t HttpSession::heldBytes() const
+{
+    // What a request has reserved keeps others out, also while nothing of it arrives.
+    const auto body = std::max<std::uint64_t>(m_parser->get().body().capacity(), m_bodyBytes);
+    return m_buffer.capacity() + body + m_headerBytes;
+}
+
+void HttpSession::giveUp()
+{
+    if (m_isWriting) {
+        close();
         return;
     }
-    http::async_read(m_stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](beast::error_code ec, std::size_t) {
-                         if (self->m_isClosed)
-                             return;
-                         if (ec)
-                             self->handleReadError(ec);
-                         else
-                             self->handle();
-                     });
+    m_isGivenUp = true;
+    m_stream.cancel();
 }
 
 void HttpSession::handle()
 {
     m_readTimer.cancel();
+    m_server->hold(*this, 0);
     if (m_server->m_abandoned == AbandonedRequests::Dropped && isClosedByRemote()) {
         close();
         return;
     }
-    const auto message = m_parser->release();
+    auto message = m_parser->release();
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.remoteAddress = m_remoteAddress;
     for (const auto &it : message)
         request.headers.push_back({std::string(it.name_string()), std::string(it.value())});
-    request.body = message.body();
+    request.body = std::move(message.body());
     m_isClosingAfterResponse = m_isClosingAfterResponse || !message.keep_alive();
     releaseBody();
     if (!parseTarget({message.target().data(), message.target().size()}, request)) {
-        write({400, R"({"error":"read request: malformed request target"})", {}}, false);
+        write(errorResponse(statusBadRequest, "malformed request target"), false);
         return;
     }
     const auto number = ++m_requestNumber;
@@ -212,15 +280,27 @@
         close();
         return;
     }
-    int status = 400;
     if (m_isReadTimedOut)
-        status = 408;
+        refuse(RequestLimit::ReadTime, statusTimeout, "timed out waiting for the request");
     else if (ec == http::error::body_limit)
-        status = 413;
+        refuse(RequestLimit::Body, statusBodyTooLarge, ec.message());
     else if (ec == http::error::header_limit)
-        status = 431;
-    const std::string cause = m_isReadTimedOut ? "timed out waiting for the request" : ec.message();
-    write({status, R"({"error":"read request: )" + cause + "\"}", {}}, false);
+        refuse(RequestLimit::Header, statusHeaderTooLarge, ec.message());
+    else
+        write(errorResponse(statusBadRequest, ec.message()), false);
+}
+
+void HttpSession::refuse(RequestLimit limit, int status, const std::string &cause)
+{
+    m_server->recordRefusal(m_remoteAddress, limit);
+    auto response = errorResponse(status, cause);
+    if (status == statusUnavailable)
+        response.headers.push_back({"Retry-After", "1"});
+    // Nothing more of the request is kept while the response is written.
+    m_parser.reset();
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    write(std::move(response), false);
 }
 
 void HttpSession::write(HttpResponse response, bool keepAlive)
@@ -228,6 +308,9 @@
     releaseBody();
     m_readTimer.cancel();
     m_hasRequestInProgress = true;
+    m_isWriting = true;
+    // The response is held until the remote side has read it, or the write times out.
+    m_server->hold(*this, response.body.capacity());
     m_response = Response(static_cast<http::status>(response.status), 11);
     m_response.set(http::field::content_type, response.contentType);
     for (const auto &it : response.headers)
@@ -241,6 +324,9 @@
                           if (self->m_isClosed)
                               return;
                           self->m_hasRequestInProgress = false;
+                          self->m_isWriting = false;
+                          self->m_server->hold(*self, 0);
+                          self->m_response = {};
                           if (ec || !keepAlive || self->m_isClosingAfterResponse)
                               self->close();
                           else
--- a/src/net/httpsession.h
+++ b/src/net/httpsession.h
@@ -14,6 +14,7 @@
 namespace Citronpitch {
 
 class HttpServer;
+enum class RequestLimit;
 
 /**
  * @brief Connection of HttpServer: reads requests one at a time and writes the response of each.
@@ -37,6 +38,10 @@
 
     const std::string &remoteAddress() const;
 
+    /// Refuses the request that is being read, or closes the connection if its response is being written,
+    /// since all connections together hold too much.
+    void giveUp();
+
     /// Closes the connection without notifying the server, which is being destroyed.
     void detach();
 
@@ -45,14 +50,22 @@
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
     void read();
-    void readHeader();
+    /// Reads on, as far as the limit of what may be held allows.
+    void readMore();
     void startReadTimer();
-    void readBody();
+    /// Parses what has arrived, and reads on or handles the request.
+    void parse();
+    /// Handles the end of the header. Returns false if the request was answered.
+    bool acceptHeader();
+    /// Memory that the request takes until it is handed on.
+    std::uint64_t heldBytes() const;
     void handle();
     bool isClosedByRemote();
     void watchForRemoteClose();
     void respond(HttpResponse response);
     void handleReadError(boost::beast::error_code ec);
+    /// Answers a request that exceeds @p limit and closes the connection.
+    void refuse(RequestLimit limit, int status, const std::string &cause);
     void write(HttpResponse response, bool keepAlive);
     void releaseBody();
     void close();
@@ -70,10 +83,16 @@
     DisconnectHandler m_onDisconnect;
     /// Number of the current request, to ignore a repeated or late call of its responder.
     std::uint64_t m_requestNumber = 0;
-    /// Bytes reserved for the request body in the server's total limit: the content length, or the maximum
-    /// body size if the request does not state one.
+    /// Bytes reserved for the request body in the server's total limit: the content length, if the request
+    /// states one.
     std::uint64_t m_bodyBytes = 0;
+    /// Memory of the fields of the header.
+    std::uint64_t m_headerBytes = 0;
+    bool m_isHeaderAccepted = false;
     bool m_hasRequestInProgress = false;
+    bool m_isWriting = false;
+    /// Refused by giveUp() while it is being read.
+    bool m_isGivenUp = false;
     bool m_isReadTimedOut = false;
     bool m_isClosingAfterResponse = false;
     bool m_isClosed = false;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -44,6 +44,7 @@
     HttpLimits limits;
     limits.maximumBodyBytes = from.at("maximumBodyBytes").get<std::uint64_t>();
     limits.maximumBodyBytesInAll = from.at("maximumBodyBytesInAll").get<std::uint64_t>();
+    limits.maximumIncompleteBytes = from.at("maximumIncompleteBytes").get<std::uint64_t>();
     limits.maximumHeaderBytes = from.at("maximumHeaderBytes").get<std::uint32_t>();
     limits.maximumConnections = from.at("maximumConnections").get<std::uint32_t>();
     limits.maximumConnectionsPerAddress = from.at("maximumConnectionsPerAddress").get<std::uint32_t>();
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -50,6 +50,9 @@
     std::uint32_t maximumConnectionsPerAddress = 0;
     Duration idleTimeout{};
     Duration readTimeout{};
+    /// Limit on the memory that all incomplete requests, with headers, bodies and trailers, and all responses
+    /// that were not read yet hold together. Beyond it the largest of them is given up.
+    std::uint64_t maximumIncompleteBytes = std::uint64_t{256} << 20;
 };
 
 /// Content of a settings file with all defaults.
--- a/src/settings/settingspec.cpp
+++ b/src/settings/settingspec.cpp
@@ -60,8 +60,14 @@
                 Reload::Signal,
                 "Maximum total size of the request bodies that are being read at the same time; a request "
                 "beyond it gets status 503."},
+    SettingSpec{
+        "limits.maximumIncompleteBytes", Kind::Number, "268435456", 65'536, 1'099'511'627'776, "bytes",
+        Reload::Signal,
+        "Maximum memory that incomplete requests and unread responses of all connections hold together; "
+        "beyond it the largest request gets status 503, or the largest response is cut off."},
     SettingSpec{"limits.maximumHeaderBytes", Kind::Number, "16384", 1024, 1'048'576, "bytes", Reload::Signal,
-                "Maximum size of a request header; a larger one gets status 431."},
+                "Maximum size of a request header, and of the trailers of a chunked request; larger ones get "
+                "status 431."},
     SettingSpec{"limits.maximumConnections", Kind::Number, "10000", 1, 1'000'000, "connections",
                 Reload::Signal, "Maximum number of open connections; further ones are rejected."},
     SettingSpec{"limits.maximumConnectionsPerAddress", Kind::Number, "4000", 1, 1'000'000, "connections",
--- a/tests/integration/httpclienttest.cpp
+++ b/tests/integration/httpclienttest.cpp
@@ -2,10 +2,13 @@
 
 #include "net/httpserver.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <deque>
 #include <thread>
 
@@ -267,3 +270,101 @@
     }
     EXPECT_EQ(outcomes.count[ExchangeOutcome::Answered], 3U);
 }
+
+// A peer that sends trailers without end, or more than the limit, must not take the memory of this process.
+TEST(HttpClientTest, endlessResponsesEndAsIncomplete)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string text(1000, 't');
+    const std::vector<std::pair<std::string, std::string>> responses{
+        {chunked + "0\r\n", "T: " + text + "\r\n"},
+        {chunked + "1;e=", text},
+        {chunked, "3e8\r\n" + text + "\r\n"},
+        {"HTTP/1.1 200 OK\r\n", "H: " + text + "\r\n"},
+    };
+    for (const auto &[beginning, rest] : responses) {
+        boost::asio::io_context serverLoop;
+        boost::asio::ip::tcp::acceptor acceptor(serverLoop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        std::size_t sent = 0;
+        std::thread sender([&, beginning = beginning, rest = rest] {
+            auto socket = acceptor.accept();
+            boost::system::error_code ec;
+            boost::asio::write(socket, boost::asio::buffer(beginning), ec);
+            while (!ec && sent < (std::size_t{64} << 20))
+                sent += boost::asio::write(socket, boost::asio::buffer(rest), ec);
+        });
+        boost::asio::io_context io;
+        HttpClientLimits limits;
+        limits.maximumResponseBytes = 1 << 20;
+        HttpClient client(io, limits);
+        Outcomes outcomes;
+        client.send({"127.0.0.1", acceptor.local_endpoint().port()}, request(20s), outcomes.handler());
+        io.run();
+        sender.join();
+        EXPECT_EQ(outcomes.count[ExchangeOutcome::Incomplete], 1U);
+        EXPECT_LT(sent, std::size_t{32} << 20);
+    }
+}
+
+TEST(HttpClientTest, largestIncompleteResponseIsGivenUpFirst)
+{
+    boost::asio::io_context serverLoop;
+    boost::asio::ip::tcp::acceptor acceptor(serverLoop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    constexpr std::array<std::size_t, 3> sizes{300'000, 600'000, 100'000};
+    std::thread sender([&] {
+        std::vector<boost::asio::ip::tcp::socket> sockets;
+        boost::system::error_code ec;
+        std::array<char, 1024> request{};
+        for (const auto size : sizes) {
+            sockets.push_back(acceptor.accept());
+            sockets.back().read_some(boost::asio::buffer(request), ec);
+            boost::asio::write(
+                sockets.back(),
+                boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n"
+                                    + std::string(size - 1, 'x')),
+                ec);
+        }
+        for (auto &it : sockets)
+            boost::asio::write(it, boost::asio::buffer("x", 1), ec);
+    });
+    boost::asio::io_context io;
+    HttpClientLimits limits;
+    limits.maximumIncompleteBytes = 800'000;
+    HttpClient client(io, limits);
+    Outcomes outcomes;
+    for (std::size_t i = 0; i < sizes.size(); ++i)
+        client.send({"127.0.0.1", acceptor.local_endpoint().port()}, request(20s), outcomes.handler());
+    io.run();
+    sender.join();
+    EXPECT_EQ(outcomes.count[ExchangeOutcome::Incomplete], 1U);
+    EXPECT_EQ(outcomes.count[ExchangeOutcome::Answered], 2U);
+}
+
+// A connection that ended before the response was taken for an empty one with status 200.
+TEST(HttpClientTest, endOfTheConnectionBeforeTheResponseIsNoAnswer)
+{
+    const std::vector<std::pair<std::string, ExchangeOutcome>> responses{
+        {"", ExchangeOutcome::Incomplete},
+        {"HTTP/1.1 200", ExchangeOutcome::Incomplete},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", ExchangeOutcome::Incomplete},
+        {"HTTP/1.1 200 OK\r\n\r\nabc", ExchangeOutcome::Answered},
+    };
+    for (const auto &[text, outcome] : responses) {
+        boost::asio::io_context serverLoop;
+        boost::asio::ip::tcp::acceptor acceptor(serverLoop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+        std::thread sender([&, text = text] {
+            auto socket = acceptor.accept();
+            boost::system::error_code ec;
+            std::array<char, 1024> buf{};
+            socket.read_some(boost::asio::buffer(buf), ec);
+            boost::asio::write(socket, boost::asio::buffer(text), ec);
+        });
+        boost::asio::io_context io;
+        HttpClient client(io);
+        Outcomes outcomes;
+        client.send({"127.0.0.1", acceptor.local_endpoint().port()}, request(20s), outcomes.handler());
+        io.run();
+        sender.join();
+        EXPECT_EQ(outcomes.count[outcome], 1U) << text;
+    }
+}
--- a/tests/integration/httpservertest.cpp
+++ b/tests/integration/httpservertest.cpp
@@ -1,8 +1,11 @@
 #include "net/httpserver.h"
+#include "log/metrics.h"
 
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace Citronpitch;
 using namespace std::chrono_literals;
 using Tcp = boost::asio::ip::tcp;
@@ -31,10 +34,10 @@
 class HttpServerTest : public testing::Test
 {
 protected:
-    void start(AbandonedRequests abandoned)
+    void start(AbandonedRequests abandoned, const HttpLimits &limits = serverLimits())
     {
         m_server = std::make_unique<HttpServer>(
-            m_io, Endpoint{"127.0.0.1", 0}, serverLimits(),
+            m_io, Endpoint{"127.0.0.1", 0}, limits,
             [this](const HttpRequest &request, const HttpResponder &respond) -> DisconnectHandler {
                 m_handled.push_back(request.path);
                 if (m_isResponding)
@@ -42,7 +45,24 @@
                 return [] {};
             },
             abandoned);
-        m_client.connect({boost::asio::ip::make_address("127.0.0.1"), m_server->port()});
+        m_client = connect();
+    }
+
+    Tcp::socket connect()
+    {
+        Tcp::socket socket(m_io);
+        socket.connect({boost::asio::ip::make_address("127.0.0.1"), m_server->port()});
+        return socket;
+    }
+
+    /// Returns what the server has sent.
+    static std::string received(Tcp::socket &socket)
+    {
+        std::string bytes(1 << 16, ' ');
+        boost::system::error_code ec;
+        socket.non_blocking(true);
+        bytes.resize(socket.read_some(boost::asio::buffer(bytes), ec));
+        return bytes;
     }
 
     void write(const std::string &bytes)
@@ -116,3 +136,99 @@
     EXPECT_EQ(m_handled, std::vector<std::string>{"/leave"});
     EXPECT_EQ(m_server->connectionCount(), 0U);
 }
+
+TEST_F(HttpServerTest, chunkedRequestWithTrailersLeavesTheConnectionUsable)
+{
+    start(AbandonedRequests::Dropped);
+    m_isResponding = true;
+    write("POST /first HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;e=x\r\nbody\r\n0\r\n");
+    handleAll();
+    EXPECT_TRUE(m_handled.empty());
+    write("T: " + std::string(10'000, 't') + "\r\nU: u\r\n\r\n" + post("/second"));
+    handleAll();
+    EXPECT_EQ(m_handled, (std::vector<std::string>{"/first", "/second"}));
+    EXPECT_EQ(m_server->connectionCount(), 1U);
+}
+
+// Trailers without end were held until they were complete.
+TEST_F(HttpServerTest, trailersBeyondTheLimitAreRefused)
+{
+    start(AbandonedRequests::Dropped);
+    write("POST /first HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
+    for (int i = 0; i < 40; ++i)
+        write("T: " + std::string(1000, 't') + "\r\n");
+    handleAll();
+    EXPECT_TRUE(received(m_client).starts_with("HTTP/1.1 431"));
+    EXPECT_TRUE(m_handled.empty());
+    EXPECT_EQ(m_server->connectionCount(), 0U);
+}
+
+// Large incomplete requests must neither add up to more than the limit nor keep ordinary ones out.
+TEST_F(HttpServerTest, largestIncompleteRequestIsRefusedFirst)
+{
+    auto limits = serverLimits();
+    limits.maximumIncompleteBytes = 200'000;
+    start(AbandonedRequests::Dropped, limits);
+    m_isResponding = true;
+    std::vector<Tcp::socket> senders;
+    for (int i = 0; i < 10; ++i) {
+        senders.push_back(connect());
+        boost::asio::write(
+            senders.back(),
+            boost::asio::buffer("POST /large HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n"
+                                + std::string(30'000, 'x')));
+        handleAll();
+    }
+    EXPECT_LE(m_server->connectionCount(), 4U);
+    EXPECT_GE(m_server->connectionCount(), 3U);
+    const auto refused = std::count_if(senders.begin(), senders.end(), [](auto &it) {
+        const auto text = received(it);
+        return text.starts_with("HTTP/1.1 503") && text.find("Retry-After: 1") != std::string::npos;
+    });
+    EXPECT_GE(refused, 7);
+    write(post("/ordinary"));
+    handleAll();
+    EXPECT_EQ(m_handled, std::vector<std::string>{"/ordinary"});
+    Metrics metrics;
+    m_server->collect(metrics, "callers");
+    EXPECT_NE(metrics.prometheusText().find("limit=\"incompleteInAll\"} " + std::to_string(refused)),
+              std::string::npos);
+}
+
+// The parsed fields of a header take many times the bytes of their text.
+TEST_F(HttpServerTest, fieldsOfIncompleteRequestsCountAgainstTheLimit)
+{
+    auto limits = serverLimits();
+    limits.maximumIncompleteBytes = 1'000'000;
+    start(AbandonedRequests::Dropped, limits);
+    std::string header = "POST /fields HTTP/1.1\r\nContent-Length: 10\r\n";
+    for (int i = 0; i < 3000; ++i)
+        header += "a:\r\n";
+    std::vector<Tcp::socket> senders;
+    for (int i = 0; i < 10; ++i) {
+        senders.push_back(connect());
+        boost::asio::write(senders.back(), boost::asio::buffer(header + "\r\n"));
+        handleAll();
+    }
+    EXPECT_LE(m_server->connectionCount(), 3U);
+}
+
+// Connections that announce large bodies and send nothing must not keep ordinary requests out.
+TEST_F(HttpServerTest, reservationsOfIdleSendersDoNotKeepOthersOut)
+{
+    auto limits = serverLimits();
+    limits.maximumIncompleteBytes = 1 << 19;
+    start(AbandonedRequests::Dropped, limits);
+    m_isResponding = true;
+    std::vector<Tcp::socket> senders;
+    for (int i = 0; i < 30; ++i) {
+        senders.push_back(connect());
+        boost::asio::write(
+            senders.back(),
+            boost::asio::buffer(std::string("POST /idle HTTP/1.1\r\nContent-Length: 100000\r\n\r\n")));
+        handleAll();
+    }
+    write(post("/ordinary"));
+    handleAll();
+    EXPECT_EQ(m_handled, std::vector<std::string>{"/ordinary"});
+}
