The tasks of a job share their payload

What callers would see: 1,000 requests of 4 KB, all inside the limits, take an entry VM beyond the memory of the smallest machines (120 MB); its end takes the connections of other callers with it.

Cause: each of the 640 tasks of a job had a copy of the payload of up to 4,000 bytes, 2.5 MB for each copy of the job in JobRouter and GroupDispatcher; and the number of tasks that wait at an entry VM had no limit.

Change: SharedText, whose copies share one buffer; and a job is refused with a retry delay beyond 100,000 tasks without an answer at one entry VM.

Why it works: the memory of a waiting job is its payload once and 48 bytes a task, and the tasks are bounded.

--- a/include/citronpitch/job.h
+++ b/include/citronpitch/job.h
@@ -2,6 +2,7 @@
 
 #include "citronpitch/nametable.h"
 #include "citronpitch/resources.h"
+#include "citronpitch/sharedtext.h"
 #include "citronpitch/timepoint.h"
 
 #include <array>
@@ -18,7 +19,8 @@
 /// Task of a job as declared by the caller.
 struct TaskSpec
 {
-    std::string payload;
+    /// Often the same for all tasks of a job.
+    SharedText payload;
     /// Expected run time, used as an initial estimate; zero if not declared.
     Duration declaredTime{};
     Resources need;
--- a/include/citronpitch/jobrouter.h
+++ b/include/citronpitch/jobrouter.h
@@ -26,6 +26,8 @@
     Duration reservationResendInterval = std::chrono::milliseconds(30);
     /// Estimated extra cost of running a job in another failure domain.
     Duration remoteDomainCost = std::chrono::milliseconds(4);
+    /// Tasks of all jobs without an answer; a job beyond it is refused.
+    std::size_t maximumOpenTasks = 100'000;
     /// Seed of the choice among groups that have free capacity; should differ between entry VMs, which see
     /// the same load reports.
     std::uint64_t seed = 0;
@@ -175,6 +177,7 @@
     {
         std::string key;
         std::vector<CallerId> callers;
+        std::size_t tasks = 0;
         TimePoint deadline;
         /// Latest start with which the target can be met; the deadline if the target does not scale.
         TimePoint latestStart;
@@ -272,6 +275,7 @@
     /// Sends a cancel for each unanswered part of a job.
     void cancelParts(std::uint64_t job);
     void answer(std::uint64_t number, const Answer &answer);
+    void removeJob(std::uint64_t number);
 
     JobRouterOptions m_options;
     std::vector<GroupHolder> m_holders;
@@ -285,6 +289,8 @@
     std::map<CallerId, std::uint64_t> m_byCaller;
     std::vector<RouterAction> m_actions;
     std::uint64_t m_nextNumber = 1;
+    /// Tasks of the jobs in m_jobs.
+    std::size_t m_openTasks = 0;
     JobRouterTotals m_totals;
 };
 
--- a/src/core/runs/jobrouter.cpp
+++ b/src/core/runs/jobrouter.cpp
@@ -63,6 +63,14 @@
     return answer;
 }
 
+Answer tooManyTasksRefusal(TimePoint now, const Submission &submission)
+{
+    auto answer = noGroupRefusal(now);
+    answer.detail = "router: too many tasks wait for an answer at this entry VM";
+    answer.retryAt = jitteredRetryTime(now + noGroupRetryDelay, noGroupRetryDelay, submission);
+    return answer;
+}
+
 Answer holderUnreachableAnswer(const std::string &vm)
 {
     Answer answer;
@@ -239,8 +247,14 @@
     open.key = job.submission.key;
     open.deadline = job.submission.deadline;
     open.callers.push_back(caller);
+    open.tasks = job.submission.tasks.size();
+    m_openTasks += open.tasks;
     m_byKey[open.key] = number;
     m_byCaller[caller] = number;
+    if (m_openTasks > m_options.maximumOpenTasks) {
+        answer(number, tooManyTasksRefusal(now, job.submission));
+        return true;
+    }
     const auto groups = candidates(now, job);
     if (groups.empty()) {
         answer(number, noCandidateRefusal(now, job));
@@ -278,8 +292,7 @@
     if (!job.callers.empty())
         return;
     cancelParts(number);
-    m_byKey.erase(job.key);
-    m_jobs.erase(number);
+    removeJob(number);
 }
 
 void JobRouter::holderAnswered(TimePoint now, const std::string &vm, std::uint64_t number, Answer answer)
@@ -736,6 +749,13 @@
         m_byCaller.erase(caller);
         m_actions.emplace_back(AnswerCaller{caller, answer});
     }
+    removeJob(number);
+}
+
+void JobRouter::removeJob(std::uint64_t number)
+{
+    const auto it = m_jobs.find(number);
+    m_openTasks -= it->second.tasks;
     m_byKey.erase(it->second.key);
     m_jobs.erase(it);
 }
--- a/src/fleet/fleetwire.cpp
+++ b/src/fleet/fleetwire.cpp
@@ -45,7 +45,7 @@
     to->set_is_resent(from.isResent);
     to->set_required_label(from.submission.constraints.requiredLabel);
     to->set_max_per_upstream(from.submission.constraints.maximumPerUpstream);
-    const std::string *previous = nullptr;
+    const SharedText *previous = nullptr;
     for (const auto &it : from.submission.tasks) {
         auto *task = to->add_tasks();
         // All tasks of a job may have the same payload, so a repeated one is not sent again.
@@ -168,7 +168,7 @@
     auto &tasks = job.submission.tasks;
     for (const auto &it : from.tasks()) {
         const bool isRepeated = it.has_previous_payload() && !tasks.empty();
-        tasks.push_back({isRepeated ? tasks.back().payload : it.payload(),
+        tasks.push_back({isRepeated ? tasks.back().payload : SharedText(it.payload()),
                          durationOf(it.declared_us()),
                          {it.millicores(), it.memory_bytes(), it.accelerators()}});
     }
--- a/tests/integration/incompleterequeststest.cpp
+++ b/tests/integration/incompleterequeststest.cpp
@@ -18,20 +18,22 @@
 constexpr std::size_t crowd = 8;
 constexpr std::size_t entryBytes = std::size_t{260} << 20;
 constexpr std::size_t controlBytes = std::size_t{256} << 20;
+/// Memory of the smallest entry VMs in the grown deployments.
+constexpr std::size_t smallestEntryBytes = std::size_t{120} << 20;
 constexpr std::size_t maximumDescriptors = 4096;
 
 /// Three control VMs, an entry VM and an executor, which clients outside of the limits send requests to.
 class IncompleteRequestsTest : public testing::Test
 {
 protected:
-    IncompleteRequestsTest()
+    explicit IncompleteRequestsTest(const std::vector<std::string> &domains = {"a"})
         : folder(std::filesystem::temp_directory_path()
                  / ("citronpitch-incomplete-" + std::to_string(getpid())))
         , fleet({std::string(CITRONPITCH_PROGRAMS) + "/citronpitch-platform",
                  folder,
-                 {"a", "a", "a"},
-                 {"a"},
+                 domains.size() == 3 ? domains : std::vector<std::string>{"a", "a", "a"},
                  {"a"},
+                 domains,
                  false,
                  Json::object()})
     {
@@ -59,12 +61,20 @@
         });
     }
 
-    void becomeReady()
+    void configure()
     {
         const auto body = platformConfiguration(1).dump();
         ASSERT_TRUE(waitFor([&] {
             return callOnce(fleet.control(control), {"POST", "/config/replace", {}, body}).status == 200;
         }));
+        ASSERT_TRUE(waitFor([&] {
+            return callOnce(fleet.readiness(entry), {"GET", "/ready"}).status == 200;
+        }));
+    }
+
+    void becomeReady()
+    {
+        configure();
         ASSERT_TRUE(isOrdinaryJobServed());
     }
 
@@ -90,6 +100,16 @@
     PlatformFleet fleet;
 };
 
+/// Three failure domains, so that jobs wait in three groups.
+class IncompleteJobRequestsTest : public IncompleteRequestsTest
+{
+protected:
+    IncompleteJobRequestsTest()
+        : IncompleteRequestsTest({"a", "b", "c"})
+    {
+    }
+};
+
 /// A daemon with a caller port and a control port.
 class IncompleteDaemonRequestsTest : public testing::Test
 {
@@ -152,6 +172,32 @@
     EXPECT_TRUE(isOrdinaryJobServed());
 }
 
+// A request of 4 KB took 2.5 MB on the entry VM and on the control VM until it was answered, as each task had
+// a copy of the payload.
+TEST_F(IncompleteJobRequestsTest, manyLargeJobsStayWithinTheMachine)
+{
+    constexpr std::size_t connections = 1000;
+    // While no run time is known, jobs wait for as long as their callers do.
+    configure();
+    auto job = platformJob(640);
+    job["Spec"] = std::string(4000, 's');
+    const auto body = job.dump();
+    EndlessInput input{
+        "jobs",
+        "POST /jobs/{id} HTTP/1.1\r\nHost: host.example\r\nX-Deadline-Ms: 3000\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body,
+        ""};
+    input.maximumTime = std::chrono::seconds(2);
+    sendEndlessly(fleet.callers(entry), input, connections);
+    for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+        auto &process = fleet.process(vm);
+        ASSERT_FALSE(process.hasEnded());
+        EXPECT_LT(peakResidentBytes(process.id()), fleet.isControl(vm) ? controlBytes : smallestEntryBytes)
+            << vm;
+    }
+    EXPECT_TRUE(isOrdinaryJobServed());
+}
+
 TEST_F(IncompleteRequestsTest, readinessPortStaysWithinTheMachine)
 {
     checkListener(entry, fleet.readiness(entry));
--- a/tests/support/endlesssenders.cpp
+++ b/tests/support/endlesssenders.cpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <string_view>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -33,6 +34,18 @@
     return all;
 }
 
+std::string withId(std::string text, std::size_t number)
+{
+    constexpr std::string_view placeholder = "{id}";
+    constexpr std::size_t digits = 16;
+    const auto position = text.find(placeholder);
+    if (position == std::string::npos)
+        return text;
+    auto id = std::to_string(number);
+    id.insert(0, digits - id.size(), '0');
+    return text.replace(position, placeholder.size(), id);
+}
+
 } // namespace
 
 void sendEndlessly(const Endpoint &endpoint, const EndlessInput &input, std::size_t connections)
@@ -43,10 +56,12 @@
     inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
     const auto rest = repeated(input.rest, writeBytes);
     std::vector<Sender> senders(connections);
+    std::size_t number = 0;
     for (auto &it : senders) {
+        const auto beginning = withId(input.beginning, ++number);
         it.socket.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         it.isOpen = ::connect(it.socket.fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0
-            && ::send(it.socket.fd, input.beginning.data(), input.beginning.size(), MSG_NOSIGNAL) >= 0;
+            && ::send(it.socket.fd, beginning.data(), beginning.size(), MSG_NOSIGNAL) >= 0;
     }
     const auto deadline = Clock::now() + input.maximumTime;
     if (input.rest.empty())
--- a/tests/support/endlesssenders.h
+++ b/tests/support/endlesssenders.h
@@ -14,7 +14,7 @@
 {
     /// Name for the output of tests.
     std::string name;
-    /// Sent once, before the rest.
+    /// Sent once, before the rest. "{id}" stands for 16 digits that differ between the connections.
     std::string beginning;
     /// Sent again and again. If it is empty, the connections stay open until the time has passed.
     std::string rest;
--- a/tests/unit/jobroutertest.cpp
+++ b/tests/unit/jobroutertest.cpp
@@ -671,3 +671,26 @@
         tasks[it.group] = it.job.submission.tasks.size();
     EXPECT_EQ(tasks, (std::map<std::string, std::size_t>{{"a", 6}, {"b", 18}}));
 }
+
+// Jobs that wait must not take more memory than an entry VM has, however many callers submit large ones.
+TEST(JobRouterTest, numberOfOpenTasksIsLimited)
+{
+    JobRouterOptions options;
+    options.domain = "a";
+    options.maximumOpenTasks = 10;
+    JobRouter router(std::move(options));
+    router.setHolders({{"a", "vm-a", 1, 1}});
+    router.holderAlive("vm-a", 1, false);
+    router.loadReported(start, "vm-a", {{"a", 1, true, 100, 100, {}}});
+    router.submit(start, 1, jobOf("k", 6));
+    router.submit(start, 2, jobOf("l", 4));
+    EXPECT_EQ(actionsOf<SendJob>(router.takeActions()).size(), 2U);
+    router.submit(start, 3, jobOf("m", 1));
+    const auto refused = actionsOf<AnswerCaller>(router.takeActions());
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].answer.outcome, Outcome::Refused);
+    EXPECT_TRUE(refused[0].answer.retryAt);
+    router.callerDisconnected(1);
+    router.submit(start, 4, jobOf("n", 6));
+    EXPECT_EQ(actionsOf<SendJob>(router.takeActions()).size(), 1U);
+}
