The soak knows labels, limits per upstream, and clients outside of the limits

Executors have two kinds; two jobs in three require one of them, every other job allows one task on an executor. Each start is checked against both. Every 700 ms four connections send one of the kinds of requests without end to an entry VM, and the memory of each process is watched.

--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -1,7 +1,11 @@
 #include "soak/soakrun.h"
 
+#include "support/endlesssenders.h"
+#include "support/procstatus.h"
+
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -47,6 +51,36 @@
 /// The first task of one in this many jobs crashes each executor that starts it.
 constexpr std::uint64_t deadlyJobPeriod = 40;
 
+/// Executors of two kinds, of which one job in three requires one each.
+const std::vector<std::vector<std::string>> executorLabels{{"k0"}, {"k1"}, {"k0"}, {"k1"}, {"k0"}, {"k1"}};
+/// Every other job may have only this many tasks on one executor.
+constexpr unsigned limitPerExecutor = 1;
+
+std::uint64_t numberOf(const std::string &task)
+{
+    return std::strtoull(task.substr(0, task.find('.')).c_str(), nullptr, 16);
+}
+
+/// Label that the executors of a job must have; empty if none is required.
+std::string labelOf(std::uint64_t number)
+{
+    const auto kind = number % (executorLabels.size() / 2);
+    return kind < 2 ? "k" + std::to_string(kind) : std::string();
+}
+
+bool isLimited(std::uint64_t number)
+{
+    return number % 2 == 1;
+}
+
+/// Clients outside of the limits: how many connections at a time, and for how long.
+constexpr std::size_t hostileConnections = 4;
+constexpr Duration hostilePeriod = std::chrono::milliseconds(700);
+constexpr std::chrono::milliseconds longestHostileTime{500};
+constexpr std::size_t hostileBytes = std::size_t{8} << 20;
+/// Memory of the machines of VMs.
+constexpr std::size_t machineBytes = std::size_t{256} << 20;
+
 /// Whether @p status ends an operator's order; after a timeout or under load the operator asks elsewhere.
 bool isRefusal(int status)
 {
@@ -58,7 +92,14 @@
 
 SoakRun::SoakRun(const std::string &program, const std::filesystem::path &folder, SoakPlan plan)
     : m_plan(std::move(plan))
-    , m_fleet({program, folder, {"a", "b", "c", "d"}, {"a", "b", "c"}, {"a", "a", "b", "b", "c", "d"}, true})
+    , m_fleet({program,
+               folder,
+               {"a", "b", "c", "d"},
+               {"a", "b", "c"},
+               {"a", "a", "b", "b", "c", "d"},
+               true,
+               nlohmann::json::object(),
+               executorLabels})
     , m_faultLog(folder / "faults.log")
     , m_client(m_io)
     , m_random(m_plan.seed)
@@ -75,6 +116,7 @@
                     others.push_back("executor " + std::to_string(other));
             }
             m_ledger.started(task, others);
+            checkPlace(i, task);
             if (isDeadly(task))
                 boost::asio::post(m_fleet.executorLoop(), [this, i] { m_fleet.executor(i).restart(); });
         };
@@ -91,6 +133,7 @@
     every(checkPeriod, [this] { evacuateNext(); });
     every(checkPeriod, [this] { checkEvacuation(); });
     every(watchPeriod, [this] { watchProcesses(); });
+    every(hostilePeriod, [this] { sendHostileRequests(); });
     checkRecovery();
     m_io.run();
 }
@@ -148,8 +191,38 @@
 bool SoakRun::isDeadly(const std::string &task) const
 {
     // A planned shutdown must not cut off requests, so nothing crashes beside it.
-    const auto number = std::strtoull(task.substr(0, task.find('.')).c_str(), nullptr, 16);
-    return !m_plan.isPlannedOnly && number % deadlyJobPeriod == 0 && task.ends_with(".0.0.0");
+    return !m_plan.isPlannedOnly && numberOf(task) % deadlyJobPeriod == 0 && task.ends_with(".0.0.0");
+}
+
+void SoakRun::checkPlace(std::size_t executor, const std::string &task)
+{
+    const auto number = numberOf(task);
+    const auto &labels = executorLabels[executor];
+    const auto label = labelOf(number);
+    if (!label.empty() && std::find(labels.begin(), labels.end(), label) == labels.end())
+        m_ledger.fail("task " + task + " requires label " + label + " and started on executor "
+                      + std::to_string(executor));
+    unsigned running = 0;
+    for (std::size_t i = 0; i < largestJob; ++i)
+        running +=
+            m_fleet.executor(executor).isRunning(task.substr(0, task.rfind('.') + 1) + std::to_string(i));
+    if (isLimited(number) && running > limitPerExecutor)
+        m_ledger.fail(std::to_string(running) + " tasks of the job of " + task + " run on executor "
+                      + std::to_string(executor));
+}
+
+void SoakRun::sendHostileRequests()
+{
+    if (m_hostileRequests.valid()
+        && m_hostileRequests.wait_for(std::chrono::seconds(0)) != std::future_status::ready)
+        return;
+    const auto inputs = endlessRequests();
+    auto input = inputs[draw(inputs.size())];
+    input.maximumBytes = hostileBytes;
+    input.maximumTime = std::min(input.maximumTime, longestHostileTime);
+    const auto endpoint = m_fleet.callers(drawEntry());
+    m_hostileRequests = std::async(std::launch::async,
+                                   [endpoint, input] { sendEndlessly(endpoint, input, hostileConnections); });
 }
 
 void SoakRun::submit(Request request)
@@ -159,7 +232,10 @@
         request.vm = drawEntry();
     request.sentAt = now();
     m_ledger.submitted(request.id, request.tasks);
-    auto sent = platformSubmission(request.id, platformJob(request.tasks));
+    auto job = platformJob(request.tasks);
+    job["Steps"][0]["RequiredLabel"] = labelOf(numberOf(request.id));
+    job["Steps"][0]["MaxPerServer"] = isLimited(numberOf(request.id)) ? limitPerExecutor : 0;
+    auto sent = platformSubmission(request.id, job);
     sent.timeout = callerTimeout;
     m_client.send(m_fleet.callers(request.vm), sent,
                   [this, request](const ClientResponse &response) { ended(request, response); });
@@ -449,8 +525,11 @@
 {
     for (std::size_t i = 0; i < m_fleet.vms() && !m_isOver; ++i) {
         auto &state = m_states[i];
-        if (!m_fleet.process(i).hasEnded())
+        if (!m_fleet.process(i).hasEnded()) {
+            if (const auto bytes = peakResidentBytes(m_fleet.process(i).id()); bytes > machineBytes)
+                m_ledger.fail(m_fleet.nameOf(i) + " held " + std::to_string(bytes) + " bytes");
             continue;
+        }
         if (!state.isEnding) {
             m_ledger.fail(m_fleet.nameOf(i) + " ended by itself, with code "
                           + std::to_string(m_fleet.process(i).wait()));
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <future>
 #include <optional>
 #include <random>
 #include <string>
@@ -62,6 +63,10 @@
     TimePoint now() const;
 
     void submitNext();
+    /// Checks that @p task, which has started on an executor, may run there.
+    void checkPlace(std::size_t executor, const std::string &task);
+    /// Sends requests that never end to an entry VM.
+    void sendHostileRequests();
     /// Whether @p task crashes each executor that starts it.
     bool isDeadly(const std::string &task) const;
     void submit(Request request);
@@ -113,6 +118,7 @@
     /// Until then links may have faults, and a domain that is cut off continues with what it knows.
     TimePoint m_linksFaultyUntil;
     std::optional<unsigned> m_startsInEvacuatedDomain;
+    std::future<void> m_hostileRequests;
     bool m_hasLostDisk = false;
     bool m_isLoaded = false;
     bool m_isOver = false;
