--- a/include/citronpitch/job.h
+++ b/include/citronpitch/job.h
@@ -6,6 +6,7 @@
 #include "citronpitch/timepoint.h"
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,7 +35,20 @@
     /// Maximum number of tasks of the job on one upstream at the same time; zero for no limit.
     std::uint32_t maximumPerUpstream = 0;
 
-    bool operator==(const PlacementConstraints &) const = default;
+    auto operator<=>(const PlacementConstraints &) const = default;
+
+    /// Whether any upstream with the resources may run the tasks.
+    bool isEmpty() const
+    {
+        return requiredLabel.empty() && maximumPerUpstream == 0;
+    }
+
+    /// Returns how many tasks of the job may run on @p upstreams upstreams that can run @p tasks.
+    std::uint32_t limited(std::uint32_t tasks, std::uint64_t upstreams = 1) const
+    {
+        const std::uint64_t most = maximumPerUpstream * upstreams;
+        return maximumPerUpstream > 0 && most < tasks ? static_cast<std::uint32_t>(most) : tasks;
+    }
 };
 
 /// Job as submitted by a caller. A single request is a job of one task.
--- a/include/citronpitch/jobrouter.h
+++ b/include/citronpitch/jobrouter.h
@@ -258,7 +258,7 @@
                                          const Submission &submission);
     Duration expectedWait(const Candidate &candidate, std::uint32_t tasks) const;
     std::vector<Share> split(const std::vector<Candidate> &groups, const RoutedJob &job) const;
-    /// Divides @p tasks among groups that can run only a part of them at a time, by how many they can run.
+    /// Adds @p tasks to @p shares, in proportion to how many tasks each of @p groups can run at a time.
     static void addRounds(std::vector<Share> &shares, const std::vector<Candidate> &groups,
                           std::uint32_t tasks);
     const Candidate *shortestWait(const std::vector<Candidate> &groups, std::uint32_t tasks) const;
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -138,11 +138,11 @@
             jitteredRetryTime(now + shrunkCapacityRetryDelay, shrunkCapacityRetryDelay, submission);
         return Refusal{Reason::Overloaded, text + " at present", retryAt};
     }
-    if (auto refusal = refusalForConstraints(now, submission))
-        return refusal;
     const auto classIndex = classes.find(submission.className).value_or(0);
-    AdmissionLoad load;
     const auto job = queuedJobOf(now, classIndex, submission);
+    if (auto refusal = refusalForConstraints(now, submission, job))
+        return refusal;
+    AdmissionLoad load;
     if (job.isProtected) {
         classShares.offered(now, classIndex, job.work);
         auto lateness = expectedLateness(now, job, submission.tasks.size());
@@ -180,8 +180,8 @@
     return refusal;
 }
 
-std::optional<Refusal> Dispatcher::State::refusalForConstraints(TimePoint now,
-                                                                const Submission &submission) const
+std::optional<Refusal> Dispatcher::State::refusalForConstraints(TimePoint now, const Submission &submission,
+                                                                const QueuedJob &job) const
 {
     const auto &label = submission.constraints.requiredLabel;
     const auto retryAt = jitteredRetryTime(now + unsuitableRetryDelay, unsuitableRetryDelay, submission);
@@ -195,12 +195,10 @@
                            + needText(need) + ", and no upstream in service here offers that",
                        retryAt};
     }
-    const auto classIndex = classes.find(submission.className).value_or(0);
-    if (submission.constraints.maximumPerUpstream == 0 || !serviceTimes.isLearned(classIndex))
-        return std::nullopt;
     // Without other work the job would already be late.
-    const auto job = queuedJobOf(now, classIndex, submission);
-    if (!isOutOfReach(now, job.unloadedTime, submission.deadline))
+    const bool isLate = submission.constraints.maximumPerUpstream > 0
+        && serviceTimes.isLearned(job.classIndex) && isOutOfReach(now, job.unloadedTime, submission.deadline);
+    if (!isLate)
         return std::nullopt;
     return Refusal{
         Reason::DeadlineOutOfReach,
@@ -301,9 +299,9 @@
             m_state->queue.demote(*head);
             continue;
         }
-        const bool isLabelled = !head->subqueue.requiredLabel.empty();
-        if (isLabelled && m_state->jobs.at(head->job).startsPerRack.empty()
-            && !m_state->hasSuitableUpstream(now, *head)) {
+        const auto &label = head->subqueue.requiredLabel;
+        if (!label.empty() && m_state->jobs.at(head->job).startsPerRack.empty()
+            && !m_state->upstreams.canRun(now, head->need, label)) {
             m_state->queue.dropTasks(head->job);
             m_state->unsuitableJobs.push_back(head->job);
             continue;
@@ -316,7 +314,7 @@
             placements.push_back(std::move(*placement));
         else {
             // A task that waits for some of the upstreams says nothing about the others.
-            if (m_state->queue.findJob(head->job)->constraints == PlacementConstraints())
+            if (m_state->queue.findJob(head->job)->constraints.isEmpty())
                 m_state->unmetNeed = m_state->unmetNeed.value_or(head->need);
             m_state->skip(*head);
         }
--- a/src/core/dispatch/dispatcherstate.cpp
+++ b/src/core/dispatch/dispatcherstate.cpp
@@ -276,13 +276,11 @@
 
 std::uint32_t Dispatcher::State::parallelTasksFor(const PlacementConstraints &constraints) const
 {
-    if (constraints == PlacementConstraints())
+    if (constraints.isEmpty())
         return parallelTasks;
     std::uint32_t sum = 0;
-    const auto limit = constraints.maximumPerUpstream;
-    forEachServing(constraints.requiredLabel, [&](const auto &it) {
-        sum += limit > 0 ? std::min(limit, it.parallelTasks) : it.parallelTasks;
-    });
+    forEachServing(constraints.requiredLabel,
+                   [&](const auto &it) { sum += constraints.limited(it.parallelTasks); });
     return sum;
 }
 
@@ -293,8 +291,8 @@
     std::uint32_t parallelOfLabel = 0;
     std::uint64_t upstreamsOfLabel = 0;
     for (const auto &[key, it] : queue.restrictedWork()) {
-        if (label == nullptr || *label != key.requiredLabel) {
-            label = &key.requiredLabel;
+        if (label == nullptr || *label != key.constraints.requiredLabel) {
+            label = &key.constraints.requiredLabel;
             parallelOfLabel = 0;
             upstreamsOfLabel = 0;
             forEachServing(*label, [&](const auto &entry) {
@@ -302,9 +300,7 @@
                 ++upstreamsOfLabel;
             });
         }
-        const auto most = key.maximumPerUpstream > 0 ? key.maximumPerUpstream * upstreamsOfLabel
-                                                     : std::uint64_t{parallelOfLabel};
-        visit(it, static_cast<std::uint32_t>(std::min<std::uint64_t>(most, parallelOfLabel)));
+        visit(it, key.constraints.limited(parallelOfLabel, upstreamsOfLabel));
     }
 }
 
@@ -345,11 +341,6 @@
     recentLabels[label] = now + labelReportPeriod;
 }
 
-bool Dispatcher::State::hasSuitableUpstream(TimePoint now, const SubqueueHead &head) const
-{
-    return upstreams.canRun(now, head.need, head.subqueue.requiredLabel);
-}
-
 Duration Dispatcher::State::labelledLateness(TimePoint now, const QueuedJob &job, std::size_t tasks,
                                              std::uint32_t parallel) const
 {
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -63,11 +63,10 @@
     /// Admission control of a job that the configuration allows: returns why it is refused, or nothing.
     std::optional<Refusal> refusalForLoad(TimePoint now, const Submission &submission);
 
-    /// Returns why no upstream in service can take a task of @p submission, or nothing if there is one.
-    std::optional<Refusal> refusalForConstraints(TimePoint now, const Submission &submission) const;
-    /// Whether an upstream in service has the label that the tasks of @p head require, and room for one when
-    /// it is idle.
-    bool hasSuitableUpstream(TimePoint now, const SubqueueHead &head) const;
+    /// Returns why the upstreams in service can't run @p submission, whose estimates are those of @p job, or
+    /// nothing if they can.
+    std::optional<Refusal> refusalForConstraints(TimePoint now, const Submission &submission,
+                                                 const QueuedJob &job) const;
     /// Returns how many tasks of typical need of a job with @p constraints can run concurrently.
     std::uint32_t parallelTasksFor(const PlacementConstraints &constraints) const;
     /// Calls @p visit with each upstream that has @p label and accepts tasks.
--- a/src/core/dispatch/placer.cpp
+++ b/src/core/dispatch/placer.cpp
@@ -142,16 +142,15 @@
     if (rate <= 0)
         return false;
     double fastTime = static_cast<double>(ranking.at(faster - 1).time.count());
-    const auto &[label, limit] = job.constraints;
-    if (!label.empty() || limit > 0) {
+    if (!job.constraints.isEmpty()) {
         // Upstreams that take no task of the job don't shorten its wait.
         rate = 0;
         for (std::size_t i = 0; i < faster; ++i) {
             const auto &it = ranking.at(i);
-            if (it.time <= Duration() || !m_upstreams.at(it.upstream).hasLabel(label))
+            if (it.time <= Duration() || !m_upstreams.at(it.upstream).hasLabel(job.constraints.requiredLabel))
                 continue;
             fastTime = static_cast<double>(it.time.count());
-            rate += (limit > 0 ? std::min(limit, it.parallelTasks) : it.parallelTasks) / fastTime;
+            rate += job.constraints.limited(it.parallelTasks) / fastTime;
         }
         if (rate <= 0)
             return false;
--- a/src/core/dispatch/taskqueue.cpp
+++ b/src/core/dispatch/taskqueue.cpp
@@ -209,11 +209,7 @@
 
 void TaskQueue::skipTasks(const SubqueueHead &head)
 {
-    auto &job = m_jobs.at(head.job);
-    const auto it = std::find_if(job.batches.begin(), job.batches.end(), [&](const auto &batch) {
-        return batch->need == head.need && !batch->tasks.empty();
-    });
-    auto &batch = **it;
+    auto &batch = queuedBatch(head);
     auto &flow = *batch.flow;
     flow.batches.erase({batch.due, batch.order});
     batch.isSkipped = true;
@@ -231,11 +227,7 @@
 
 std::uint32_t TaskQueue::take(const SubqueueHead &head)
 {
-    auto &job = m_jobs.at(head.job);
-    const auto it = std::find_if(job.batches.begin(), job.batches.end(), [&](const auto &batch) {
-        return batch->need == head.need && !batch->tasks.empty();
-    });
-    auto &batch = **it;
+    auto &batch = queuedBatch(head);
     const auto task = batch.tasks.back();
     if (batch.tasks.size() == 1) {
         dequeue(batch);
@@ -357,8 +349,8 @@
 Duration TaskQueue::labelledWorkDueBefore(const std::string &label, TimePoint due) const
 {
     Duration sum{};
-    for (auto it = m_restrictedWork.lower_bound({label, 0, 0});
-         it != m_restrictedWork.end() && it->first.requiredLabel == label; ++it)
+    for (auto it = m_restrictedWork.lower_bound({{label, 0}, 0});
+         it != m_restrictedWork.end() && it->first.constraints.requiredLabel == label; ++it)
         sum += it->second.dueBefore(due);
     return sum;
 }
@@ -366,8 +358,8 @@
 std::uint32_t TaskQueue::labelledTasks(const std::string &label) const
 {
     std::uint32_t n = 0;
-    for (auto it = m_restrictedWork.lower_bound({label, 0, 0});
-         it != m_restrictedWork.end() && it->first.requiredLabel == label; ++it)
+    for (auto it = m_restrictedWork.lower_bound({{label, 0}, 0});
+         it != m_restrictedWork.end() && it->first.constraints.requiredLabel == label; ++it)
         n += it->second.tasks;
     return n;
 }
@@ -413,12 +405,21 @@
     batch.order = m_nextOrder++;
     batch.deadline = job.queued.deadline;
     batch.isProtected = job.queued.isProtected;
-    const auto &[label, limit] = job.queued.constraints;
-    if (!label.empty() || limit > 0)
-        batch.restriction = {label, limit, limit > 0 ? id : 0};
+    const auto &constraints = job.queued.constraints;
+    if (!constraints.isEmpty())
+        batch.restriction = {constraints, constraints.maximumPerUpstream > 0 ? id : 0};
     return batch;
 }
 
+TaskQueue::Batch &TaskQueue::queuedBatch(const SubqueueHead &head)
+{
+    auto &job = m_jobs.at(head.job);
+    const auto it = std::find_if(job.batches.begin(), job.batches.end(), [&](const auto &batch) {
+        return batch->need == head.need && !batch->tasks.empty();
+    });
+    return **it;
+}
+
 TaskQueue::Team &TaskQueue::team(const std::string &name)
 {
     const auto [it, isNew] = m_teams.try_emplace(name);
--- a/src/core/dispatch/taskqueue.h
+++ b/src/core/dispatch/taskqueue.h
@@ -65,9 +65,8 @@
 /// one job with a limit per upstream.
 struct RestrictionKey
 {
-    std::string requiredLabel;
-    /// Zero for no limit; otherwise @ref job is the job that it applies to.
-    std::uint32_t maximumPerUpstream = 0;
+    PlacementConstraints constraints;
+    /// Job that the limit applies to; zero without a limit.
     JobId job = 0;
     auto operator<=>(const RestrictionKey &) const = default;
 };
@@ -284,6 +283,8 @@
     Flow *mostUrgent() const;
     SubqueueHead headOf(const Flow &flow, const Batch &batch) const;
     Batch &batchOf(JobId id, Job &job, const QueuedTask &task);
+    /// Returns the queued tasks with the job and need of @p head, of which there must be one.
+    Batch &queuedBatch(const SubqueueHead &head);
     Team &team(const std::string &name);
     void enqueue(const Job &job, Batch &batch);
     void dequeue(Batch &batch);
--- a/src/core/runs/groupdispatcher.cpp
+++ b/src/core/runs/groupdispatcher.cpp
@@ -548,14 +548,17 @@
     // After a pause of the process, answers may be read before the tick that ends the jobs nobody waits for.
     if (m_tickedAt && now - *m_tickedAt > maximumTickAge)
         return;
+    const auto isOpen = [this](JobId id) {
+        const auto it = m_jobs.find(id);
+        return it != m_jobs.end() && !it->second.isEnded;
+    };
     for (auto &[name, dispatcher] : m_pools) {
         for (const auto &it : dispatcher.place(now))
             startRun(now, name, it);
         for (const auto id : dispatcher.takeShedJobs()) {
-            const auto job = m_jobs.find(id);
-            if (job == m_jobs.end() || job->second.isEnded)
+            if (!isOpen(id))
                 continue;
-            if (job->second.hasStarted) {
+            if (m_jobs.at(id).hasStarted) {
                 answerJob(now, id, Outcome::Failed, Reason::DeadlineOutOfReach,
                           "dispatch: the deadline can't be met any more");
                 continue;
@@ -566,10 +569,9 @@
                        now + closedRetryDelay});
         }
         for (const auto id : dispatcher.takeUnsuitableJobs()) {
-            const auto job = m_jobs.find(id);
-            if (job == m_jobs.end() || job->second.isEnded)
+            if (!isOpen(id))
                 continue;
-            const auto &label = job->second.routed.submission.constraints.requiredLabel;
+            const auto &label = m_jobs.at(id).routed.submission.constraints.requiredLabel;
             refuseJob(now, id,
                       {Reason::NoSuitableUpstream,
                        "dispatch: the last upstream here with label \"" + label
--- a/src/core/runs/jobrouter.cpp
+++ b/src/core/runs/jobrouter.cpp
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace Citronpitch {
@@ -53,22 +52,20 @@
     return std::chrono::duration<double>(time).count();
 }
 
-Answer noGroupRefusal(TimePoint now)
+Answer refusedAnswer(Reason reason, std::string detail, TimePoint retryAt)
 {
     Answer answer;
     answer.outcome = Outcome::Refused;
-    answer.reason = Reason::Overloaded;
-    answer.detail = "router: no control VM is reachable";
-    answer.retryAt = now + noGroupRetryDelay;
+    answer.reason = reason;
+    answer.detail = std::move(detail);
+    answer.retryAt = retryAt;
     return answer;
 }
 
-Answer tooManyTasksRefusal(TimePoint now, const Submission &submission)
+/// Retry time of callers that should not come back all at once.
+TimePoint spreadRetryTime(TimePoint now, Duration delay, const Submission &submission)
 {
-    auto answer = noGroupRefusal(now);
-    answer.detail = "router: too many tasks wait for an answer at this entry VM";
-    answer.retryAt = jitteredRetryTime(now + noGroupRetryDelay, noGroupRetryDelay, submission);
-    return answer;
+    return jitteredRetryTime(now + delay, delay, submission);
 }
 
 Answer holderUnreachableAnswer(const std::string &vm)
@@ -82,12 +79,9 @@
 
 Answer notDeliveredRefusal(TimePoint now, const std::string &vm)
 {
-    Answer answer;
-    answer.outcome = Outcome::Refused;
-    answer.reason = Reason::HomeUnreachable;
-    answer.detail = "router: VM " + vm + ", which dispatches the job, is not connected";
-    answer.retryAt = now + noGroupRetryDelay;
-    return answer;
+    return refusedAnswer(Reason::HomeUnreachable,
+                         "router: VM " + vm + ", which dispatches the job, is not connected",
+                         now + noGroupRetryDelay);
 }
 
 } // namespace
@@ -252,7 +246,9 @@
     m_byKey[open.key] = number;
     m_byCaller[caller] = number;
     if (m_openTasks > m_options.maximumOpenTasks) {
-        answer(number, tooManyTasksRefusal(now, job.submission));
+        answer(number,
+               refusedAnswer(Reason::Overloaded, "router: too many tasks wait for an answer at this entry VM",
+                             spreadRetryTime(now, noGroupRetryDelay, job.submission)));
         return true;
     }
     const auto groups = candidates(now, job);
@@ -407,20 +403,19 @@
 
 Answer JobRouter::noCandidateRefusal(TimePoint now, const RoutedJob &job) const
 {
-    auto answer = noGroupRefusal(now);
     if (!canServe())
-        return answer;
-    answer.reason = Reason::NoSuitableUpstream;
-    answer.detail =
-        "router: no upstream in service has label \"" + job.submission.constraints.requiredLabel + "\"";
-    answer.retryAt = jitteredRetryTime(now + noGroupRetryDelay, noGroupRetryDelay, job.submission);
-    return answer;
+        return refusedAnswer(Reason::Overloaded, "router: no control VM is reachable",
+                             now + noGroupRetryDelay);
+    const auto &label = job.submission.constraints.requiredLabel;
+    return refusedAnswer(Reason::NoSuitableUpstream,
+                         "router: no upstream in service has label \"" + label + "\"",
+                         spreadRetryTime(now, noGroupRetryDelay, job.submission));
 }
 
 bool JobRouter::applyConstraints(const ReportedGroup &group, const RoutedJob &job, Candidate &candidate)
 {
-    const auto &label = job.submission.constraints.requiredLabel;
-    const auto limit = job.submission.constraints.maximumPerUpstream;
+    const auto &constraints = job.submission.constraints;
+    const auto &label = constraints.requiredLabel;
     auto upstreams = group.load.upstreams;
     if (!label.empty()) {
         const auto &labels = group.load.labels;
@@ -443,11 +438,9 @@
             candidate.classWait = std::max(candidate.classWait, it->waitingWork / parallel);
         }
     }
-    if (limit > 0 && upstreams > 0) {
-        const auto most = static_cast<std::uint32_t>(std::min<std::uint64_t>(
-            std::uint64_t{limit} * upstreams, std::numeric_limits<std::uint32_t>::max()));
-        candidate.parallelTasks = std::min(candidate.parallelTasks, most);
-        candidate.startableTasks = std::min(candidate.startableTasks, most);
+    if (upstreams > 0) {
+        candidate.parallelTasks = constraints.limited(candidate.parallelTasks, upstreams);
+        candidate.startableTasks = constraints.limited(candidate.startableTasks, upstreams);
     }
     return true;
 }
@@ -575,13 +568,8 @@
             return std::nullopt;
         excess = std::min(excess, it.classWait - *it.longestWait);
     }
-    const auto delay = std::max(excess, noGroupRetryDelay);
-    Answer answer;
-    answer.outcome = Outcome::Refused;
-    answer.reason = Reason::Overloaded;
-    answer.detail = "router: no group can run the job within its target";
-    answer.retryAt = jitteredRetryTime(now + delay, delay, submission);
-    return answer;
+    return refusedAnswer(Reason::Overloaded, "router: no group can run the job within its target",
+                         spreadRetryTime(now, std::max(excess, noGroupRetryDelay), submission));
 }
 
 Duration JobRouter::expectedWait(const Candidate &candidate, std::uint32_t tasks) const
@@ -650,25 +638,22 @@
 void JobRouter::addRounds(std::vector<Share> &shares, const std::vector<Candidate> &groups,
                           std::uint32_t tasks)
 {
-    const auto shareOf = [&](const Candidate &candidate) -> Share & {
-        const auto it = std::find_if(shares.begin(), shares.end(),
-                                     [&](const auto &share) { return share.candidate == &candidate; });
-        if (it != shares.end())
-            return *it;
-        shares.push_back({&candidate, 0});
-        return shares.back();
-    };
-    const auto load = [&](const Candidate &candidate) {
-        const auto it = std::find_if(shares.begin(), shares.end(),
-                                     [&](const auto &share) { return share.candidate == &candidate; });
-        const auto before = it == shares.end() ? 0 : it->tasks;
-        return static_cast<double>(before + 1) / candidate.parallelTasks;
+    std::vector<std::uint32_t> tasksOf(groups.size());
+    for (const auto &it : shares)
+        tasksOf[static_cast<std::size_t>(it.candidate - groups.data())] = it.tasks;
+    const auto loadWithOneMore = [&](std::size_t i) {
+        return static_cast<double>(tasksOf[i] + 1) / groups[i].parallelTasks;
     };
     for (; tasks > 0; --tasks) {
-        const auto next =
-            std::min_element(groups.begin(), groups.end(),
-                             [&](const auto &left, const auto &right) { return load(left) < load(right); });
-        ++shareOf(*next).tasks;
+        std::size_t next = 0;
+        for (std::size_t i = 1; i < groups.size(); ++i)
+            next = loadWithOneMore(i) < loadWithOneMore(next) ? i : next;
+        ++tasksOf[next];
+    }
+    shares.clear();
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+        if (tasksOf[i] > 0)
+            shares.push_back({&groups[i], tasksOf[i]});
     }
 }
 
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -21,7 +21,7 @@
 /// Room for the line before a chunk, or for a part of a body, beside a header or trailers of the maximum
 /// size.
 constexpr std::size_t lineBytes = std::size_t{8} << 10;
-/// Memory of a parsed header field beside its text, which is small in a header of many fields.
+/// Memory that a parsed header field takes beside its text.
 constexpr std::uint64_t bytesPerField = 128;
 
 constexpr int statusBadRequest = 400;
@@ -186,7 +186,7 @@
     const auto &message = m_parser->get();
     m_headerBytes = static_cast<std::uint64_t>(std::distance(message.begin(), message.end())) * bytesPerField;
     // The bytes of a body of unknown length count as they arrive, in hold().
-    m_bodyBytes = m_parser->is_done() ? 0 : m_parser->content_length().value_or(0);
+    m_bodyBytes = m_parser->content_length().value_or(0);
     if (m_server->reserveBodyBytes(m_bodyBytes))
         return true;
     m_bodyBytes = 0;
