--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 readonly sources=review/standins-2 programs=target/review-2
 mkdir -p $programs
-for it in cancelled drained reborn stalledlog; do
+for it in lateorder overfull reborn stalledlog; do
     g++ -std=c++20 -O1 -Wall -pthread -I$sources $sources/$it.cpp $sources/fleet.cpp $sources/http.cpp -o $programs/$it
 done
--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -39,6 +39,12 @@
 
 } // namespace
 
+bool Faults::isCut(const std::string &id)
+{
+    const std::lock_guard lock(mutex);
+    return cutExecutor == id;
+}
+
 Record::Record(const std::string &path)
     : m_file(path)
 {
@@ -124,6 +130,10 @@
                         {"Seq", ++m_sequence},
                         {"born", m_born}};
         const auto control = m_plan.controls[m_control % m_plan.controls.size()];
+        if (m_plan.faults->isCut(m_plan.id)) {
+            m_changed.wait_for(lock, std::chrono::milliseconds(100), [this] { return m_isStopping; });
+            continue;
+        }
         lock.unlock();
         const auto response =
             call(control, {"POST", "/instances/" + m_plan.id + "/heartbeat", {}, body.dump()}, 1000);
@@ -136,6 +146,21 @@
 }
 
 Response Executor::handle(const Request &request)
+{
+    if (request.target == "/run-start") {
+        const int delayMs = m_plan.faults->nextStartDelayMs.exchange(0);
+        if (delayMs > 0) {
+            m_record.write(m_plan.id + " gets " + request.body + ", which gets no answer and is carried out "
+                           + std::to_string(delayMs) + " ms later");
+            m_plan.faults->startDelayed(m_plan.id, request);
+            return {};
+        }
+    }
+    auto response = carryOut(request);
+    return m_plan.faults->isCut(m_plan.id) ? Response() : response;
+}
+
+Response Executor::carryOut(const Request &request)
 {
     const auto expected = request.headers.find("x-expect-instance");
     const auto order = Json::parse(request.body, nullptr, false);
@@ -270,6 +295,9 @@
         const Endpoint own{m_subnet + std::to_string(100 + i), executorPort};
         ExecutorPlan executor{"i-" + std::to_string(i), m_plan.zones[i % zones], own, m_controls};
         executor.isGuarded = m_plan.areExecutorsGuarded;
+        executor.faults = m_faults;
+        if (i > 0)
+            executor.labels.front() = m_plan.labelOfOthers;
         m_plans.push_back(executor);
         m_executors.push_back(std::make_unique<Executor>(m_record, executor));
     }
@@ -281,6 +309,8 @@
         ::kill(it, SIGKILL);
     for (const auto it : m_processes)
         ::waitpid(it, nullptr, 0);
+    for (auto &it : m_delayed)
+        it.join();
     m_executors.clear();
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
@@ -394,6 +424,30 @@
     return m_processes[vm];
 }
 
+void Fleet::delayNextStart(int delayMs, std::atomic<int> &number)
+{
+    m_faults->startDelayed = [this, delayMs, &number](const std::string &id, const Request &request) {
+        for (std::size_t i = 0; i < m_plans.size(); ++i)
+            number = m_plans[i].id == id ? static_cast<int>(i) : number.load();
+        const auto endpoint = m_plans[static_cast<std::size_t>(number)].endpoint;
+        m_delayed.emplace_back([this, delayMs, endpoint, request] {
+            ::usleep(static_cast<unsigned>(delayMs) * 1000);
+            const auto response = call(endpoint, request, 200);
+            m_record.write("the late order is carried out; its answer " + std::to_string(response.status)
+                           + " " + response.body + " is lost");
+        });
+    };
+    m_faults->nextStartDelayMs = delayMs;
+}
+
+void Fleet::cutAnswers(std::size_t number, bool isCut)
+{
+    m_record.write(m_plans[number].id
+                   + (isCut ? " is cut off: all that it sends is lost" : " is no longer cut off"));
+    const std::lock_guard lock(m_faults->mutex);
+    m_faults->cutExecutor = isCut ? m_plans[number].id : std::string();
+}
+
 void Fleet::crash(std::size_t number)
 {
     m_record.write(m_plans[number].id + " crashes");
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -51,6 +51,20 @@
     int cpu = 0;
 };
 
+/// What happens to the calls of and to the executors of a fleet.
+struct Faults
+{
+    /// The next start order gets no answer, and is carried out this much later; 0 for none.
+    std::atomic<int> nextStartDelayMs = 0;
+    /// Called with the executor's id and that order.
+    std::function<void(const std::string &id, const Request &request)> startDelayed;
+    /// Executor of which all that it sends is lost, while calls reach it; empty for none.
+    std::mutex mutex;
+    std::string cutExecutor;
+
+    bool isCut(const std::string &id);
+};
+
 struct ExecutorPlan
 {
     std::string id;
@@ -63,6 +77,7 @@
     int cpu = 32'000;
     /// Whether it rejects what does not fit.
     bool isGuarded = true;
+    std::shared_ptr<Faults> faults = std::make_shared<Faults>();
 };
 
 /// @brief An executor as the pages describe it: guarded room, leases, fencing, lists of runs and ends.
@@ -90,6 +105,7 @@
     void live();
     void announce();
     Response handle(const Request &request);
+    Response carryOut(const Request &request);
     Json start(const Json &order, int &status);
     Json stop(const Json &order);
     Json hold(const Json &order, std::unique_lock<std::mutex> &lock);
@@ -123,6 +139,8 @@
     std::vector<std::string> zones;
     unsigned executorsPerZone = 2;
     bool areExecutorsGuarded = true;
+    /// First label of all executors but the first.
+    std::string labelOfOthers = "a";
     /// Where the processes write their logs; nothing for files in the fleet's folder.
     std::optional<int> log;
 };
@@ -145,6 +163,13 @@
     /// Processes in the order of the addresses: control VMs, then entry VMs.
     pid_t process(std::size_t vm) const;
 
+    /// Leaves the next start order unanswered and carries it out @p delayMs later, at whatever is there then.
+    /// Sets
+    /// @p number to its executor.
+    void delayNextStart(int delayMs, std::atomic<int> &number);
+    /// From now on all that executor @p number sends is lost, while calls reach it; or that has ended.
+    void cutAnswers(std::size_t number, bool isCut);
+
     /// Ends executor @p number like a crash.
     void crash(std::size_t number);
     /// Starts executor @p number, which has crashed, under its old id and address.
@@ -162,6 +187,8 @@
     std::vector<Endpoint> m_controls;
     std::vector<Endpoint> m_entries;
     std::vector<pid_t> m_processes;
+    std::shared_ptr<Faults> m_faults = std::make_shared<Faults>();
+    std::vector<std::thread> m_delayed;
     std::vector<ExecutorPlan> m_plans;
     std::vector<std::unique_ptr<Executor>> m_executors;
     std::vector<RunEvent> m_earlierRuns;
--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -182,6 +182,9 @@
                 message->firstLine.substr(target, message->firstLine.find(' ', target) - target),
                 std::move(message->headers), std::move(message->body)};
             const auto response = m_handler(request);
+            // No answer: the connection stays as it is.
+            if (response.status == 0)
+                continue;
             sendAll(connection,
                     "HTTP/1.1 " + std::to_string(response.status)
                         + " X\r\ncontent-type: application/json\r\ncontent-length: "
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -40,7 +40,7 @@
 /// Sends one request on a connection of its own and waits for the response for at most @p timeoutMs.
 Response call(const Endpoint &endpoint, const Request &request, int timeoutMs);
 
-/// @brief HTTP/1.1 server with one thread for each connection.
+/// @brief HTTP/1.1 server with one thread for each connection. A response with status 0 is not sent.
 class Server
 {
 public:
--- a/review/standins-2/stalledlog.cpp
+++ b/review/standins-2/stalledlog.cpp
@@ -104,7 +104,7 @@
     });
     int result = 2;
     try {
-        Fleet fleet(record, {{"west-a", "west-b", "west-c"}, 2, true, log[1]});
+        Fleet fleet(record, {{"west-a", "west-b", "west-c"}, 2, true, "a", log[1]});
         if (fleet.configure(configurationOf(version, timeoutMs))) {
             ::usleep(calmUs);
             isReading = !isTroubled;
