--- a/review/standins-2/stalledlog.cpp
+++ b/review/standins-2/stalledlog.cpp
@@ -13,23 +13,40 @@
 namespace {
 
 constexpr int timeoutMs = 1500;
+/// The mean work of the site's referral-triage.
 constexpr int taskMs = 60;
-constexpr int submitPeriodUs = 10'000;
 constexpr int calmUs = 3'000'000;
 constexpr int trafficUs = 20'000'000;
-constexpr std::size_t clientCount = 30;
+/// Traffic is open: requests are sent at these times, whatever becomes of the others.
+constexpr double requestsPerMs = 0.17;
+/// The largest burst of the site, from the second second on.
+constexpr double burstFactor = 1.8;
+constexpr double burstBeginMs = 2000;
+constexpr double burstEndMs = 6000;
+constexpr std::size_t clientCount = 500;
 /// ContactMs of the pages, for which the operator reads the configuration at least.
 constexpr std::int64_t contactMs = 3000;
 constexpr std::uint64_t version = 7;
 
-/// Callers that each send one job after the other, until they are told to stop.
+/// Returns when request @p number is sent, in milliseconds since the traffic began.
+double sendTimeMs(std::uint64_t number)
+{
+    const double atBase = static_cast<double>(number) / requestsPerMs;
+    if (atBase <= burstBeginMs)
+        return atBase;
+    const double inBurst = burstBeginMs + (atBase - burstBeginMs) / burstFactor;
+    return inBurst <= burstEndMs ? inBurst : atBase - (burstEndMs - burstBeginMs) * (burstFactor - 1);
+}
+
+/// Callers that send at a steady rate with one burst, until they are told to stop.
 class Traffic
 {
 public:
-    Traffic(Record &record, Fleet &fleet)
+    Traffic(Record &record, const Fleet &fleet)
+        : m_begin(record.now())
     {
         for (std::size_t i = 0; i < clientCount; ++i)
-            m_clients.emplace_back([this, i, &record, &fleet] { run(i, record, fleet); });
+            m_clients.emplace_back([this, &record, &fleet] { run(record, fleet); });
     }
 
     /// Writes how many requests were answered how, by the five seconds in which they were sent.
@@ -39,7 +56,8 @@
         for (auto &it : m_clients)
             it.join();
         for (const auto &[period, statuses] : m_statuses) {
-            std::string line = "sent from " + std::to_string(period * periodMs / 1000) + " s on:";
+            std::string line =
+                "sent from " + std::to_string(period * periodMs / 1000) + " s of the traffic on:";
             for (const auto &[status, n] : statuses)
                 line +=
                     " " + std::to_string(n) + " x " + (status == 0 ? "no answer" : std::to_string(status));
@@ -50,21 +68,26 @@
 private:
     static constexpr std::int64_t periodMs = 5000;
 
-    void run(std::size_t client, const Record &record, const Fleet &fleet)
+    void run(const Record &record, const Fleet &fleet)
     {
-        constexpr std::uint64_t idsPerClient = 1'000'000;
-        for (std::uint64_t number = 1; !m_isStopping; ++number) {
-            const auto request = submission(jobId(client * idsPerClient + number), 8, taskMs, timeoutMs);
-            const auto sentAt = record.now();
+        while (!m_isStopping) {
+            const auto number = m_nextNumber++;
+            const auto wait = m_begin + static_cast<std::int64_t>(sendTimeMs(number)) - record.now();
+            std::this_thread::sleep_for(std::chrono::milliseconds(wait));
+            if (m_isStopping)
+                return;
+            const auto sentAt = record.now() - m_begin;
+            const auto &entry = fleet.entries()[number % fleet.entries().size()];
             const auto response =
-                call(fleet.entries()[client % fleet.entries().size()], request, timeoutMs + 500);
+                call(entry, submission(jobId(number), 1, taskMs, timeoutMs), timeoutMs + 500);
             const std::lock_guard lock(m_mutex);
             ++m_statuses[sentAt / periodMs][response.status];
-            ::usleep(submitPeriodUs);
         }
     }
 
+    std::int64_t m_begin = 0;
     std::atomic<bool> m_isStopping = false;
+    std::atomic<std::uint64_t> m_nextNumber = 1;
     std::mutex m_mutex;
     std::map<std::int64_t, std::map<int, int>> m_statuses;
     std::list<std::thread> m_clients;
