--- a/src/store/configurationstore.cpp
+++ b/src/store/configurationstore.cpp
@@ -1,7 +1,5 @@
 #include "store/configurationstore.h"
 
-#include "store/journal.h"
-
 #include <boost/asio/post.hpp>
 
 #include <condition_variable>
@@ -144,6 +142,7 @@
     if (!dataFolder.empty()) {
         journal = openJournal(dataFolder);
         m_recovered = journal->takeRecovered();
+        m_summary = journal->summary();
     }
     m_writer = std::make_unique<Writer>(io, std::move(journal), std::move(synced), std::move(failed));
 }
@@ -155,6 +154,11 @@
     return std::exchange(m_recovered, {});
 }
 
+const std::optional<JournalSummary> &ConfigurationStore::summary() const
+{
+    return m_summary;
+}
+
 void ConfigurationStore::write(const AppendRecords &append)
 {
     m_writer->write(append);
--- a/src/store/configurationstore.h
+++ b/src/store/configurationstore.h
@@ -2,11 +2,13 @@
 
 #include "citronpitch/configurationnode.h"
 #include "citronpitch/steperror.h"
+#include "store/journal.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,6 +41,9 @@
     /// Records found in the journal when it was opened; may be called once.
     std::vector<std::string> takeRecovered();
 
+    /// What was found in the journal; empty without a data folder.
+    const std::optional<JournalSummary> &summary() const;
+
     void write(const AppendRecords &append);
     void write(const ReplaceRecords &replace);
 
@@ -46,6 +51,7 @@
     class Writer;
 
     std::vector<std::string> m_recovered;
+    std::optional<JournalSummary> m_summary;
     std::unique_ptr<Writer> m_writer;
 };
 
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -158,15 +158,16 @@
     BOOST_LEAF_ASSIGN(const auto content, readAll(journal.m_descriptor, path));
     if (content.size() < headerBytes) {
         BOOST_LEAF_CHECK(journal.replace({}));
-        journal.m_tornBytes = content.size();
+        journal.m_summary = {0, journal.m_size, content.size()};
         return journal;
     }
     BOOST_LEAF_CHECK(checkHeader(content, path));
     BOOST_LEAF_ASSIGN(auto scan, scanRecords(content, path));
     journal.m_recovered = std::move(scan.records);
     journal.m_size = scan.end;
-    journal.m_tornBytes = content.size() - scan.end;
-    if (journal.m_tornBytes > 0 && ::ftruncate(journal.m_descriptor, static_cast<off_t>(scan.end)) != 0)
+    journal.m_summary = {journal.m_recovered.size(), scan.end, content.size() - scan.end};
+    if (journal.m_summary.droppedBytes > 0
+        && ::ftruncate(journal.m_descriptor, static_cast<off_t>(scan.end)) != 0)
         return systemError("truncate torn record", path);
     return journal;
 }
@@ -182,7 +183,7 @@
     , m_hooks(std::move(other.m_hooks))
     , m_descriptor(std::exchange(other.m_descriptor, -1))
     , m_size(other.m_size)
-    , m_tornBytes(other.m_tornBytes)
+    , m_summary(other.m_summary)
     , m_recovered(std::move(other.m_recovered))
     , m_hasFailed(other.m_hasFailed)
 {
@@ -194,7 +195,7 @@
     std::swap(m_hooks, other.m_hooks);
     std::swap(m_descriptor, other.m_descriptor);
     std::swap(m_size, other.m_size);
-    std::swap(m_tornBytes, other.m_tornBytes);
+    std::swap(m_summary, other.m_summary);
     std::swap(m_recovered, other.m_recovered);
     std::swap(m_hasFailed, other.m_hasFailed);
     return *this;
@@ -205,9 +206,9 @@
     return std::exchange(m_recovered, {});
 }
 
-std::uint64_t Journal::tornBytes() const
+const JournalSummary &Journal::summary() const
 {
-    return m_tornBytes;
+    return m_summary;
 }
 
 leaf::result<void> Journal::append(std::string_view record)
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -29,6 +29,16 @@
     std::function<int(int descriptor)> sync;
 };
 
+/// What Journal::open() found in the file.
+struct JournalSummary
+{
+    std::uint64_t records = 0;
+    /// Size of the content that was kept.
+    std::uint64_t bytes = 0;
+    /// Size of the content behind the last kept record, which was dropped.
+    std::uint64_t droppedBytes = 0;
+};
+
 /**
  * @brief Stores checksummed records in an append-only file.
  *
@@ -52,8 +62,7 @@
     /// The records found in the file when it was opened, in order; may be called once.
     std::vector<std::string> takeRecovered();
 
-    /// Number of bytes of a torn record that were truncated when the file was opened.
-    std::uint64_t tornBytes() const;
+    const JournalSummary &summary() const;
 
     /// Appends @p record. Fails if it is larger than @ref maximumRecordBytes; after a failed write,
     /// every later append() fails.
@@ -77,7 +86,7 @@
     JournalHooks m_hooks;
     int m_descriptor = -1;
     std::uint64_t m_size = 0;
-    std::uint64_t m_tornBytes = 0;
+    JournalSummary m_summary;
     std::vector<std::string> m_recovered;
     bool m_hasFailed = false;
 };
