--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
@@ -76,13 +77,13 @@
     }
 }
 
-leaf::result<void> syncFolder(const std::string &path)
+leaf::result<void> syncFolder(const std::string &path, const JournalHooks &hooks)
 {
     const auto folder = std::filesystem::path(path).parent_path().string();
     const int descriptor = ::open(folder.empty() ? "." : folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (descriptor < 0)
         return systemError("open data folder", folder);
-    const int result = ::fsync(descriptor);
+    const int result = hooks.syncFolder(descriptor);
     ::close(descriptor);
     if (result != 0)
         return systemError("sync data folder", folder);
@@ -152,6 +153,10 @@
         journal.m_hooks.write = ::write;
     if (!journal.m_hooks.sync)
         journal.m_hooks.sync = ::fdatasync;
+    if (!journal.m_hooks.rename)
+        journal.m_hooks.rename = [](const char *from, const char *to) { return std::rename(from, to); };
+    if (!journal.m_hooks.syncFolder)
+        journal.m_hooks.syncFolder = ::fsync;
     journal.m_descriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     if (journal.m_descriptor < 0)
         return systemError("open journal", path);
@@ -243,7 +248,7 @@
     for (const auto &it : records)
         content += encodeRecord(it);
     if (!writeAll(descriptor, content) || m_hooks.sync(descriptor) != 0
-        || ::rename(path.c_str(), m_path.c_str()) != 0) {
+        || m_hooks.rename(path.c_str(), m_path.c_str()) != 0) {
         const auto error = systemError("replace journal", path);
         ::close(descriptor);
         return error;
@@ -252,7 +257,7 @@
         ::close(m_descriptor);
     m_descriptor = descriptor;
     m_size = content.size();
-    return syncFolder(m_path);
+    return syncFolder(m_path, m_hooks);
 }
 
 bool Journal::writeAll(int descriptor, std::string_view bytes) const
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -22,11 +22,14 @@
 /// Step of an error that reports damaged content rather than an I/O failure.
 inline constexpr std::string_view checkJournalStep = "check journal";
 
-/// System calls that tests replace to inject disk failures, with the semantics of write() and fdatasync().
+/// System calls that tests replace to inject disk failures, with the semantics of write(), fdatasync(),
+/// rename(), and fsync() of a folder.
 struct JournalHooks
 {
     std::function<ssize_t(int descriptor, const void *bytes, std::size_t size)> write;
     std::function<int(int descriptor)> sync;
+    std::function<int(const char *from, const char *to)> rename;
+    std::function<int(int descriptor)> syncFolder;
 };
 
 /// What Journal::open() found in the file.
