--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -43,6 +43,20 @@
 /// Age of a job that can't wait any more, by which it is refused unless it is known.
 constexpr Duration refusedMessageAge = std::chrono::hours(1);
 
+/// Time without a message after which a voter counts as silent in the log.
+constexpr Duration maximumVoterSilence = std::chrono::seconds(1);
+
+/// Names of the voters that @p isWanted selects, separated by commas.
+std::string namesOf(const std::vector<Voter> &voters, const std::function<bool(const Voter &)> &isWanted)
+{
+    std::string names;
+    for (const auto &it : voters) {
+        if (isWanted(it))
+            names += (names.empty() ? "" : ",") + it.name;
+    }
+    return names;
+}
+
 /// A control VM of a large fleet has 300 links and 384 MB.
 PeerLinkLimits linkLimits()
 {
@@ -164,6 +178,7 @@
         });
     m_node = std::make_unique<ConfigurationNode>(now(), nodeOptionsOf(m_settings, m_self),
                                                  m_store->takeRecovered());
+    logRecovery();
 }
 
 void FleetMember::reopenConfiguration()
@@ -271,6 +286,10 @@
     const auto &log = m_node->log();
     metrics.setGauge(Metric::ConfigurationTerm, {}, static_cast<double>(m_node->term()));
     metrics.setGauge(Metric::ConfigurationIsLeader, {}, m_node->role() == ConfigurationRole::Leader ? 1 : 0);
+    metrics.setGauge(Metric::ConfigurationHasLeader, {}, m_node->leader().empty() ? 0 : 1);
+    if (m_store->summary())
+        metrics.setGauge(Metric::ConfigurationDroppedBytes, {},
+                         static_cast<double>(m_store->summary()->droppedBytes));
     metrics.setGauge(Metric::ConfigurationVoters, {}, static_cast<double>(log.voters().size()));
     metrics.setGauge(Metric::ConfigurationLogEntries, {},
                      static_cast<double>(log.lastIndex() - log.snapshotIndex()));
@@ -481,6 +500,7 @@
     m_node->tick(now());
     executeActions();
     logLeaderChange();
+    logMissingLeader();
     logEvacuations();
     logSuppressedCounts();
     m_hooks.ticked();
@@ -524,6 +544,42 @@
     m_hooks.changeAnswered(action);
 }
 
+void FleetMember::logRecovery() const
+{
+    if (!m_store->summary())
+        return;
+    const auto &log = m_node->log();
+    logEvent(Event::ConfigurationRecovered,
+             {{"records", std::to_string(m_store->summary()->records)},
+              {"bytes", std::to_string(m_store->summary()->bytes)},
+              {"droppedBytes", std::to_string(m_store->summary()->droppedBytes)},
+              {"version", std::to_string(m_node->activeConfiguration().version)},
+              {"term", std::to_string(m_node->term())},
+              {"lastIndex", std::to_string(log.lastIndex())},
+              {"commitIndex", std::to_string(m_node->commitIndex())},
+              {"voters", namesOf(log.voters(), [](const auto &) { return true; })}});
+}
+
+void FleetMember::logMissingLeader()
+{
+    const auto missing = m_missingLeaderReport.observe(now(), !m_node->leader().empty());
+    if (!missing)
+        return;
+    const auto isSilent = [this](const Voter &voter) {
+        const auto *peer = m_directory.find(voter.name);
+        return voter.name != m_self.name
+            && (peer == nullptr || now() - peer->lastMessageAt > maximumVoterSilence);
+    };
+    const auto &log = m_node->log();
+    logEvent(Event::ConfigurationLeaderMissing,
+             {{"missingMs",
+               std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*missing).count())},
+              {"term", std::to_string(m_node->term())},
+              {"lastIndex", std::to_string(log.lastIndex())},
+              {"voters", namesOf(log.voters(), [](const auto &) { return true; })},
+              {"silentVoters", namesOf(log.voters(), isSilent)}});
+}
+
 void FleetMember::logLeaderChange()
 {
     if (m_loggedLeader == m_node->leader())
--- a/src/fleet/fleetmember.h
+++ b/src/fleet/fleetmember.h
@@ -5,6 +5,7 @@
 #include "citronpitch/peerdirectory.h"
 #include "fleet/bootclock.h"
 #include "fleet/fleetsettings.h"
+#include "fleet/missingleaderreport.h"
 #include "log/metrics.h"
 #include "net/peerlinks.h"
 #include "store/configurationstore.h"
@@ -125,7 +126,9 @@
     void execute(const SendConfigurationMessage &action);
     void execute(const ActivateConfiguration &action);
     void execute(const AnswerChange &action);
+    void logRecovery() const;
     void logLeaderChange();
+    void logMissingLeader();
     void logEvacuations();
 
     boost::asio::io_context &m_io;
@@ -156,6 +159,7 @@
     TimePoint m_nextHeartbeat;
     TimePoint m_reopenAt;
     std::string m_loggedLeader;
+    MissingLeaderReport m_missingLeaderReport;
     std::vector<DomainEvacuation> m_loggedEvacuations;
     bool m_isExecuting = false;
 };
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -38,6 +38,8 @@
     ConfigurationStorageFailed = 402,
     DomainEvacuated = 403,
     DomainRestored = 404,
+    ConfigurationRecovered = 405,
+    ConfigurationLeaderMissing = 406,
     ClaimsRecovered = 450,
     ClaimStorageFailed = 451,
     CallerRequestRejected = 500,
--- a/src/log/metrics.h
+++ b/src/log/metrics.h
@@ -40,6 +40,8 @@
     ConfigurationAge,
     ConfigurationTerm,
     ConfigurationIsLeader,
+    ConfigurationHasLeader,
+    ConfigurationDroppedBytes,
     ConfigurationVoters,
     ConfigurationLogEntries,
     RequestsRefused,
