--- /dev/null
+++ b/tests/support/unreliabledisk.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "store/journal.h"
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Citronpitch {
+
+/// What a power loss leaves of the writes after the last sync of a file.
+enum class PowerLoss {
+    /// All are gone, and so are names that were not synced.
+    KeepsNothing,
+    KeepsAll,
+    /// The first is gone, the others are present.
+    LosesFirst,
+    /// The first lacks its last bytes, the others are present.
+    TearsEndOfFirst,
+    /// The first lacks its first bytes, the others are present.
+    TearsStartOfFirst,
+    /// Each write and each name by itself is kept, lost or, for writes, torn.
+    Random,
+};
+
+/**
+ * @brief Disk of a journal in a test: a power loss keeps what was synced, and any part of the writes after
+ * it.
+ *
+ * The files of a folder are real; what was synced is recorded by hooks. Files must be written through the
+ * hooks only.
+ */
+class UnreliableDisk
+{
+public:
+    UnreliableDisk(std::filesystem::path folder, std::uint64_t seed);
+
+    /// The hooks refer to this object.
+    JournalHooks hooks();
+
+    /// Makes @p count syncs of files or folders fail, after the next @p before ones.
+    void refuseSyncs(unsigned count, unsigned before = 0);
+
+    /// Changes the files to what @p loss leaves of them. No file may be open.
+    void losePower(PowerLoss loss);
+
+private:
+    struct Write
+    {
+        std::uint64_t offset = 0;
+        std::string bytes;
+    };
+
+    struct File
+    {
+        std::string synced;
+        std::vector<Write> writes;
+    };
+
+    using FilePointer = std::shared_ptr<File>;
+
+    /// A name that changed since the last sync of the folder.
+    struct Rename
+    {
+        std::string from;
+        std::string to;
+        FilePointer replaced;
+    };
+
+    ssize_t write(int descriptor, const void *bytes, std::size_t size);
+    int sync(int descriptor);
+    int rename(const std::string &from, const std::string &to);
+    bool isRefused();
+    std::string contentAfter(const File &file, PowerLoss loss);
+    bool flip();
+
+    std::filesystem::path m_folder;
+    std::mt19937_64 m_random;
+    /// By inode number.
+    std::map<std::uint64_t, FilePointer> m_files;
+    std::vector<Rename> m_renames;
+    unsigned m_syncsBeforeRefusal = 0;
+    unsigned m_refusedSyncs = 0;
+};
+
+} // namespace Citronpitch
