--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -552,6 +552,7 @@
     logEvent(Event::ConfigurationRecovered,
              {{"records", std::to_string(m_store->summary()->records)},
               {"bytes", std::to_string(m_store->summary()->bytes)},
+              {"syncedBytes", std::to_string(m_store->summary()->syncedBytes)},
               {"droppedBytes", std::to_string(m_store->summary()->droppedBytes)},
               {"version", std::to_string(m_node->activeConfiguration().version)},
               {"term", std::to_string(m_node->term())},
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -103,12 +103,13 @@
         Event::DomainRestored, EventSeverity::Info, "failure domain is no longer evacuated", "domain",
         "This VM has learned that an operator restored the failure domain. Its upstreams are used "
         "again one after the other."},
-    EventDefinition{
-        Event::ConfigurationRecovered, EventSeverity::Info, "configuration was read from the journal",
-        "records bytes droppedBytes version term lastIndex commitIndex voters",
-        "What this VM starts with. `droppedBytes` were lost or torn by a power loss before they were "
-        "synced; the other voters replicate what is missing. Compare `term`, `lastIndex` and "
-        "`commitIndex` of the voters if no leader is elected."},
+    EventDefinition{Event::ConfigurationRecovered, EventSeverity::Info,
+                    "configuration was read from the journal",
+                    "records bytes syncedBytes droppedBytes version term lastIndex commitIndex voters",
+                    "What this VM starts with. `syncedBytes` are known to have been synced; `droppedBytes` "
+                    "were lost or torn by a power loss before they were "
+                    "synced; the other voters replicate what is missing. Compare `term`, `lastIndex` and "
+                    "`commitIndex` of the voters if no leader is elected."},
     EventDefinition{
         Event::ConfigurationLeaderMissing, EventSeverity::Warning, "no leader of the configuration",
         "missingMs term lastIndex voters silentVoters",
--- a/src/store/claimstore.cpp
+++ b/src/store/claimstore.cpp
@@ -128,16 +128,20 @@
     const bool isFound = fs::exists(journalPath(), ec);
     BOOST_LEAF_ASSIGN(auto journal, Journal::open(journalPath(), m_options.hooks));
     m_journal.emplace(std::move(journal));
+    if (const auto &failure = m_journal->summary().failure)
+        return leaf::new_error(*failure);
     m_recovery.records = m_journal->takeRecovered();
     const auto replay = replayClaims(m_recovery.records);
     m_lastIncarnation = replay.lastIncarnation;
     const bool isFirstIncarnation = isFound && !m_recovery.records.empty() && m_lastIncarnation == 0;
     const bool isSameBoot = !replay.lastBootId.empty() && replay.lastBootId == m_options.bootId();
-    if (isFirstIncarnation || (isSameBoot && !isIncomplete))
+    // The end of a process alone leaves no record that is not intact.
+    const bool isUncut = m_journal->summary().droppedBytes == 0;
+    if (isUncut && (isFirstIncarnation || (isSameBoot && !isIncomplete)))
         m_recovery.completeness = JournalCompleteness::Whole;
-    else if (isFound && m_lastIncarnation != 0)
+    else if (isFound && (m_lastIncarnation != 0 || !isUncut))
         m_recovery.completeness = JournalCompleteness::TailMayBeLost;
-    if (isMoved)
+    if (isMoved || !isUncut)
         fs::rename(journalPath(), incompletePath(), ec);
     return {};
 }
@@ -280,6 +284,11 @@
         m_pending.pop_front();
         m_synced(token);
     }
+    // While records are written, each states what was synced before it.
+    if (m_hasFailed || sequence != m_appended)
+        return;
+    if (const auto error = errorOf([this] { return m_journal->markSynced(); }))
+        fail(*error);
 }
 
 void ClaimStore::fail(const StepError &error)
--- a/src/store/configurationstore.cpp
+++ b/src/store/configurationstore.cpp
@@ -41,8 +41,10 @@
         , m_journal(std::move(journal))
         , m_synced(std::move(synced))
         , m_failed(std::move(failed))
-        , m_thread([this] { writeLoop(); })
     {
+        if (m_journal && m_journal->summary().failure)
+            post([this, error = *m_journal->summary().failure] { m_failed(error); });
+        m_thread = std::thread([this] { writeLoop(); });
     }
 
     ~Writer()
@@ -68,6 +70,8 @@
 private:
     void writeLoop()
     {
+        if (m_journal && m_journal->summary().failure)
+            return;
         for (;;) {
             std::unique_lock lock(m_mutex);
             m_requestsCondition.wait(lock, [this] { return m_isStopping || !m_requests.empty(); });
@@ -89,8 +93,10 @@
                     if (m_journal)
                         BOOST_LEAF_CHECK(writeOne(it));
                 }
-                if (m_journal)
+                if (m_journal) {
                     BOOST_LEAF_CHECK(m_journal->sync());
+                    BOOST_LEAF_CHECK(m_journal->markSynced());
+                }
                 const auto token =
                     std::visit([](const auto &request) { return request.token; }, requests.back());
                 post([this, token] { m_synced(token); });
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "citronpitch/steperror.h"
+#include "store/journalformat.h"
 
 #include <boost/leaf.hpp>
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <sys/types.h>
@@ -13,12 +16,6 @@
 
 namespace Citronpitch {
 
-/// Version of the file format, stored in the file header.
-constexpr std::uint32_t journalFormatVersion = 1;
-
-/// Maximum size of a record in bytes.
-constexpr std::size_t maximumRecordBytes = std::size_t{64} << 20;
-
 /// Step of an error that reports damaged content rather than an I/O failure.
 inline constexpr std::string_view checkJournalStep = "check journal";
 
@@ -38,22 +35,37 @@
     std::uint64_t records = 0;
     /// Size of the content that was kept.
     std::uint64_t bytes = 0;
-    /// Size of the content behind the last kept record, which was dropped.
+    /// Size of the content that is known to have been synced before.
+    std::uint64_t syncedBytes = 0;
+    /// Size of the content behind the last kept record, which was dropped; it had not been synced.
     std::uint64_t droppedBytes = 0;
+    /// The error that kept open() from writing the records to the disk, and with it the journal from being
+    /// written at all.
+    std::optional<StepError> failure;
 };
 
 /**
  * @brief Stores checksummed records in an append-only file.
  *
- * A record survives the end of the process once append() has returned, and a power loss once sync() has.
- * Opening the file truncates a torn or damaged last record and trailing zeros; a damaged record before the
- * end is an error that names the file and the offset. Errors are StepError values whose peer is the path of
- * the file. Used by ClaimStore and ConfigurationStore.
+ * A record survives the end of the process once append() has returned, and a power loss once sync() has. Of
+ * the writes after the last sync a power loss may keep any, in whole or in part: open() drops the first
+ * record that is not intact and everything behind it, provided that it had not been synced. Damage to what
+ * had been synced is an error that names the file and the offset. The file states what was synced in the
+ * records and marks that follow; damage to the records of the newest sync is recognized only once a mark was
+ * written.
+ *
+ * What open() returns is on the disk: records that were perhaps never synced are written to a new file first.
+ * Errors are StepError values whose peer is the path of the file. Used by ClaimStore and ConfigurationStore.
  */
 class Journal
 {
 public:
-    /// Opens or creates the file at @p path. The folder must exist.
+    /**
+     * Opens or creates the file at @p path. The folder must exist.
+     *
+     * If the disk refuses to write, JournalSummary::failure is set: the records can be read, but may not
+     * survive a power loss, and nothing can be appended.
+     */
     static boost::leaf::result<Journal> open(const std::string &path, const JournalHooks &hooks = {});
 
     ~Journal();
@@ -67,12 +79,17 @@
 
     const JournalSummary &summary() const;
 
-    /// Appends @p record. Fails if it is larger than @ref maximumRecordBytes; after a failed write,
-    /// every later append() fails.
+    /// Appends @p record. Fails if it is larger than @ref maximumRecordBytes; after a failed append(), sync()
+    /// or replace(), everything else fails.
     boost::leaf::result<void> append(std::string_view record);
 
-    /// Syncs all appended records to the disk. May be called from another thread than append().
-    boost::leaf::result<void> sync() const;
+    /// Syncs all appended records to the disk. May be called from another thread than append(), but not
+    /// during replace().
+    boost::leaf::result<void> sync();
+
+    /// Writes a mark of what was synced, unless the file states it already; to be called after sync() and
+    /// from the thread of append().
+    boost::leaf::result<void> markSynced();
 
     /// Atomically replaces the whole content by @p records: writes and syncs a new file and renames it.
     boost::leaf::result<void> replace(const std::vector<std::string> &records);
@@ -81,17 +98,24 @@
     std::uint64_t size() const;
 
 private:
-    Journal() = default;
+    Journal(std::string path, JournalHooks hooks);
 
+    boost::leaf::result<void> read();
+    boost::leaf::result<void> persistRecovered(const JournalScan &scan);
+    boost::leaf::result<void> write(std::string_view bytes, std::string_view step);
+    boost::leaf::result<void> syncParent() const;
     bool writeAll(int descriptor, std::string_view bytes) const;
 
     std::string m_path;
     JournalHooks m_hooks;
     int m_descriptor = -1;
-    std::uint64_t m_size = 0;
+    std::atomic<std::uint64_t> m_size = 0;
+    std::atomic<std::uint64_t> m_syncedEnd = 0;
+    /// Newest statement in the file of what was synced.
+    std::uint64_t m_markedEnd = 0;
     JournalSummary m_summary;
     std::vector<std::string> m_recovered;
-    bool m_hasFailed = false;
+    std::atomic<bool> m_hasFailed = false;
 };
 
 } // namespace Citronpitch
--- a/tests/integration/journalpowerlosstest.cpp
+++ b/tests/integration/journalpowerlosstest.cpp
@@ -52,6 +52,12 @@
             restart();
     }
 
+    void markSynced()
+    {
+        if (m_journal && !m_journal->markSynced())
+            restart();
+    }
+
     void replace(const std::vector<std::string> &records)
     {
         if (!m_journal) {
@@ -124,6 +130,10 @@
         if (!isPrefix && found != m_replacement)
             m_error = "found " + std::to_string(found.size()) + " of " + std::to_string(m_records.size())
                 + " records, at least " + std::to_string(expected) + " expected";
+        if (m_journal->summary().failure) {
+            m_journal.reset();
+            return;
+        }
         m_records = found;
         m_replacement.reset();
         m_hasLostPower = false;
@@ -209,8 +219,10 @@
                 journal.replace({"snapshot " + std::to_string(i), std::string(random() % 500, 's')});
             else if (drawn == 3)
                 journal.disk().refuseSyncs(1 + random() % 3, random() % 2);
-            else if (drawn < 8)
+            else if (drawn < 7)
                 journal.sync();
+            else if (drawn < 9)
+                journal.markSynced();
             else
                 journal.append(std::string(random() % 300, 'r') + std::to_string(i));
         }
--- a/tests/integration/journaltest.cpp
+++ b/tests/integration/journaltest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <xxhash.h>
+
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -12,6 +14,8 @@
 
 namespace {
 
+constexpr std::uint64_t recordHeaderBytes = 32;
+
 class JournalTest : public testing::Test
 {
 protected:
@@ -32,6 +36,47 @@
             ASSERT_TRUE(static_cast<bool>(journal->append(it)));
     }
 
+    void writeSynced(const std::vector<std::string> &records)
+    {
+        auto journal = Journal::open(m_path);
+        ASSERT_TRUE(journal.has_value());
+        for (const auto &it : records)
+            ASSERT_TRUE(static_cast<bool>(journal->append(it)));
+        ASSERT_TRUE(static_cast<bool>(journal->sync()));
+        ASSERT_TRUE(static_cast<bool>(journal->markSynced()));
+    }
+
+    void overwrite(std::uint64_t offset, char byte)
+    {
+        std::fstream file(m_path, std::ios::in | std::ios::out | std::ios::binary);
+        file.seekp(static_cast<std::streamoff>(offset));
+        file.put(byte);
+    }
+
+    std::string content() const
+    {
+        std::ifstream file(m_path, std::ios::binary);
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
+    /// Writes a journal of version unmarkedJournalFormatVersion.
+    void writeUnmarked(const std::vector<std::string> &records)
+    {
+        std::string bytes(journalMagic);
+        const auto add = [&](auto value) {
+            bytes.append(reinterpret_cast<const char *>(&value), sizeof value);
+        };
+        add(unmarkedJournalFormatVersion);
+        for (const auto &it : records) {
+            const auto length = static_cast<std::uint32_t>(it.size());
+            add(length);
+            add(static_cast<std::uint32_t>(XXH3_64bits(&length, sizeof length)));
+            add(XXH3_64bits(it.data(), it.size()));
+            bytes += it;
+        }
+        std::ofstream(m_path, std::ios::binary) << bytes;
+    }
+
     /// Records of the file, or the error text as the only element.
     std::vector<std::string> read()
     {
@@ -62,7 +107,7 @@
 {
     write({"one", "two"});
     const auto whole = std::filesystem::file_size(m_path);
-    for (auto size = whole - 1; size > whole - 3 - 16; --size) {
+    for (auto size = whole - 1; size > whole - 3 - recordHeaderBytes; --size) {
         std::filesystem::resize_file(m_path, size);
         EXPECT_EQ(read(), (std::vector<std::string>{"one"}));
         std::filesystem::remove(m_path);
@@ -74,15 +119,38 @@
 // offset.
 TEST_F(JournalTest, damageBeforeTheEndIsReportedWithFileAndOffset)
 {
-    write({"one", "two", "three"});
-    std::fstream file(m_path, std::ios::in | std::ios::out | std::ios::binary);
-    file.seekp(10 + 16);
-    file.put('X');
-    file.close();
+    writeSynced({"one", "two", "three"});
+    overwrite(journalHeaderBytes + recordHeaderBytes, 'X');
     const auto records = read();
     ASSERT_EQ(records.size(), 1U);
     EXPECT_NE(records.front().find(m_path), std::string::npos);
-    EXPECT_NE(records.front().find("offset 10"), std::string::npos);
+    EXPECT_NE(records.front().find("offset 10 "), std::string::npos);
+}
+
+// Guards against silently dropping the newest record, although it had been synced.
+TEST_F(JournalTest, damageToTheLastSyncedRecordIsReported)
+{
+    writeSynced({"one", "two", "three"});
+    const auto offset = journalHeaderBytes + 2 * (recordHeaderBytes + 3);
+    for (const auto it : {offset, offset + recordHeaderBytes}) {
+        const auto before = content();
+        overwrite(it, 'X');
+        EXPECT_NE(read().front().find("offset " + std::to_string(offset) + " "), std::string::npos) << it;
+        std::ofstream(m_path, std::ios::binary) << before;
+    }
+    EXPECT_EQ(read(), (std::vector<std::string>{"one", "two", "three"}));
+}
+
+// Guards against silently dropping the records of a replaced journal.
+TEST_F(JournalTest, damageToAReplacedJournalIsReported)
+{
+    {
+        auto journal = Journal::open(m_path);
+        ASSERT_TRUE(journal.has_value());
+        ASSERT_TRUE(static_cast<bool>(journal->replace({"one", "two"})));
+    }
+    overwrite(journalHeaderBytes + recordHeaderBytes + 3, 'X');
+    EXPECT_NE(read().front().find("offset 45 "), std::string::npos);
 }
 
 // Guards against rejecting a journal whose file had grown before a power loss, but whose data was not
@@ -104,30 +172,25 @@
 TEST_F(JournalTest, unknownFormatVersionIsRejected)
 {
     write({"one"});
-    std::fstream file(m_path, std::ios::in | std::ios::out | std::ios::binary);
-    file.seekp(6);
-    file.put(static_cast<char>(journalFormatVersion + 1));
-    file.close();
+    overwrite(journalMagic.size(), static_cast<char>(journalFormatVersion + 1));
     EXPECT_NE(read().front().find("format version"), std::string::npos);
 }
 
-// Guards against returning a changed record after one byte of the file was corrupted.
+// Guards against returning a changed record, or dropping a synced one, after one byte of the file was
+// corrupted.
 TEST_F(JournalTest, corruptBytesGiveAPrefixOrAnError)
 {
     const std::vector<std::string> records{"one", "two", "three", "four"};
     std::mt19937_64 random(1);
-    write(records);
-    std::ifstream original(m_path, std::ios::binary);
-    const std::string whole{std::istreambuf_iterator<char>(original), {}};
+    writeSynced(records);
+    const auto whole = content();
     for (int i = 0; i < 2000; ++i) {
         auto changed = whole;
         changed[random() % changed.size()] = static_cast<char>(random());
         std::ofstream(m_path, std::ios::binary) << changed;
         const auto found = read();
         const bool isError = found.size() == 1 && found.front().find(m_path) != std::string::npos;
-        const bool isPrefix =
-            found.size() <= records.size() && std::equal(found.begin(), found.end(), records.begin());
-        EXPECT_TRUE(isError || isPrefix) << i;
+        EXPECT_TRUE(isError || found == records) << i;
     }
 }
 
@@ -143,3 +206,27 @@
     }
     EXPECT_EQ(read(), (std::vector<std::string>{"three", "four"}));
 }
+
+// Guards against losing the records of a journal that an earlier version of the program wrote.
+TEST_F(JournalTest, journalWithoutMarksIsReadAndReplaced)
+{
+    for (const auto &it : {std::vector<std::string>{}, {"one"}, {"one", "", "three"}}) {
+        writeUnmarked(it);
+        EXPECT_EQ(read(), it);
+        writeSynced({"new"});
+        auto all = it;
+        all.emplace_back("new");
+        EXPECT_EQ(read(), all);
+    }
+}
+
+// Guards against silently dropping records of a journal that doesn't show what was synced.
+TEST_F(JournalTest, damageBeforeTheEndOfAJournalWithoutMarksIsReported)
+{
+    writeUnmarked({"one", "two"});
+    overwrite(journalHeaderBytes + 16, 'X');
+    EXPECT_NE(read().front().find("offset 10 "), std::string::npos);
+    writeUnmarked({"one", "two"});
+    overwrite(content().size() - 1, 'X');
+    EXPECT_EQ(read(), (std::vector<std::string>{"one"}));
+}
