--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -143,7 +143,8 @@
 
 leaf::result<void> Journal::persistRecovered(const JournalScan &scan)
 {
-    if (scan.version != journalFormatVersion || m_summary.droppedBytes > 0)
+    const bool isMarked = scan.version == journalFormatVersion && scan.syncedEnd >= scan.recordsEnd;
+    if (!isMarked || m_summary.droppedBytes > 0)
         return replace(m_recovered);
     return {};
 }
--- a/tests/integration/journaltest.cpp
+++ b/tests/integration/journaltest.cpp
@@ -230,3 +230,20 @@
     overwrite(content().size() - 1, 'X');
     EXPECT_EQ(read(), (std::vector<std::string>{"one"}));
 }
+
+// Guards against a control VM that can't start while its disk is full.
+TEST_F(JournalTest, recordsAreReadWhileTheDiskRefusesWrites)
+{
+    write({"one"});
+    JournalHooks hooks;
+    hooks.write = [](int, const void *, std::size_t) -> ssize_t {
+        errno = ENOSPC;
+        return -1;
+    };
+    auto journal = Journal::open(m_path, hooks);
+    ASSERT_TRUE(journal.has_value());
+    EXPECT_TRUE(journal->summary().failure.has_value());
+    EXPECT_EQ(journal->takeRecovered(), std::vector<std::string>{"one"});
+    EXPECT_FALSE(static_cast<bool>(journal->append("two")));
+    EXPECT_EQ(read(), std::vector<std::string>{"one"});
+}
