--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -146,7 +146,8 @@
     const bool isMarked = scan.version == journalFormatVersion && scan.syncedEnd >= scan.recordsEnd;
     if (!isMarked || m_summary.droppedBytes > 0)
         return replace(m_recovered);
-    return {};
+    // An earlier process may have ended between renaming a replaced journal and syncing the folder.
+    return syncParent();
 }
 
 std::vector<std::string> Journal::takeRecovered()
