--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -46,14 +46,12 @@
 /// Time without a message after which a voter counts as silent in the log.
 constexpr Duration maximumVoterSilence = std::chrono::seconds(1);
 
-/// Names of the voters that @p isWanted selects, separated by commas.
-std::string namesOf(const std::vector<Voter> &voters, const std::function<bool(const Voter &)> &isWanted)
+/// Names of @p voters, separated by commas.
+std::string namesOf(const std::vector<Voter> &voters)
 {
     std::string names;
-    for (const auto &it : voters) {
-        if (isWanted(it))
-            names += (names.empty() ? "" : ",") + it.name;
-    }
+    for (const auto &it : voters)
+        names += (names.empty() ? "" : ",") + it.name;
     return names;
 }
 
@@ -558,7 +556,7 @@
               {"term", std::to_string(m_node->term())},
               {"lastIndex", std::to_string(log.lastIndex())},
               {"commitIndex", std::to_string(m_node->commitIndex())},
-              {"voters", namesOf(log.voters(), [](const auto &) { return true; })}});
+              {"voters", namesOf(log.voters())}});
 }
 
 void FleetMember::logMissingLeader()
@@ -566,19 +564,20 @@
     const auto missing = m_missingLeaderReport.observe(now(), !m_node->leader().empty());
     if (!missing)
         return;
-    const auto isSilent = [this](const Voter &voter) {
-        const auto *peer = m_directory.find(voter.name);
-        return voter.name != m_self.name
-            && (peer == nullptr || now() - peer->lastMessageAt > maximumVoterSilence);
-    };
     const auto &log = m_node->log();
+    auto silent = log.voters();
+    std::erase_if(silent, [this](const Voter &it) {
+        const auto *peer = m_directory.find(it.name);
+        return it.name == m_self.name
+            || (peer != nullptr && now() - peer->lastMessageAt <= maximumVoterSilence);
+    });
     logEvent(Event::ConfigurationLeaderMissing,
              {{"missingMs",
                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*missing).count())},
               {"term", std::to_string(m_node->term())},
               {"lastIndex", std::to_string(log.lastIndex())},
-              {"voters", namesOf(log.voters(), [](const auto &) { return true; })},
-              {"silentVoters", namesOf(log.voters(), isSilent)}});
+              {"voters", namesOf(log.voters())},
+              {"silentVoters", namesOf(silent)}});
 }
 
 void FleetMember::logLeaderChange()
