--- a/src/store/configurationstore.cpp
+++ b/src/store/configurationstore.cpp
@@ -1,7 +1,5 @@
 #include "store/configurationstore.h"
 
-#include "store/journal.h"
-
 #include <boost/asio/post.hpp>
 
 #include <condition_variable>
@@ -43,8 +41,10 @@
         , m_journal(std::move(journal))
         , m_synced(std::move(synced))
         , m_failed(std::move(failed))
-        , m_thread([this] { writeLoop(); })
     {
+        if (m_journal && m_journal->summary().failure)
+            post([this, error = *m_journal->summary().failure] { m_failed(error); });
+        m_thread = std::thread([this] { writeLoop(); });
     }
 
     ~Writer()
@@ -70,6 +70,8 @@
 private:
     void writeLoop()
     {
+        if (m_journal && m_journal->summary().failure)
+            return;
         for (;;) {
             std::unique_lock lock(m_mutex);
             m_requestsCondition.wait(lock, [this] { return m_isStopping || !m_requests.empty(); });
@@ -91,8 +93,10 @@
                     if (m_journal)
                         BOOST_LEAF_CHECK(writeOne(it));
                 }
-                if (m_journal)
+                if (m_journal) {
                     BOOST_LEAF_CHECK(m_journal->sync());
+                    BOOST_LEAF_CHECK(m_journal->markSynced());
+                }
                 const auto token =
                     std::visit([](const auto &request) { return request.token; }, requests.back());
                 post([this, token] { m_synced(token); });
@@ -144,6 +148,7 @@
     if (!dataFolder.empty()) {
         journal = openJournal(dataFolder);
         m_recovered = journal->takeRecovered();
+        m_summary = journal->summary();
     }
     m_writer = std::make_unique<Writer>(io, std::move(journal), std::move(synced), std::move(failed));
 }
@@ -155,6 +160,11 @@
     return std::exchange(m_recovered, {});
 }
 
+const std::optional<JournalSummary> &ConfigurationStore::summary() const
+{
+    return m_summary;
+}
+
 void ConfigurationStore::write(const AppendRecords &append)
 {
     m_writer->write(append);
