--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -211,6 +211,10 @@
     /// active configuration.
     void storageFailed();
 
+    /// Answers all changes that are not decided yet as ChangeOutcome::Unknown, or as NoLeader where they were
+    /// forwarded to none. To be called before another node replaces this one.
+    void endProposals();
+
     /// Handles timeouts. Must be called every few milliseconds.
     void tick(TimePoint now);
 
@@ -384,6 +388,7 @@
     void appendProposal(const ConfigurationChange &change);
     void resendProposals(TimePoint now);
     void answerProposals();
+    void answerUndecided(const Proposal &proposal);
 
     void releaseSynced();
     Message newMessage() const;
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -1058,11 +1058,7 @@
     for (std::size_t i = 0; i < m_proposals.size();) {
         auto &proposal = m_proposals[i];
         if (now >= proposal.deadline) {
-            ChangeAnswer answer;
-            answer.id = proposal.change.id;
-            answer.outcome = proposal.isForwarded ? ChangeOutcome::Unknown : ChangeOutcome::NoLeader;
-            answer.version = m_activeConfiguration.version;
-            m_actions.emplace_back(AnswerChange{proposal.request, answer});
+            answerUndecided(proposal);
             m_proposals.erase(m_proposals.begin() + static_cast<std::ptrdiff_t>(i));
             continue;
         }
@@ -1072,6 +1068,22 @@
     }
 }
 
+void ConfigurationNode::answerUndecided(const Proposal &proposal)
+{
+    ChangeAnswer answer;
+    answer.id = proposal.change.id;
+    answer.outcome = proposal.isForwarded ? ChangeOutcome::Unknown : ChangeOutcome::NoLeader;
+    answer.version = m_activeConfiguration.version;
+    m_actions.emplace_back(AnswerChange{proposal.request, answer});
+}
+
+void ConfigurationNode::endProposals()
+{
+    for (const auto &it : m_proposals)
+        answerUndecided(it);
+    m_proposals.clear();
+}
+
 void ConfigurationNode::answerProposals()
 {
     std::erase_if(m_proposals, [&](const auto &it) {
--- a/src/daemon/configurationservice.cpp
+++ b/src/daemon/configurationservice.cpp
@@ -50,12 +50,13 @@
               executeActions();
           },
           [this](const StepError &error) {
-              logEvent(Event::ConfigurationStorageFailed, {{"error", error.text()}});
-              m_node.storageFailed();
+              storeFailed(error);
               executeActions();
           })
     , m_node(m_hooks.now(), configurationNodeOptions(settings), m_store.takeRecovered())
 {
+    if (m_store.summary() && m_store.summary()->failure)
+        storeFailed(*m_store.summary()->failure);
 }
 
 void ConfigurationService::start()
@@ -161,6 +162,12 @@
     respond(changeResponse(action.answer));
 }
 
+void ConfigurationService::storeFailed(const StepError &error)
+{
+    logEvent(Event::ConfigurationStorageFailed, {{"error", error.text()}});
+    m_node.storageFailed();
+}
+
 void ConfigurationService::logLeaderChange()
 {
     if (m_loggedLeader == m_node.leader())
--- a/src/daemon/configurationservice.h
+++ b/src/daemon/configurationservice.h
@@ -59,6 +59,7 @@
     void execute(const SendConfigurationMessage &action);
     void execute(const ActivateConfiguration &action);
     void execute(const AnswerChange &action);
+    void storeFailed(const StepError &error);
     void logLeaderChange();
 
     ConfigurationHooks m_hooks;
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -158,39 +158,84 @@
 FleetMember::~FleetMember()
 {
     *m_isAlive = false;
+    if (m_opener.joinable())
+        m_opener.join();
 }
 
 void FleetMember::openConfiguration()
 {
-    m_store = std::make_unique<ConfigurationStore>(
+    // A disk may take seconds. Until the journal is open, the VM serves by what it has, without a vote.
+    const bool hasDisk = !m_settings.dataFolder.empty();
+    m_node = std::make_unique<ConfigurationNode>(now(), nodeOptionsOf(m_settings, m_self),
+                                                 hasDisk ? ConfigurationStore::peek(m_settings.dataFolder)
+                                                         : std::vector<std::string>());
+    if (hasDisk) {
+        m_node->storageFailed();
+        openStore();
+    } else {
+        m_store = newStore();
+    }
+}
+
+std::shared_ptr<ConfigurationStore> FleetMember::newStore()
+{
+    return std::make_shared<ConfigurationStore>(
         m_io, m_settings.dataFolder,
         [this](std::uint64_t token) {
             m_node->synced(now(), token);
             executeActions();
         },
-        [this](const StepError &error) {
-            logEvent(Event::ConfigurationStorageFailed, {{"error", error.text()}});
-            m_node->storageFailed();
-            m_reopenAt = now() + reopenDelay;
-            executeActions();
+        [this](const StepError &error) { storeFailed(error.text()); });
+}
+
+void FleetMember::openStore()
+{
+    if (m_opener.joinable())
+        m_opener.join();
+    m_isOpening = true;
+    m_opener = std::thread([this, isAlive = m_isAlive] {
+        std::shared_ptr<ConfigurationStore> store;
+        std::string error;
+        try {
+            store = newStore();
+            if (const auto &failure = store->summary()->failure)
+                error = failure->text();
+        } catch (const std::exception &e) {
+            error = e.what();
+        }
+        boost::asio::post(m_io, [this, isAlive, store = std::move(store), error] {
+            if (!*isAlive)
+                return;
+            m_isOpening = false;
+            if (error.empty())
+                storeOpened(store);
+            else
+                storeFailed(error);
         });
+    });
+}
+
+void FleetMember::storeOpened(const std::shared_ptr<ConfigurationStore> &store)
+{
+    m_node->endProposals();
+    executeActions();
+    m_store = store;
     m_node = std::make_unique<ConfigurationNode>(now(), nodeOptionsOf(m_settings, m_self),
                                                  m_store->takeRecovered());
+    // A journal that gets lost while the VM runs doesn't make it an initial voter again.
+    m_settings.isFirstStart = false;
     logRecovery();
+    m_members.clear();
+    updateMembers();
+    m_hooks.configurationChanged(m_node->activeConfiguration());
+    executeActions();
 }
 
-void FleetMember::reopenConfiguration()
+void FleetMember::storeFailed(const std::string &error)
 {
+    logEvent(Event::ConfigurationStorageFailed, {{"error", error}});
+    m_node->storageFailed();
     m_reopenAt = now() + reopenDelay;
-    try {
-        openConfiguration();
-    } catch (const std::exception &e) {
-        logEvent(Event::ConfigurationStorageFailed, {{"error", e.what()}});
-        return;
-    }
-    m_members.clear();
-    updateMembers();
-    m_hooks.configurationChanged(m_node->activeConfiguration());
     executeActions();
 }
 
@@ -285,7 +330,7 @@
     metrics.setGauge(Metric::ConfigurationTerm, {}, static_cast<double>(m_node->term()));
     metrics.setGauge(Metric::ConfigurationIsLeader, {}, m_node->role() == ConfigurationRole::Leader ? 1 : 0);
     metrics.setGauge(Metric::ConfigurationHasLeader, {}, m_node->leader().empty() ? 0 : 1);
-    if (m_store->summary())
+    if (m_store && m_store->summary())
         metrics.setGauge(Metric::ConfigurationDroppedBytes, {},
                          static_cast<double>(m_store->summary()->droppedBytes));
     metrics.setGauge(Metric::ConfigurationVoters, {}, static_cast<double>(log.voters().size()));
@@ -493,8 +538,8 @@
     }
     m_directory.tick(now());
     reportChanges();
-    if (m_node->hasStorageFailed() && now() >= m_reopenAt)
-        reopenConfiguration();
+    if (m_node->hasStorageFailed() && !m_isOpening && now() >= m_reopenAt)
+        openStore();
     m_node->tick(now());
     executeActions();
     logLeaderChange();
@@ -517,12 +562,15 @@
 
 void FleetMember::execute(const AppendRecords &action)
 {
-    m_store->write(action);
+    // The records of a node that has no store yet are read again by the node that replaces it.
+    if (m_store)
+        m_store->write(action);
 }
 
 void FleetMember::execute(const ReplaceRecords &action)
 {
-    m_store->write(action);
+    if (m_store)
+        m_store->write(action);
 }
 
 void FleetMember::execute(const SendConfigurationMessage &action)
--- a/src/fleet/fleetmember.h
+++ b/src/fleet/fleetmember.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
 
 namespace citronpitch::wire::fleet {
 class Heartbeat;
@@ -50,7 +51,7 @@
 class FleetMember
 {
 public:
-    /// Throws std::exception if a listener or the journal can't be opened.
+    /// Throws std::exception if a listener can't be opened, or the journal is damaged or can't be read.
     FleetMember(boost::asio::io_context &io, const FleetSettings &settings, FleetMemberHooks hooks);
     ~FleetMember();
     FleetMember(const FleetMember &) = delete;
@@ -95,10 +96,14 @@
     const ConfigurationNode &configuration() const;
 
 private:
-    /// Opens the journal and restores the configuration from it; throws std::exception on failure.
+    /// Restores the configuration from the journal and begins to open it; throws std::exception if it is
+    /// damaged.
     void openConfiguration();
-    /// Opens the journal again after a write to it failed.
-    void reopenConfiguration();
+    std::shared_ptr<ConfigurationStore> newStore();
+    /// Opens the journal on a thread of its own, at the start or after a write to it failed.
+    void openStore();
+    void storeOpened(const std::shared_ptr<ConfigurationStore> &store);
+    void storeFailed(const std::string &error);
     /// A job or announcement that waits until more urgent messages were handled.
     struct DeferredMessage
     {
@@ -138,7 +143,9 @@
     FleetPeer m_self;
     std::uint16_t m_peerPort;
     PeerDirectory m_directory;
-    std::unique_ptr<ConfigurationStore> m_store;
+    std::shared_ptr<ConfigurationStore> m_store;
+    std::thread m_opener;
+    bool m_isOpening = false;
     std::unique_ptr<ConfigurationNode> m_node;
     PeerLinks m_links;
     EventLoopLag m_lag;
--- a/src/store/configurationstore.cpp
+++ b/src/store/configurationstore.cpp
@@ -19,12 +19,17 @@
 
 using WriteRequest = std::variant<AppendRecords, ReplaceRecords>;
 
+fs::path journalPath(const std::string &dataFolder)
+{
+    return fs::path(dataFolder) / "configuration" / "journal";
+}
+
 Journal openJournal(const std::string &dataFolder)
 {
-    const auto folder = fs::path(dataFolder) / "configuration";
-    fs::create_directories(folder);
+    const auto path = journalPath(dataFolder);
+    fs::create_directories(path.parent_path());
     return leaf::try_handle_all(
-        [&]() -> leaf::result<Journal> { return Journal::open(folder / "journal"); },
+        [&]() -> leaf::result<Journal> { return Journal::open(path); },
         [](const StepError &error) -> Journal { throw std::runtime_error(error.text()); },
         []() -> Journal { throw std::runtime_error("open configuration journal"); });
 }
@@ -41,10 +46,8 @@
         , m_journal(std::move(journal))
         , m_synced(std::move(synced))
         , m_failed(std::move(failed))
+        , m_thread([this] { writeLoop(); })
     {
-        if (m_journal && m_journal->summary().failure)
-            post([this, error = *m_journal->summary().failure] { m_failed(error); });
-        m_thread = std::thread([this] { writeLoop(); });
     }
 
     ~Writer()
@@ -70,8 +73,6 @@
 private:
     void writeLoop()
     {
-        if (m_journal && m_journal->summary().failure)
-            return;
         for (;;) {
             std::unique_lock lock(m_mutex);
             m_requestsCondition.wait(lock, [this] { return m_isStopping || !m_requests.empty(); });
@@ -155,6 +156,14 @@
 
 ConfigurationStore::~ConfigurationStore() = default;
 
+std::vector<std::string> ConfigurationStore::peek(const std::string &dataFolder)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::vector<std::string>> { return Journal::peek(journalPath(dataFolder)); },
+        [](const StepError &error) -> std::vector<std::string> { throw std::runtime_error(error.text()); },
+        []() -> std::vector<std::string> { throw std::runtime_error("read configuration journal"); });
+}
+
 std::vector<std::string> ConfigurationStore::takeRecovered()
 {
     return std::exchange(m_recovered, {});
--- a/src/store/configurationstore.h
+++ b/src/store/configurationstore.h
@@ -30,10 +30,16 @@
 class ConfigurationStore
 {
 public:
-    /// Opens or creates the journal in @p dataFolder. Throws std::runtime_error if it is damaged or can't be
-    /// opened. If @p dataFolder is empty, nothing is persisted and all requests are reported as synced.
+    /// Opens or creates the journal in @p dataFolder, which waits for the disk. If the disk refuses writes,
+    /// JournalSummary::failure is set, and nothing may be written. Throws std::runtime_error if it is damaged
+    /// or can't be opened. If @p dataFolder is empty, nothing is persisted and all requests are reported as
+    /// synced.
     ConfigurationStore(boost::asio::io_context &io, const std::string &dataFolder,
                        RecordsSyncedCallback synced, StorageFailedCallback failed);
+    /// Reads the records in @p dataFolder without changing anything; they may not survive a power loss.
+    /// Throws std::runtime_error if the journal is damaged or can't be read.
+    static std::vector<std::string> peek(const std::string &dataFolder);
+
     ~ConfigurationStore();
     ConfigurationStore(const ConfigurationStore &) = delete;
     ConfigurationStore &operator=(const ConfigurationStore &) = delete;
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -70,6 +70,23 @@
     return journal;
 }
 
+leaf::result<std::vector<std::string>> Journal::peek(const std::string &path)
+{
+    const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0 && errno == ENOENT)
+        return std::vector<std::string>();
+    if (descriptor < 0)
+        return systemError("open journal", path);
+    auto content = readAll(descriptor, path);
+    ::close(descriptor);
+    if (!content)
+        return content.error();
+    if (content->empty())
+        return std::vector<std::string>();
+    BOOST_LEAF_ASSIGN(auto found, scan(*content, path));
+    return std::move(found.records);
+}
+
 Journal::Journal(std::string path, JournalHooks hooks)
     : m_path(std::move(path))
     , m_hooks(std::move(hooks))
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -68,6 +68,10 @@
      */
     static boost::leaf::result<Journal> open(const std::string &path, const JournalHooks &hooks = {});
 
+    /// Reads the records of the file at @p path without changing it; none if there is no file. They may not
+    /// survive a power loss. Errors as of open().
+    static boost::leaf::result<std::vector<std::string>> peek(const std::string &path);
+
     ~Journal();
     Journal(Journal &&other) noexcept;
     Journal &operator=(Journal &&other) noexcept;
