--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -18,6 +18,9 @@
 
 namespace {
 
+/// Size from which the records of a new file are written.
+constexpr std::size_t replaceBufferBytes = std::size_t{1} << 20;
+
 leaf::error_id fileError(std::string_view step, const std::string &path, const std::string &detail)
 {
     return leaf::new_error(StepError{std::string(step), path, detail});
@@ -139,7 +142,7 @@
     m_descriptor = ::open(m_path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     if (m_descriptor < 0)
         return systemError("open journal", m_path);
-    BOOST_LEAF_ASSIGN(const auto content, readAll(m_descriptor, m_path));
+    BOOST_LEAF_ASSIGN(auto content, readAll(m_descriptor, m_path));
     // A file gets its name with its header synced; an empty one was only just created.
     if (content.empty())
         return replace({});
@@ -149,6 +152,9 @@
     m_syncedEnd = found.syncedEnd;
     m_markedEnd = found.syncedEnd;
     m_summary = {m_recovered.size(), found.end, found.syncedEnd, content.size() - found.end, {}};
+    // Journals of claims have hundreds of megabytes.
+    content.clear();
+    content.shrink_to_fit();
     leaf::try_handle_all([&]() -> leaf::result<void> { return persistRecovered(found); },
                          [&](const StepError &error) { m_summary.failure = error; },
                          [&] {
@@ -217,14 +223,8 @@
     const int descriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
     if (descriptor < 0)
         return systemError("open journal", path);
-    std::string content = encodeJournalHeader();
-    for (const auto &it : records)
-        content += encodeRecord(it, content.size(), 0);
-    // The file gets its name only once all of it is synced.
-    if (!records.empty())
-        content += encodeSyncMark(content.size(), content.size());
-    if (!writeAll(descriptor, content) || m_hooks.sync(descriptor) != 0
-        || m_hooks.rename(path.c_str(), m_path.c_str()) != 0) {
+    const auto size = writeRecords(descriptor, records);
+    if (!size || m_hooks.sync(descriptor) != 0 || m_hooks.rename(path.c_str(), m_path.c_str()) != 0) {
         const auto error = systemError("replace journal", path);
         ::close(descriptor);
         return error;
@@ -232,9 +232,9 @@
     if (m_descriptor >= 0)
         ::close(m_descriptor);
     m_descriptor = descriptor;
-    m_size = content.size();
-    m_syncedEnd = content.size();
-    m_markedEnd = content.size();
+    m_size = *size;
+    m_syncedEnd = *size;
+    m_markedEnd = *size;
     BOOST_LEAF_CHECK(syncParent());
     m_hasFailed = false;
     return {};
@@ -263,6 +263,32 @@
     return syncFolder(parent.empty() ? "." : parent, m_hooks.syncFolder);
 }
 
+std::optional<std::uint64_t> Journal::writeRecords(int descriptor,
+                                                   const std::vector<std::string> &records) const
+{
+    auto buf = encodeJournalHeader();
+    std::uint64_t size = buf.size();
+    const auto add = [&](std::string_view bytes) {
+        buf += bytes;
+        size += bytes.size();
+        if (buf.size() < replaceBufferBytes)
+            return true;
+        const bool isWritten = writeAll(descriptor, buf);
+        buf.clear();
+        return isWritten;
+    };
+    for (const auto &it : records) {
+        if (!add(encodeRecord(it, size, 0)))
+            return {};
+    }
+    // The file gets its name only once all of it is synced.
+    if (!records.empty() && !add(encodeSyncMark(size, size)))
+        return {};
+    if (!writeAll(descriptor, buf))
+        return {};
+    return size;
+}
+
 bool Journal::writeAll(int descriptor, std::string_view bytes) const
 {
     while (!bytes.empty()) {
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -108,6 +108,8 @@
     boost::leaf::result<void> persistRecovered(const JournalScan &scan);
     boost::leaf::result<void> write(std::string_view bytes, std::string_view step);
     boost::leaf::result<void> syncParent() const;
+    /// Writes a whole file; returns its size, or nothing after a failed write.
+    std::optional<std::uint64_t> writeRecords(int descriptor, const std::vector<std::string> &records) const;
     bool writeAll(int descriptor, std::string_view bytes) const;
 
     std::string m_path;
