--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -68,6 +68,10 @@
      */
     static boost::leaf::result<Journal> open(const std::string &path, const JournalHooks &hooks = {});
 
+    /// Reads the records of the file at @p path without changing it; none if there is no file. They may not
+    /// survive a power loss. Errors as of open().
+    static boost::leaf::result<std::vector<std::string>> peek(const std::string &path);
+
     ~Journal();
     Journal(Journal &&other) noexcept;
     Journal &operator=(Journal &&other) noexcept;
@@ -104,6 +108,8 @@
     boost::leaf::result<void> persistRecovered(const JournalScan &scan);
     boost::leaf::result<void> write(std::string_view bytes, std::string_view step);
     boost::leaf::result<void> syncParent() const;
+    /// Writes a whole file; returns its size, or nothing after a failed write.
+    std::optional<std::uint64_t> writeRecords(int descriptor, const std::vector<std::string> &records) const;
     bool writeAll(int descriptor, std::string_view bytes) const;
 
     std::string m_path;
