--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -109,6 +109,7 @@
     std::string m_path;
     JournalHooks m_hooks;
     int m_descriptor = -1;
+    std::uint64_t m_salt = 0;
     std::atomic<std::uint64_t> m_size = 0;
     std::atomic<std::uint64_t> m_syncedEnd = 0;
     /// Newest statement in the file of what was synced.
--- a/src/store/journalformat.cpp
+++ b/src/store/journalformat.cpp
@@ -19,7 +19,7 @@
     RecordKind kind = RecordKind::Content;
     std::uint64_t syncedEnd = 0;
     std::uint64_t contentChecksum = 0;
-    /// Covers the members before it and the offset of the record.
+    /// Covers the members before it, the offset of the record and the salt of the file.
     std::uint64_t headerChecksum = 0;
 };
 static_assert(sizeof(RecordHeader) == 32, "the header is part of the file format");
@@ -32,42 +32,43 @@
     std::uint64_t checksum = 0;
 };
 
-std::uint64_t headerChecksumOf(const RecordHeader &header, std::uint64_t offset)
+std::uint64_t headerChecksumOf(const RecordHeader &header, std::uint64_t offset, std::uint64_t salt)
 {
-    return XXH3_64bits_withSeed(&header, offsetof(RecordHeader, headerChecksum), offset);
+    return XXH3_64bits_withSeed(&header, offsetof(RecordHeader, headerChecksum), offset ^ salt);
 }
 
-std::string encode(RecordKind kind, std::string_view record, std::uint64_t offset, std::uint64_t syncedEnd)
+std::string encode(RecordKind kind, std::string_view record, std::uint64_t offset, std::uint64_t syncedEnd,
+                   std::uint64_t salt)
 {
     RecordHeader header;
     header.length = static_cast<std::uint32_t>(record.size());
     header.kind = kind;
     header.syncedEnd = syncedEnd;
     header.contentChecksum = XXH3_64bits(record.data(), record.size());
-    header.headerChecksum = headerChecksumOf(header, offset);
+    header.headerChecksum = headerChecksumOf(header, offset, salt);
     std::string bytes(sizeof header, '\0');
     std::memcpy(bytes.data(), &header, sizeof header);
     return bytes.append(record);
 }
 
 /// The header at @p offset; empty if there is no intact one.
-std::optional<RecordHeader> headerAt(std::string_view content, std::uint64_t offset)
+std::optional<RecordHeader> headerAt(std::string_view content, std::uint64_t offset, std::uint64_t salt)
 {
     if (offset + sizeof(RecordHeader) > content.size())
         return {};
     RecordHeader header;
     std::memcpy(&header, content.data() + offset, sizeof header);
-    if (header.syncedEnd > offset || header.headerChecksum != headerChecksumOf(header, offset))
+    if (header.syncedEnd > offset || header.headerChecksum != headerChecksumOf(header, offset, salt))
         return {};
     return header;
 }
 
 /// Newest statement in the headers from @p offset on, which need not follow each other, of what was synced.
-std::uint64_t findSyncedEnd(std::string_view content, std::uint64_t offset)
+std::uint64_t findSyncedEnd(std::string_view content, std::uint64_t offset, std::uint64_t salt)
 {
     std::uint64_t syncedEnd = 0;
     for (auto it = offset; it + sizeof(RecordHeader) <= content.size(); ++it) {
-        if (const auto header = headerAt(content, it))
+        if (const auto header = headerAt(content, it, salt))
             syncedEnd = std::max(syncedEnd, header->syncedEnd);
     }
     return syncedEnd;
@@ -81,27 +82,38 @@
 
 } // namespace
 
-std::string encodeJournalHeader()
+std::string encodeJournalHeader(std::uint64_t salt)
 {
     std::string bytes(journalMagic);
-    bytes.append(reinterpret_cast<const char *>(&journalFormatVersion), sizeof journalFormatVersion);
+    const auto add = [&](auto value) { bytes.append(reinterpret_cast<const char *>(&value), sizeof value); };
+    add(journalFormatVersion);
+    add(salt);
+    add(XXH3_64bits(bytes.data(), bytes.size()));
     return bytes;
 }
 
-std::string encodeRecord(std::string_view record, std::uint64_t offset, std::uint64_t syncedEnd)
+std::string encodeRecord(std::string_view record, std::uint64_t offset, std::uint64_t syncedEnd,
+                         std::uint64_t salt)
 {
-    return encode(RecordKind::Content, record, offset, syncedEnd);
+    return encode(RecordKind::Content, record, offset, syncedEnd, salt);
 }
 
-std::string encodeSyncMark(std::uint64_t offset, std::uint64_t syncedEnd)
+std::string encodeSyncMark(std::uint64_t offset, std::uint64_t syncedEnd, std::uint64_t salt)
 {
-    return encode(RecordKind::SyncMark, {}, offset, syncedEnd);
+    return encode(RecordKind::SyncMark, {}, offset, syncedEnd, salt);
 }
 
 JournalScan scanJournal(std::string_view content)
 {
     JournalScan scan;
-    while (const auto header = headerAt(content, scan.end)) {
+    if (content.size() >= journalHeaderBytes)
+        std::memcpy(&scan.salt, content.data() + unmarkedJournalHeaderBytes, sizeof scan.salt);
+    if (!content.starts_with(encodeJournalHeader(scan.salt))) {
+        scan.end = 0;
+        scan.recordsEnd = 0;
+        return scan;
+    }
+    while (const auto header = headerAt(content, scan.end, scan.salt)) {
         const auto start = scan.end + sizeof(RecordHeader);
         if (header->length > content.size() - start)
             break;
@@ -116,7 +128,7 @@
         }
     }
     // Writes after the last sync may be lost in any order. Content behind the gap only shows what was synced.
-    scan.syncedEnd = std::max(scan.syncedEnd, findSyncedEnd(content, scan.end));
+    scan.syncedEnd = std::max(scan.syncedEnd, findSyncedEnd(content, scan.end, scan.salt));
     return scan;
 }
 
@@ -124,6 +136,9 @@
 {
     JournalScan scan;
     scan.version = unmarkedJournalFormatVersion;
+    scan.end = unmarkedJournalHeaderBytes;
+    scan.recordsEnd = unmarkedJournalHeaderBytes;
+    scan.syncedEnd = unmarkedJournalHeaderBytes;
     while (scan.end + sizeof(UnmarkedRecordHeader) <= content.size()) {
         UnmarkedRecordHeader header;
         std::memcpy(&header, content.data() + scan.end, sizeof header);
--- a/src/store/journalformat.h
+++ b/src/store/journalformat.h
@@ -19,27 +19,37 @@
 
 inline constexpr std::string_view journalMagic = "CPJRNL";
 
-/// Size of the file header.
-constexpr std::size_t journalHeaderBytes = journalMagic.size() + sizeof journalFormatVersion;
+/// Size of the file header of version @ref unmarkedJournalFormatVersion: the magic bytes and the version.
+constexpr std::size_t unmarkedJournalHeaderBytes = journalMagic.size() + sizeof journalFormatVersion;
 
-/// The file header: the magic bytes and the format version.
-std::string encodeJournalHeader();
+/// Size of the file header: the magic bytes, the version, the salt and the checksum of all three.
+constexpr std::size_t journalHeaderBytes = unmarkedJournalHeaderBytes + 2 * sizeof(std::uint64_t);
+
+/**
+ * The file header.
+ *
+ * @p salt is a random number of the file, which the checksums of its records contain: bytes that a caller or
+ * another journal put into a record are not taken for a record or a mark of this file.
+ */
+std::string encodeJournalHeader(std::uint64_t salt);
 
 /**
  * Encodes @p record for a journal of version @ref journalFormatVersion.
  *
  * A record is valid only at @p offset of the file, at which it is written. @p syncedEnd is the offset up to
- * which the file was synced before.
+ * which the file was synced before. @p salt is that of the file header.
  */
-std::string encodeRecord(std::string_view record, std::uint64_t offset, std::uint64_t syncedEnd);
+std::string encodeRecord(std::string_view record, std::uint64_t offset, std::uint64_t syncedEnd,
+                         std::uint64_t salt);
 
 /// Encodes a mark: a record without content, which only states @p syncedEnd.
-std::string encodeSyncMark(std::uint64_t offset, std::uint64_t syncedEnd);
+std::string encodeSyncMark(std::uint64_t offset, std::uint64_t syncedEnd, std::uint64_t salt);
 
 /// The intact records of a journal.
 struct JournalScan
 {
     std::uint32_t version = journalFormatVersion;
+    std::uint64_t salt = 0;
     std::vector<std::string> records;
     /// Offset of the end of the last intact record or mark.
     std::uint64_t end = journalHeaderBytes;
@@ -55,7 +65,11 @@
     }
 };
 
-/// Reads the records of @p content, a file of version @ref journalFormatVersion.
+/**
+ * Reads the records of @p content, a file of version @ref journalFormatVersion.
+ *
+ * A file gets its name only once its header is synced, so that a header that is not intact counts as damage.
+ */
 JournalScan scanJournal(std::string_view content);
 
 /**
