--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -1,6 +1,7 @@
 #include "store/journal.h"
 
 #include "store/folders.h"
+#include "store/randomnumber.h"
 
 #include <algorithm>
 #include <array>
@@ -48,7 +49,7 @@
 leaf::result<JournalScan> scan(const std::string &content, const std::string &path)
 {
     std::uint32_t version = 0;
-    if (content.size() < journalHeaderBytes || !content.starts_with(journalMagic))
+    if (content.size() < unmarkedJournalHeaderBytes || !content.starts_with(journalMagic))
         return fileError(checkJournalStep, path, "the file is not a journal");
     std::memcpy(&version, content.data() + journalMagic.size(), sizeof version);
     if (version != journalFormatVersion && version != unmarkedJournalFormatVersion)
@@ -114,6 +115,7 @@
     : m_path(std::move(other.m_path))
     , m_hooks(std::move(other.m_hooks))
     , m_descriptor(std::exchange(other.m_descriptor, -1))
+    , m_salt(other.m_salt)
     , m_size(other.m_size.load())
     , m_syncedEnd(other.m_syncedEnd.load())
     , m_markedEnd(other.m_markedEnd)
@@ -128,6 +130,7 @@
     std::swap(m_path, other.m_path);
     std::swap(m_hooks, other.m_hooks);
     std::swap(m_descriptor, other.m_descriptor);
+    std::swap(m_salt, other.m_salt);
     other.m_size = m_size.exchange(other.m_size);
     other.m_syncedEnd = m_syncedEnd.exchange(other.m_syncedEnd);
     std::swap(m_markedEnd, other.m_markedEnd);
@@ -148,6 +151,7 @@
         return replace({});
     BOOST_LEAF_ASSIGN(auto found, scan(content, m_path));
     m_recovered = std::move(found.records);
+    m_salt = found.salt;
     m_size = content.size();
     m_syncedEnd = found.syncedEnd;
     m_markedEnd = found.syncedEnd;
@@ -188,7 +192,7 @@
     if (record.size() > maximumRecordBytes)
         return fileError("append to journal", m_path, "the record is too large");
     const auto syncedEnd = m_syncedEnd.load();
-    BOOST_LEAF_CHECK(write(encodeRecord(record, m_size, syncedEnd), "append to journal"));
+    BOOST_LEAF_CHECK(write(encodeRecord(record, m_size, syncedEnd, m_salt), "append to journal"));
     m_markedEnd = syncedEnd;
     return {};
 }
@@ -209,7 +213,7 @@
     const auto syncedEnd = m_syncedEnd.load();
     if (syncedEnd == m_markedEnd)
         return {};
-    BOOST_LEAF_CHECK(write(encodeSyncMark(m_size, syncedEnd), "mark journal as synced"));
+    BOOST_LEAF_CHECK(write(encodeSyncMark(m_size, syncedEnd, m_salt), "mark journal as synced"));
     m_markedEnd = syncedEnd;
     return {};
 }
@@ -223,7 +227,8 @@
     const int descriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
     if (descriptor < 0)
         return systemError("open journal", path);
-    const auto size = writeRecords(descriptor, records);
+    const auto salt = randomNonZero();
+    const auto size = writeRecords(descriptor, records, salt);
     if (!size || m_hooks.sync(descriptor) != 0 || m_hooks.rename(path.c_str(), m_path.c_str()) != 0) {
         const auto error = systemError("replace journal", path);
         ::close(descriptor);
@@ -232,6 +237,7 @@
     if (m_descriptor >= 0)
         ::close(m_descriptor);
     m_descriptor = descriptor;
+    m_salt = salt;
     m_size = *size;
     m_syncedEnd = *size;
     m_markedEnd = *size;
@@ -263,10 +269,10 @@
     return syncFolder(parent.empty() ? "." : parent, m_hooks.syncFolder);
 }
 
-std::optional<std::uint64_t> Journal::writeRecords(int descriptor,
-                                                   const std::vector<std::string> &records) const
+std::optional<std::uint64_t> Journal::writeRecords(int descriptor, const std::vector<std::string> &records,
+                                                   std::uint64_t salt) const
 {
-    auto buf = encodeJournalHeader();
+    auto buf = encodeJournalHeader(salt);
     std::uint64_t size = buf.size();
     const auto add = [&](std::string_view bytes) {
         buf += bytes;
@@ -278,11 +284,11 @@
         return isWritten;
     };
     for (const auto &it : records) {
-        if (!add(encodeRecord(it, size, 0)))
+        if (!add(encodeRecord(it, size, 0, salt)))
             return {};
     }
     // The file gets its name only once all of it is synced.
-    if (!records.empty() && !add(encodeSyncMark(size, size)))
+    if (!records.empty() && !add(encodeSyncMark(size, size, salt)))
         return {};
     if (!writeAll(descriptor, buf))
         return {};
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -109,12 +109,14 @@
     boost::leaf::result<void> write(std::string_view bytes, std::string_view step);
     boost::leaf::result<void> syncParent() const;
     /// Writes a whole file; returns its size, or nothing after a failed write.
-    std::optional<std::uint64_t> writeRecords(int descriptor, const std::vector<std::string> &records) const;
+    std::optional<std::uint64_t> writeRecords(int descriptor, const std::vector<std::string> &records,
+                                              std::uint64_t salt) const;
     bool writeAll(int descriptor, std::string_view bytes) const;
 
     std::string m_path;
     JournalHooks m_hooks;
     int m_descriptor = -1;
+    std::uint64_t m_salt = 0;
     std::atomic<std::uint64_t> m_size = 0;
     std::atomic<std::uint64_t> m_syncedEnd = 0;
     /// Newest statement in the file of what was synced.
