Write the log on a thread of its own, and drop lines that nobody reads

Callers got no answer, and the configuration could not be read back at any control VM, a few seconds after the reader of the processes' standard output had stopped reading. If the reader closed the pipe, the next line ended the process by SIGPIPE (exit code 141 in a run of the program before this change).

Cause: logEvent() wrote to standard output on the thread of the event loop, which waited there while the pipe was full.

LogWriter keeps up to 1 MiB of lines in a queue, which a thread empties with blocking writes. Standard output stays blocking, since other processes share the flags of the pipe. Lines beyond the limit, or that can't be written, are dropped and counted, debug and info events before warnings and errors; E114 and citronpitch_log_lines_lost_total report them. The thread blocks all signals, so SIGPIPE doesn't reach the process. A process that ends waits for the reader for at most 1 s.

StalledLogTest runs a fleet whose pipe is full, or closed, from the start.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "settings/settingsreference.h"
 
 #include <getopt.h>
+#include <unistd.h>
 
 #include <iostream>
 
@@ -60,6 +61,7 @@
 int serve(const Settings &settings, const std::string &path)
 {
     configureEventLog(settings.log);
+    const EventLogThread logThread(STDOUT_FILENO);
     try {
         return serveWithClaims(settings, path);
     } catch (const std::exception &e) {
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -284,6 +284,7 @@
     if (const auto age = m_node->confirmedAge(now()))
         metrics.setGauge(Metric::ConfigurationAge, {}, secondsOf(*age));
     const auto &log = m_node->log();
+    metrics.setTotal(Metric::LogLinesLost, {}, lostLogLines());
     metrics.setGauge(Metric::ConfigurationTerm, {}, static_cast<double>(m_node->term()));
     metrics.setGauge(Metric::ConfigurationIsLeader, {}, m_node->role() == ConfigurationRole::Leader ? 1 : 0);
     metrics.setGauge(Metric::ConfigurationHasLeader, {}, m_node->leader().empty() ? 0 : 1);
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -59,6 +59,11 @@
         "processor time."},
     EventDefinition{Event::HolderRecovered, EventSeverity::Info, "the groups accept jobs again", "lagMs",
                     "The event loop no longer lags. No action is needed."},
+    EventDefinition{
+        Event::LogLinesLost, EventSeverity::Warning, "lines of the log were lost", "lines total",
+        "The reader of the log did not read for a while, or the log could not be written. `lines` were "
+        "dropped before this line, `total` since the start, debug and info events first; the VM served "
+        "all the same. Check what collects the log."},
     EventDefinition{Event::UpstreamAnnounced, EventSeverity::Info, "upstream announced itself",
                     "upstream address slots",
                     "The upstream is new, restarted with a new incarnation, or renewed an expired lease."},
--- a/src/log/event.h
+++ b/src/log/event.h
@@ -24,6 +24,7 @@
     EventLoopFailed = 111,
     HolderOverloaded = 112,
     HolderRecovered = 113,
+    LogLinesLost = 114,
     UpstreamAnnounced = 200,
     UpstreamLeaving = 201,
     UpstreamExpired = 202,
--- a/src/log/eventlog.cpp
+++ b/src/log/eventlog.cpp
@@ -1,12 +1,14 @@
 #include "log/eventlog.h"
 
 #include "log/eventratelimiter.h"
+#include "log/logwriter.h"
 #include "log/wallclock.h"
 
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <memory>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -21,6 +23,7 @@
 {
     LogSettings settings;
     EventRateLimiter limiter{settings.repeatLimit, settings.repeatWindow};
+    std::unique_ptr<LogWriter> writer;
 };
 
 LogState &logState()
@@ -53,6 +56,21 @@
     return std::string(buf.data(), n) + "." + fraction + "Z";
 }
 
+/// Hands the lines of the library to the writer's queue.
+class QueueingCallback : public el::LogDispatchCallback
+{
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const auto &message = *data->logMessage();
+        const auto priority = message.level() == el::Level::Info ? LinePriority::Normal : LinePriority::High;
+        logState().writer->write(message.logger()->logBuilder()->build(&message, true), priority);
+    }
+};
+
+constexpr const char *queueingCallback = "QueueingCallback";
+constexpr const char *defaultCallback = "DefaultLogDispatchCallback";
+
 void write(EventSeverity level, const std::string &line)
 {
     switch (level) {
@@ -73,14 +91,26 @@
 void writeEvent(const EventDefinition &entry, const std::vector<EventField> &fields)
 {
     const auto now = wallClock();
+    // The last line must not be dropped because the queue still has more than the limit of other lines.
+    const auto level = entry.event == Event::Stopped ? EventSeverity::Warning : entry.level;
     if (logState().settings.format == LogFormat::JsonLines)
-        write(entry.level, formatEventJson(now, entry, fields));
+        write(level, formatEventJson(now, entry, fields));
     else
-        write(entry.level,
+        write(level,
               timeText(now) + " " + std::string(enumName(eventSeverityNames, entry.level)) + " "
                   + formatEventText(entry, fields));
 }
 
+void reportLostLines()
+{
+    if (logState().writer == nullptr)
+        return;
+    const auto lost = logState().writer->takeLostLines();
+    if (lost.lines > 0)
+        writeEvent(eventDefinition(Event::LogLinesLost),
+                   {{"lines", std::to_string(lost.lines)}, {"total", std::to_string(lost.total)}});
+}
+
 void writeSuppressed(const std::vector<SuppressedEvent> &list)
 {
     for (const auto &it : list)
@@ -90,10 +120,26 @@
 
 } // namespace
 
+EventLogThread::EventLogThread(int descriptor)
+{
+    logState().writer = std::make_unique<LogWriter>(descriptor);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(defaultCallback);
+    el::Helpers::installLogDispatchCallback<QueueingCallback>(queueingCallback);
+}
+
+EventLogThread::~EventLogThread()
+{
+    reportLostLines();
+    el::Helpers::uninstallLogDispatchCallback<QueueingCallback>(queueingCallback);
+    el::Helpers::installLogDispatchCallback<el::base::DefaultLogDispatchCallback>(defaultCallback);
+    logState().writer.reset();
+}
+
 void configureEventLog(const LogSettings &settings)
 {
     logAllSuppressedCounts();
-    logState() = {settings, EventRateLimiter(settings.repeatLimit, settings.repeatWindow)};
+    logState().settings = settings;
+    logState().limiter = EventRateLimiter(settings.repeatLimit, settings.repeatWindow);
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
@@ -112,11 +158,13 @@
     auto &state = logState();
     if (!isLogLevelEnabled(entry.level) || !state.limiter.admit(wallClock(), event))
         return;
+    reportLostLines();
     writeEvent(entry, fields);
 }
 
 void logSuppressedCounts()
 {
+    reportLostLines();
     writeSuppressed(logState().limiter.takeSuppressed(wallClock()));
 }
 
@@ -125,6 +173,11 @@
     writeSuppressed(logState().limiter.takeAllSuppressed());
 }
 
+std::uint64_t lostLogLines()
+{
+    return logState().writer == nullptr ? 0 : logState().writer->lostLines();
+}
+
 std::string formatEventText(const EventDefinition &entry, const std::vector<EventField> &fields)
 {
     std::string line = eventNumberText(entry.event) + " " + std::string(entry.text);
@@ -156,7 +209,8 @@
         "`log.format` set to `json-lines` it is one JSON object with `time`, `level`, `event`\n"
         "and `text`, and a member for each field. A repeated event is logged at most\n"
         "`log.repeatLimit` times per window of `log.repeatWindowMs`; E108 reports the number of\n"
-        "suppressed lines.\n"
+        "suppressed lines. Lines that the reader of the log doesn't take in time are dropped; E114 reports\n"
+        "their number.\n"
         "\n"
         "Debug events trace single runs and jobs of a fleet and are off by default. Each is logged\n"
         "at most "
--- a/src/log/metrics.cpp
+++ b/src/log/metrics.cpp
@@ -88,6 +88,8 @@
     MetricDefinition{
         Metric::RequestsRefused, MetricKind::Counter, "citronpitch_requests_refused_total", "listener limit",
         "Requests that were refused before they were read whole, by the limit that they exceeded."},
+    MetricDefinition{Metric::LogLinesLost, MetricKind::Counter, "citronpitch_log_lines_lost_total", "",
+                     "Lines of the log that were dropped, as its reader did not read."},
 };
 
 /// Bounds of the histogram buckets: the lower one of the first bucket, then the upper ones, from the duration
--- a/src/log/metrics.h
+++ b/src/log/metrics.h
@@ -45,6 +45,7 @@
     ConfigurationVoters,
     ConfigurationLogEntries,
     RequestsRefused,
+    LogLinesLost,
 };
 
 enum class MetricKind {
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -3,7 +3,6 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
-#include <spawn.h>
 #include <sstream>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -23,16 +22,30 @@
 
 ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
                            const std::string &logFile)
+{
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                     0644);
+    start(program, arguments, actions);
+}
+
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments, int output)
+{
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+    start(program, arguments, actions);
+}
+
+void ChildProcess::start(const std::string &program, const std::vector<std::string> &arguments,
+                         posix_spawn_file_actions_t &actions)
 {
     std::vector<char *> values;
     values.push_back(const_cast<char *>(program.c_str()));
     for (const auto &it : arguments)
         values.push_back(const_cast<char *>(it.c_str()));
     values.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND,
-                                     0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     // The sockets of a proxy in this process would else stay open in the child.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <spawn.h>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -15,6 +16,9 @@
     /// Starts @p program with @p arguments; standard output and error go to @p logFile.
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
                  const std::string &logFile);
+    /// Starts @p program with @p arguments; standard output and error go to descriptor @p output, which the
+    /// caller keeps.
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, int output);
     ~ChildProcess();
     ChildProcess(ChildProcess &&other) noexcept;
     ChildProcess(const ChildProcess &) = delete;
@@ -37,6 +41,9 @@
     double processorSeconds() const;
 
 private:
+    void start(const std::string &program, const std::vector<std::string> &arguments,
+               posix_spawn_file_actions_t &actions);
+
     pid_t m_id = -1;
     int m_exitCode = 0;
 };
--- a/tests/support/platformfleet.cpp
+++ b/tests/support/platformfleet.cpp
@@ -144,8 +144,11 @@
     if (isControl(vm))
         std::filesystem::create_directories(m_plan.folder / nameOf(vm));
     std::ofstream(file) << settingsOf(vm, isFirstStart).dump();
-    m_processes[vm].emplace(m_plan.program, std::vector<std::string>{"--settings", file},
-                            m_plan.folder / (nameOf(vm) + ".log"));
+    const std::vector<std::string> arguments{"--settings", file};
+    if (m_plan.logDescriptor)
+        m_processes[vm].emplace(m_plan.program, arguments, *m_plan.logDescriptor);
+    else
+        m_processes[vm].emplace(m_plan.program, arguments, m_plan.folder / (nameOf(vm) + ".log"));
 }
 
 ChildProcess &PlatformFleet::process(std::size_t vm)
--- a/tests/support/platformfleet.h
+++ b/tests/support/platformfleet.h
@@ -35,6 +35,8 @@
     nlohmann::json settings = nlohmann::json::object();
     /// Labels of each executor; those beyond the list have the usual ones.
     std::vector<std::vector<std::string>> executorLabels;
+    /// Descriptor that all VMs log to; each logs to a file of its own if there is none.
+    std::optional<int> logDescriptor;
 };
 
 /**
