Tests: the claim store on a disk that loses power

UnreliableDisk now knows removed names, loses changes of different names independently, and may be called from two threads. The claim store renames and removes files by its hooks; no change of logic.

--- a/src/store/claimstore.cpp
+++ b/src/store/claimstore.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
@@ -89,6 +90,10 @@
 {
     if (!m_options.bootId)
         m_options.bootId = systemBootId;
+    if (!m_options.hooks.rename)
+        m_options.hooks.rename = [](const char *from, const char *to) { return std::rename(from, to); };
+    if (!m_options.hooks.remove)
+        m_options.hooks.remove = ::unlink;
 }
 
 ClaimStore::~ClaimStore()
@@ -124,7 +129,7 @@
     // If both exist, the journal is newer: it was replaced, and the incomplete one was not removed yet.
     const bool isMoved = isIncomplete && !fs::exists(journalPath(), ec);
     if (isMoved)
-        fs::rename(incompletePath(), journalPath(), ec);
+        m_options.hooks.rename(incompletePath().c_str(), journalPath().c_str());
     const bool isFound = fs::exists(journalPath(), ec);
     BOOST_LEAF_ASSIGN(auto journal, Journal::open(journalPath(), m_options.hooks));
     m_journal.emplace(std::move(journal));
@@ -142,7 +147,7 @@
     else if (isFound && (m_lastIncarnation != 0 || !isUncut))
         m_recovery.completeness = JournalCompleteness::TailMayBeLost;
     if (isMoved || !isUncut)
-        fs::rename(journalPath(), incompletePath(), ec);
+        m_options.hooks.rename(journalPath().c_str(), incompletePath().c_str());
     return {};
 }
 
@@ -173,8 +178,7 @@
     compact(snapshot);
     if (m_hasFailed)
         return;
-    std::error_code ec;
-    fs::remove(incompletePath(), ec);
+    m_options.hooks.remove(incompletePath().c_str());
     m_thread = std::thread([this] { syncLoop(); });
     m_lazySync.emplace(m_executor);
     scheduleLazySync();
@@ -298,8 +302,7 @@
     m_hasFailed = true;
     m_pending.clear();
     // Marks the journal as incomplete for later incarnations; renaming works on a full disk too.
-    std::error_code ec;
-    fs::rename(journalPath(), incompletePath(), ec);
+    m_options.hooks.rename(journalPath().c_str(), incompletePath().c_str());
     m_failed(error);
 }
 
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -20,12 +20,13 @@
 inline constexpr std::string_view checkJournalStep = "check journal";
 
 /// System calls that tests replace to inject disk failures, with the semantics of write(), fdatasync(),
-/// rename(), and fsync() of a folder.
+/// rename(), unlink(), and fsync() of a folder. remove() is called by ClaimStore only.
 struct JournalHooks
 {
     std::function<ssize_t(int descriptor, const void *bytes, std::size_t size)> write;
     std::function<int(int descriptor)> sync;
     std::function<int(const char *from, const char *to)> rename;
+    std::function<int(const char *path)> remove;
     std::function<int(int descriptor)> syncFolder;
 };
 
--- a/tests/support/unreliabledisk.cpp
+++ b/tests/support/unreliabledisk.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <cstdio>
 #include <fstream>
+#include <set>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -44,39 +45,26 @@
     };
     hooks.sync = [this](int descriptor) { return sync(descriptor); };
     hooks.rename = [this](const char *from, const char *to) { return rename(from, to); };
-    hooks.syncFolder = [this](int) {
-        if (isRefused())
-            return -1;
-        m_renames.clear();
-        return 0;
-    };
+    hooks.remove = [this](const char *path) { return remove(path); };
+    hooks.syncFolder = [this](int) { return syncFolder(); };
     return hooks;
 }
 
 void UnreliableDisk::refuseSyncs(unsigned count, unsigned before)
 {
+    const std::lock_guard lock(m_mutex);
     m_syncsBeforeRefusal = before;
     m_refusedSyncs = count;
 }
 
 void UnreliableDisk::losePower(PowerLoss loss)
 {
+    const std::lock_guard lock(m_mutex);
     std::map<std::string, FilePointer> names;
     for (const auto &it : fs::directory_iterator(m_folder)) {
-        auto &file = m_files[statusOf(it.path()).st_ino];
-        if (!file)
-            file = std::make_shared<File>();
-        names[it.path()] = file;
-    }
-    // Renames of one name depend on each other: the newest ones may be lost.
-    for (; !m_renames.empty(); m_renames.pop_back()) {
-        if (loss != PowerLoss::KeepsNothing && (loss != PowerLoss::Random || flip()))
-            break;
-        const auto &last = m_renames.back();
-        names[last.from] = names[last.to];
-        names[last.to] = last.replaced;
+        names[it.path()] = fileAt(it.path());
     }
-    m_renames.clear();
+    undoNameChanges(names, loss);
     m_files.clear();
     fs::remove_all(m_folder);
     fs::create_directories(m_folder);
@@ -91,6 +79,7 @@
 
 ssize_t UnreliableDisk::write(int descriptor, const void *bytes, std::size_t size)
 {
+    const std::lock_guard lock(m_mutex);
     struct stat status = {};
     ::fstat(descriptor, &status);
     auto &file = m_files[status.st_ino];
@@ -105,6 +94,7 @@
 
 int UnreliableDisk::sync(int descriptor)
 {
+    const std::lock_guard lock(m_mutex);
     if (isRefused())
         return -1;
     struct stat status = {};
@@ -119,13 +109,67 @@
 
 int UnreliableDisk::rename(const std::string &from, const std::string &to)
 {
-    const auto replaced = fs::exists(to) ? m_files[statusOf(to).st_ino] : nullptr;
+    const std::lock_guard lock(m_mutex);
+    NameChange change{from, to, fileAt(from), fileAt(to)};
+    const auto replacedInode = statusOf(to).st_ino;
     if (std::rename(from.c_str(), to.c_str()) != 0)
         return -1;
-    m_renames.push_back({from, to, replaced});
+    m_nameChanges.push_back(std::move(change));
+    m_files.erase(replacedInode);
+    return 0;
+}
+
+int UnreliableDisk::remove(const std::string &path)
+{
+    const std::lock_guard lock(m_mutex);
+    NameChange change{path, "", fileAt(path), nullptr};
+    const auto inode = statusOf(path).st_ino;
+    if (::unlink(path.c_str()) != 0)
+        return -1;
+    m_nameChanges.push_back(std::move(change));
+    m_files.erase(inode);
     return 0;
 }
 
+int UnreliableDisk::syncFolder()
+{
+    const std::lock_guard lock(m_mutex);
+    if (isRefused())
+        return -1;
+    m_nameChanges.clear();
+    return 0;
+}
+
+UnreliableDisk::FilePointer UnreliableDisk::fileAt(const std::string &path)
+{
+    if (!fs::exists(path))
+        return nullptr;
+    auto &file = m_files[statusOf(path).st_ino];
+    if (!file)
+        file = std::make_shared<File>();
+    return file;
+}
+
+void UnreliableDisk::undoNameChanges(std::map<std::string, FilePointer> &names, PowerLoss loss)
+{
+    std::set<std::string> kept;
+    for (; !m_nameChanges.empty(); m_nameChanges.pop_back()) {
+        const auto &last = m_nameChanges.back();
+        // A change that was kept presupposes the earlier ones of the same names.
+        const bool isLost = loss == PowerLoss::KeepsNothing
+            || (loss == PowerLoss::Random && !kept.contains(last.from) && !kept.contains(last.to) && !flip());
+        if (!isLost) {
+            kept.insert(last.from);
+            if (!last.to.empty())
+                kept.insert(last.to);
+            continue;
+        }
+        names[last.from] = last.moved;
+        if (!last.to.empty())
+            names[last.to] = last.replaced;
+    }
+}
+
 bool UnreliableDisk::isRefused()
 {
     if (m_syncsBeforeRefusal > 0) {
--- a/tests/support/unreliabledisk.h
+++ b/tests/support/unreliabledisk.h
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <random>
 #include <string>
 #include <vector>
@@ -31,8 +32,8 @@
  * @brief Disk of a journal in a test: a power loss keeps what was synced, and any part of the writes after
  * it.
  *
- * The files of a folder are real; what was synced is recorded by hooks. Files must be written through the
- * hooks only.
+ * A rename is atomic: it is kept or lost as a whole, as file systems promise. The files of a folder are real;
+ * what was synced is recorded by hooks. Files must be written through the hooks only.
  */
 class UnreliableDisk
 {
@@ -64,25 +65,33 @@
     using FilePointer = std::shared_ptr<File>;
 
     /// A name that changed since the last sync of the folder.
-    struct Rename
+    struct NameChange
     {
         std::string from;
+        /// Empty if the name was removed.
         std::string to;
+        FilePointer moved;
         FilePointer replaced;
     };
 
     ssize_t write(int descriptor, const void *bytes, std::size_t size);
     int sync(int descriptor);
     int rename(const std::string &from, const std::string &to);
+    int remove(const std::string &path);
+    int syncFolder();
+    FilePointer fileAt(const std::string &path);
     bool isRefused();
     std::string contentAfter(const File &file, PowerLoss loss);
     bool flip();
+    void undoNameChanges(std::map<std::string, FilePointer> &names, PowerLoss loss);
 
+    /// A ClaimStore writes and syncs on two threads.
+    std::mutex m_mutex;
     std::filesystem::path m_folder;
     std::mt19937_64 m_random;
     /// By inode number.
     std::map<std::uint64_t, FilePointer> m_files;
-    std::vector<Rename> m_renames;
+    std::vector<NameChange> m_nameChanges;
     unsigned m_syncsBeforeRefusal = 0;
     unsigned m_refusedSyncs = 0;
 };
