--- a/src/store/claimstore.cpp
+++ b/src/store/claimstore.cpp
@@ -128,10 +128,9 @@
     const bool isIncomplete = fs::exists(incompletePath(), ec);
     // If both exist, the journal is newer: it was replaced, and the incomplete one was not removed yet.
     const bool isMoved = isIncomplete && !fs::exists(journalPath(), ec);
-    if (isMoved)
-        m_options.hooks.rename(incompletePath().c_str(), journalPath().c_str());
-    const bool isFound = fs::exists(journalPath(), ec);
-    BOOST_LEAF_ASSIGN(auto journal, Journal::open(journalPath(), m_options.hooks));
+    const auto path = isMoved ? incompletePath() : journalPath();
+    const bool isFound = fs::exists(path, ec);
+    BOOST_LEAF_ASSIGN(auto journal, Journal::open(path, m_options.hooks, incompletePath()));
     m_journal.emplace(std::move(journal));
     if (const auto &failure = m_journal->summary().failure)
         return leaf::new_error(*failure);
@@ -146,8 +145,6 @@
         m_recovery.completeness = JournalCompleteness::Whole;
     else if (isFound && (m_lastIncarnation != 0 || !isUncut))
         m_recovery.completeness = JournalCompleteness::TailMayBeLost;
-    if (isMoved || !isUncut)
-        m_options.hooks.rename(journalPath().c_str(), incompletePath().c_str());
     return {};
 }
 
@@ -175,9 +172,12 @@
         m_failed({"open journal", journalPath(), "the data folder can't be used"});
         return;
     }
+    // An incomplete journal keeps its name until the new one is on the disk.
+    m_journal->setPath(journalPath());
     compact(snapshot);
     if (m_hasFailed)
         return;
+    // If this fails or is undone by a power loss, the journal counts as incomplete, which is safe.
     m_options.hooks.remove(incompletePath().c_str());
     m_thread = std::thread([this] { syncLoop(); });
     m_lazySync.emplace(m_executor);
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -66,8 +66,12 @@
      *
      * If the disk refuses to write, JournalSummary::failure is set: the records can be read, but may not
      * survive a power loss, and nothing can be appended.
+     *
+     * If @p cutPath isn't empty, a file of which something is dropped is renamed to @p cutPath before that,
+     * and stays there.
      */
-    static boost::leaf::result<Journal> open(const std::string &path, const JournalHooks &hooks = {});
+    static boost::leaf::result<Journal> open(const std::string &path, const JournalHooks &hooks = {},
+                                             const std::string &cutPath = {});
 
     ~Journal();
     Journal(Journal &&other) noexcept;
@@ -95,14 +99,17 @@
     /// Atomically replaces the whole content by @p records: writes and syncs a new file and renames it.
     boost::leaf::result<void> replace(const std::vector<std::string> &records);
 
+    /// Lets later calls of replace() write the file at @p path, in the same folder; the present file is kept.
+    void setPath(const std::string &path);
+
     /// Size of the file in bytes.
     std::uint64_t size() const;
 
 private:
     Journal(std::string path, JournalHooks hooks);
 
-    boost::leaf::result<void> read();
-    boost::leaf::result<void> persistRecovered(const JournalScan &scan);
+    boost::leaf::result<void> read(const std::string &cutPath);
+    boost::leaf::result<void> persistRecovered(const JournalScan &scan, const std::string &cutPath);
     boost::leaf::result<void> write(std::string_view bytes, std::string_view step);
     boost::leaf::result<void> syncParent() const;
     bool writeAll(int descriptor, std::string_view bytes) const;
--- a/tests/integration/claimstoretest.cpp
+++ b/tests/integration/claimstoretest.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <cerrno>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -16,6 +17,11 @@
 
 namespace {
 
+/// Thrown by a hook where the process ends.
+struct ProcessEnded
+{
+};
+
 class ClaimStoreTest : public testing::Test
 {
 protected:
@@ -54,6 +60,47 @@
             m_io.run_one();
     }
 
+    /// Leaves a journal that lacks records, without a power loss.
+    void makeIncomplete(bool isCut)
+    {
+        m_synced = 0;
+        m_failures = 0;
+        m_options.hooks = {};
+        std::filesystem::remove_all(m_options.folder);
+        if (isCut) {
+            runIncarnation(*open(), 1);
+            const auto path = m_options.folder + "/claims";
+            std::filesystem::resize_file(path, std::filesystem::file_size(path) - 1);
+            return;
+        }
+        int syncs = 0;
+        m_options.hooks.sync = [&](int) { return ++syncs > 2 ? -1 : 0; };
+        runIncarnation(*open(), 1);
+        m_options.hooks = {};
+    }
+
+    /// Ends the process at the system call after @p calls ones, or lets it and all later ones fail.
+    void failAfter(int calls, bool endsProcess)
+    {
+        const auto isRefused = [calls, endsProcess]() mutable {
+            if (calls-- > 0)
+                return false;
+            if (endsProcess)
+                throw ProcessEnded();
+            errno = EIO;
+            return true;
+        };
+        const auto refuses = std::make_shared<std::function<bool()>>(isRefused);
+        m_options.hooks.write = [refuses](int descriptor, const void *bytes, std::size_t size) {
+            return (*refuses)() ? -1 : ::write(descriptor, bytes, size);
+        };
+        m_options.hooks.sync = [refuses](int) { return (*refuses)() ? -1 : 0; };
+        m_options.hooks.syncFolder = m_options.hooks.sync;
+        m_options.hooks.rename = [refuses](const char *from, const char *to) {
+            return (*refuses)() ? -1 : std::rename(from, to);
+        };
+    }
+
     JournalCompleteness memoryAfterRestart()
     {
         return open()->takeRecovery().completeness;
@@ -120,6 +167,25 @@
     EXPECT_EQ(memoryAfterRestart(), JournalCompleteness::TailMayBeLost);
 }
 
+// Guards against trusting an incomplete journal after a start that ended, or failed, before it replaced it.
+TEST_F(ClaimStoreTest, journalStaysIncompleteUntilAStartHasReplacedIt)
+{
+    constexpr int maximumCalls = 10;
+    for (int i = 0; i < 4 * maximumCalls; ++i) {
+        const bool isCut = i % 2 == 0;
+        const bool endsProcess = i % 4 < 2;
+        makeIncomplete(isCut);
+        failAfter(i / 4, endsProcess);
+        try {
+            open();
+        } catch (const ProcessEnded &) {
+        }
+        m_options.hooks = {};
+        EXPECT_EQ(memoryAfterRestart(), JournalCompleteness::TailMayBeLost)
+            << "cut: " << isCut << ", ends: " << endsProcess << ", calls: " << i / 4;
+    }
+}
+
 // Guards against a full disk that goes unreported or is reported for every append.
 TEST_F(ClaimStoreTest, fullDiskIsReportedOnceAndLaterAppendsAreIgnored)
 {
