Data folder: the entry of a new folder is synced before it is used

What callers could see: after a power loss a VM starts without its data folder, though claims or versions in it had been reported as synced: undated keys become unknown for good, and a control VM forgets its votes. Not seen by users.

Fix: createFolders() creates them from the top and syncs each entry; that of an empty folder is synced again. A claim store that can't do it opens as failed, as before, and leaves the folder empty, so that the next start tries again.

Evidence: ClaimStoreTest.nameOfANewFolderIsSyncedBeforeItIsUsed failed before (3 syncs of folders in 3 starts, 5 needed); it passes.

--- a/src/store/claimstore.cpp
+++ b/src/store/claimstore.cpp
@@ -1,5 +1,6 @@
 #include "store/claimstore.h"
 
+#include "store/folders.h"
 #include "wire/peer.pb.h"
 
 #include <boost/asio/post.hpp>
@@ -62,6 +63,7 @@
     ClaimStoreOptions options;
     options.folder = folder;
     ClaimStore store(options);
+    BOOST_LEAF_CHECK(createFolders(folder, store.m_options.hooks.syncFolder));
     BOOST_LEAF_CHECK(store.lockFolder());
     if (fs::exists(store.journalPath()) || fs::exists(store.incompletePath()))
         return leaf::new_error(StepError{"initialize", folder, "the folder already contains claims"});
@@ -74,8 +76,12 @@
     std::unique_ptr<ClaimStore> store(new ClaimStore(options));
     if (options.folder.empty())
         return store;
-    BOOST_LEAF_CHECK(store->lockFolder());
-    std::optional<StepError> error = errorOf([&] { return store->openJournal(); });
+    std::optional<StepError> error =
+        errorOf([&] { return createFolders(options.folder, store->m_options.hooks.syncFolder); });
+    if (!error) {
+        BOOST_LEAF_CHECK(store->lockFolder());
+        error = errorOf([&] { return store->openJournal(); });
+    }
     if (!error)
         return store;
     if (error->step == checkJournalStep)
@@ -94,6 +100,8 @@
         m_options.hooks.rename = [](const char *from, const char *to) { return std::rename(from, to); };
     if (!m_options.hooks.remove)
         m_options.hooks.remove = ::unlink;
+    if (!m_options.hooks.syncFolder)
+        m_options.hooks.syncFolder = ::fsync;
 }
 
 ClaimStore::~ClaimStore()
@@ -113,8 +121,6 @@
 
 leaf::result<void> ClaimStore::lockFolder()
 {
-    std::error_code ec;
-    fs::create_directories(m_options.folder, ec);
     const auto path = m_options.folder + "/lock";
     m_lockDescriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
     if (m_lockDescriptor >= 0 && ::flock(m_lockDescriptor, LOCK_EX | LOCK_NB) != 0 && errno == EWOULDBLOCK)
--- a/src/store/configurationstore.cpp
+++ b/src/store/configurationstore.cpp
@@ -1,5 +1,7 @@
 #include "store/configurationstore.h"
 
+#include "store/folders.h"
+
 #include <boost/asio/post.hpp>
 
 #include <condition_variable>
@@ -9,6 +11,7 @@
 #include <optional>
 #include <stdexcept>
 #include <thread>
+#include <unistd.h>
 
 namespace Citronpitch {
 
@@ -22,9 +25,11 @@
 Journal openJournal(const std::string &dataFolder)
 {
     const auto folder = fs::path(dataFolder) / "configuration";
-    fs::create_directories(folder);
     return leaf::try_handle_all(
-        [&]() -> leaf::result<Journal> { return Journal::open(folder / "journal"); },
+        [&]() -> leaf::result<Journal> {
+            BOOST_LEAF_CHECK(createFolders(folder, ::fsync));
+            return Journal::open(folder / "journal");
+        },
         [](const StepError &error) -> Journal { throw std::runtime_error(error.text()); },
         []() -> Journal { throw std::runtime_error("open configuration journal"); });
 }
--- a/src/store/folders.cpp
+++ b/src/store/folders.cpp
@@ -24,4 +24,25 @@
     return {};
 }
 
+leaf::result<void> createFolders(const fs::path &path, const std::function<int(int)> &sync)
+{
+    // A separator at the end would make the folder its own parent.
+    const auto folder = path.has_filename() || !path.has_relative_path() ? path : path.parent_path();
+    const auto parent = folder.has_parent_path() ? folder.parent_path() : fs::path(".");
+    std::error_code ec;
+    const bool isFound = fs::exists(folder, ec);
+    if (!ec && isFound && !fs::is_directory(folder, ec) && !ec)
+        ec = std::make_error_code(std::errc::not_a_directory);
+    const bool isUsed = !ec && isFound && !fs::is_empty(folder, ec);
+    if (!ec && !isFound) {
+        BOOST_LEAF_CHECK(createFolders(parent, sync));
+        fs::create_directory(folder, ec);
+    }
+    if (ec)
+        return leaf::new_error(StepError{"create data folder", folder, ec.message()});
+    if (isUsed)
+        return {};
+    return syncFolder(parent, sync);
+}
+
 } // namespace Citronpitch
--- a/tests/integration/claimstoretest.cpp
+++ b/tests/integration/claimstoretest.cpp
@@ -142,6 +142,30 @@
     EXPECT_EQ(memoryAfterRestart(), JournalCompleteness::Lost);
 }
 
+// Guards against losing all claims with a folder whose name was not synced; a store that can't sync it fails.
+TEST_F(ClaimStoreTest, nameOfANewFolderIsSyncedBeforeItIsUsed)
+{
+    std::vector<std::string> synced;
+    int result = -1;
+    m_options.folder += "/data";
+    m_options.hooks.syncFolder = [&](int descriptor) {
+        synced.push_back(std::filesystem::read_symlink("/proc/self/fd/" + std::to_string(descriptor)));
+        return result;
+    };
+    const auto parent = std::filesystem::path(m_options.folder).parent_path();
+    const std::vector<std::string> expected{parent.parent_path(), parent, m_options.folder};
+    for (const bool isRefused : {true, true, false}) {
+        result = isRefused ? -1 : 0;
+        const auto store = open();
+        ASSERT_NE(store, nullptr);
+        EXPECT_EQ(store->hasFailed(), isRefused);
+    }
+    ASSERT_GE(synced.size(), 2 + expected.size());
+    EXPECT_EQ(std::vector<std::string>(synced.begin(), synced.begin() + 2),
+              std::vector<std::string>(2, expected.front()));
+    EXPECT_EQ(std::vector<std::string>(synced.begin() + 2, synced.begin() + 5), expected);
+}
+
 // Guards against two processes that write the same journal.
 TEST_F(ClaimStoreTest, folderIsLockedByOneProcess)
 {
