--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -101,6 +101,7 @@
     , m_summary(std::move(other.m_summary))
     , m_recovered(std::move(other.m_recovered))
     , m_hasFailed(other.m_hasFailed.load())
+    , m_failedErrno(other.m_failedErrno.load())
 {
 }
 
@@ -115,6 +116,7 @@
     std::swap(m_summary, other.m_summary);
     std::swap(m_recovered, other.m_recovered);
     other.m_hasFailed = m_hasFailed.exchange(other.m_hasFailed);
+    other.m_failedErrno = m_failedErrno.exchange(other.m_failedErrno);
     return *this;
 }
 
@@ -179,10 +181,13 @@
 leaf::result<void> Journal::sync()
 {
     if (m_hasFailed)
-        return fileError("sync journal", m_path, "an earlier write failed");
+        return earlierError("sync journal");
     const auto size = m_size.load();
-    if (m_hooks.sync(m_descriptor) != 0)
-        return systemError("sync journal", m_path);
+    if (m_hooks.sync(m_descriptor) != 0) {
+        m_failedErrno = errno;
+        m_hasFailed = true;
+        return fileError("sync journal", m_path, std::strerror(m_failedErrno));
+    }
     m_syncedEnd = size;
     return {};
 }
@@ -200,7 +205,7 @@
 leaf::result<void> Journal::replace(const std::vector<std::string> &records)
 {
     if (m_hasFailed)
-        return fileError("replace journal", m_path, "an earlier write failed");
+        return earlierError("replace journal");
     m_hasFailed = true;
     const auto path = m_path + ".new";
     const int descriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
@@ -242,15 +247,23 @@
 leaf::result<void> Journal::write(std::string_view bytes, std::string_view step)
 {
     if (m_hasFailed)
-        return fileError(step, m_path, "an earlier write failed");
+        return earlierError(step);
     if (!writeAll(m_descriptor, bytes)) {
+        m_failedErrno = errno;
         m_hasFailed = true;
-        return systemError(step, m_path);
+        return fileError(step, m_path, std::strerror(m_failedErrno));
     }
     m_size += bytes.size();
     return {};
 }
 
+leaf::error_id Journal::earlierError(std::string_view step) const
+{
+    const int error = m_failedErrno;
+    const std::string detail = "an earlier write or sync failed";
+    return fileError(step, m_path, error == 0 ? detail : detail + ": " + std::strerror(error));
+}
+
 leaf::result<void> Journal::syncParent() const
 {
     const auto parent = std::filesystem::path(m_path).parent_path();
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -111,6 +111,7 @@
     boost::leaf::result<void> read(const std::string &cutPath);
     boost::leaf::result<void> persistRecovered(const JournalScan &scan, const std::string &cutPath);
     boost::leaf::result<void> write(std::string_view bytes, std::string_view step);
+    boost::leaf::error_id earlierError(std::string_view step) const;
     boost::leaf::result<void> syncParent() const;
     bool writeAll(int descriptor, std::string_view bytes) const;
 
@@ -124,6 +125,8 @@
     JournalSummary m_summary;
     std::vector<std::string> m_recovered;
     std::atomic<bool> m_hasFailed = false;
+    /// The errno of the append() or sync() that failed; zero if none did.
+    std::atomic<int> m_failedErrno = 0;
 };
 
 } // namespace Citronpitch
--- a/tests/integration/journaltest.cpp
+++ b/tests/integration/journaltest.cpp
@@ -4,6 +4,7 @@
 
 #include <xxhash.h>
 
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -247,3 +248,43 @@
     EXPECT_FALSE(static_cast<bool>(journal->append("two")));
     EXPECT_EQ(read(), std::vector<std::string>{"one"});
 }
+
+// Guards against counting records as stored after the system may have dropped them.
+TEST_F(JournalTest, nothingSucceedsAfterAFailedSync)
+{
+    JournalHooks hooks;
+    int result = 0;
+    hooks.sync = [&](int) { return result; };
+    auto journal = Journal::open(m_path, hooks);
+    ASSERT_TRUE(journal.has_value());
+    result = -1;
+    ASSERT_TRUE(static_cast<bool>(journal->append("one")));
+    EXPECT_FALSE(static_cast<bool>(journal->sync()));
+    result = 0;
+    EXPECT_FALSE(static_cast<bool>(journal->sync()));
+    EXPECT_FALSE(static_cast<bool>(journal->append("two")));
+    EXPECT_FALSE(static_cast<bool>(journal->replace({"two"})));
+}
+
+// Guards against a log that lacks the cause, if another thread meets the failed sync first.
+TEST_F(JournalTest, errorsAfterAFailedSyncNameItsCause)
+{
+    JournalHooks hooks;
+    int result = 0;
+    hooks.sync = [&](int) {
+        errno = EIO;
+        return result;
+    };
+    auto journal = Journal::open(m_path, hooks);
+    ASSERT_TRUE(journal.has_value());
+    result = -1;
+    EXPECT_FALSE(static_cast<bool>(journal->sync()));
+    const auto error = leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+            BOOST_LEAF_CHECK(journal->append("one"));
+            return std::string();
+        },
+        [](const StepError &found) { return found.text(); }, [] { return std::string("other error"); });
+    EXPECT_EQ(error,
+              "append to journal: " + m_path + ": an earlier write or sync failed: Input/output error");
+}
