Tests: a process that ends in a start of the claim store changes nothing more

LEAF catches what a hook throws, so that the store went on after the end of the process and could change files. Each later call throws, too, until the restart.

--- a/tests/integration/claimstorepowerlosstest.cpp
+++ b/tests/integration/claimstorepowerlosstest.cpp
@@ -115,8 +115,11 @@
     {
         const auto ending = [this](auto call) {
             return [this, call](auto... arguments) {
-                if (m_callsUntilEnd > 0 && --m_callsUntilEnd == 0)
+                // LEAF catches what is thrown: an ended process must not call anything any more.
+                if (m_callsUntilEnd == 1)
                     throw ProcessEnded();
+                if (m_callsUntilEnd > 1)
+                    --m_callsUntilEnd;
                 return call(arguments...);
             };
         };
@@ -220,7 +223,7 @@
     bool m_isIncomplete = false;
     /// Incarnation whose start did not return; its journal is whole if it replaced the former one.
     std::optional<std::uint64_t> m_endedIncarnation;
-    /// The process ends at this system call; zero for none.
+    /// The process ends at this system call, the first being 1; zero for none.
     unsigned m_callsUntilEnd = 0;
     std::string m_error;
 };
