Claim store: a mark that can't be looked up is not taken for absent

What callers could see: a task that runs twice, if the system can't look up `claims.incomplete` while `claims` exists. Not seen by users.

Fix: the store opens as failed, as with any other error of the folder.

--- a/src/store/claimstore.cpp
+++ b/src/store/claimstore.cpp
@@ -56,6 +56,15 @@
         });
 }
 
+leaf::result<bool> fileExists(const std::string &path)
+{
+    std::error_code ec;
+    const bool isFound = fs::exists(path, ec);
+    if (ec)
+        return leaf::new_error(StepError{"look up journal", path, ec.message()});
+    return isFound;
+}
+
 } // namespace
 
 leaf::result<void> ClaimStore::initialize(const std::string &folder)
@@ -130,12 +139,11 @@
 
 leaf::result<void> ClaimStore::openJournal()
 {
-    std::error_code ec;
-    const bool isIncomplete = fs::exists(incompletePath(), ec);
+    BOOST_LEAF_ASSIGN(const bool isIncomplete, fileExists(incompletePath()));
+    BOOST_LEAF_ASSIGN(const bool hasJournal, fileExists(journalPath()));
     // If both exist, the journal is newer: it was replaced, and the incomplete one was not removed yet.
-    const bool isMoved = isIncomplete && !fs::exists(journalPath(), ec);
-    const auto path = isMoved ? incompletePath() : journalPath();
-    const bool isFound = fs::exists(path, ec);
+    const auto path = isIncomplete && !hasJournal ? incompletePath() : journalPath();
+    const bool isFound = isIncomplete || hasJournal;
     BOOST_LEAF_ASSIGN(auto journal, Journal::open(path, m_options.hooks, incompletePath()));
     m_journal.emplace(std::move(journal));
     if (const auto &failure = m_journal->summary().failure)
--- a/tests/integration/claimstoretest.cpp
+++ b/tests/integration/claimstoretest.cpp
@@ -210,6 +210,16 @@
     }
 }
 
+// Guards against trusting a journal because its mark can't be looked up.
+TEST_F(ClaimStoreTest, markThatCanNotBeLookedUpGivesAFailedStore)
+{
+    runIncarnation(*open(), 1);
+    std::filesystem::create_symlink("claims.incomplete", m_options.folder + "/claims.incomplete");
+    const auto store = open();
+    EXPECT_TRUE(store->hasFailed());
+    EXPECT_EQ(store->takeRecovery().completeness, JournalCompleteness::Lost);
+}
+
 // Guards against a full disk that goes unreported or is reported for every append.
 TEST_F(ClaimStoreTest, fullDiskIsReportedOnceAndLaterAppendsAreIgnored)
 {
