Claim store: a mark that can't be written is reported

Cause: the error of the rename to `claims.incomplete` was dropped.

Evidence: ClaimStoreTest.markThatCanNotBeWrittenIsReported failed before; it passes.

--- a/src/store/claimstore.cpp
+++ b/src/store/claimstore.cpp
@@ -315,9 +315,13 @@
         return;
     m_hasFailed = true;
     m_pending.clear();
-    // Marks the journal as incomplete for later incarnations; renaming works on a full disk too.
-    m_options.hooks.rename(journalPath().c_str(), incompletePath().c_str());
-    m_failed(error);
+    auto reported = error;
+    // Marks the journal as incomplete for later incarnations; renaming works on a full disk too. If start()
+    // could not replace a marked journal, there is no other.
+    if (m_options.hooks.rename(journalPath().c_str(), incompletePath().c_str()) != 0 && errno != ENOENT)
+        reported.detail += std::string("; can't mark the journal as incomplete: ") + std::strerror(errno)
+            + "; before the next start, rename it to " + incompletePath();
+    m_failed(reported);
 }
 
 std::string ClaimStore::journalPath() const
--- a/tests/integration/claimstoretest.cpp
+++ b/tests/integration/claimstoretest.cpp
@@ -50,7 +50,10 @@
     {
         store.start(
             m_io.get_executor(), store.lastIncarnation() + 1, {}, [this](std::uint64_t) { ++m_synced; },
-            [this](const StepError &) { ++m_failures; });
+            [this](const StepError &error) {
+                ++m_failures;
+                m_failure = error.text();
+            });
         for (int i = 1; i <= records; ++i) {
             wire::ClaimJournalRecord record;
             record.mutable_claim()->mutable_submission()->set_key("key-" + std::to_string(i));
@@ -112,6 +115,7 @@
     std::string m_error;
     int m_synced = 0;
     int m_failures = 0;
+    std::string m_failure;
 };
 
 } // namespace
@@ -220,6 +224,24 @@
     EXPECT_EQ(store->takeRecovery().completeness, JournalCompleteness::Lost);
 }
 
+// Guards against an incomplete journal without a mark that goes unreported.
+TEST_F(ClaimStoreTest, markThatCanNotBeWrittenIsReported)
+{
+    int syncs = 0;
+    m_options.hooks.sync = [&](int) {
+        errno = ENOSPC;
+        return ++syncs > 2 ? -1 : 0;
+    };
+    m_options.hooks.rename = [](const char *from, const char *to) {
+        errno = EIO;
+        return std::string(to).ends_with(".incomplete") ? -1 : std::rename(from, to);
+    };
+    runIncarnation(*open(), 1);
+    EXPECT_NE(m_failure.find("No space left on device"), std::string::npos) << m_failure;
+    EXPECT_NE(m_failure.find("can't mark the journal as incomplete: Input/output error"), std::string::npos)
+        << m_failure;
+}
+
 // Guards against a full disk that goes unreported or is reported for every append.
 TEST_F(ClaimStoreTest, fullDiskIsReportedOnceAndLaterAppendsAreIgnored)
 {
