--- a/src/store/claimstore.cpp
+++ b/src/store/claimstore.cpp
@@ -1,10 +1,12 @@
 #include "store/claimstore.h"
 
+#include "store/folders.h"
 #include "wire/peer.pb.h"
 
 #include <boost/asio/post.hpp>
 
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
@@ -54,6 +56,15 @@
         });
 }
 
+leaf::result<bool> fileExists(const std::string &path)
+{
+    std::error_code ec;
+    const bool isFound = fs::exists(path, ec);
+    if (ec)
+        return leaf::new_error(StepError{"look up journal", path, ec.message()});
+    return isFound;
+}
+
 } // namespace
 
 leaf::result<void> ClaimStore::initialize(const std::string &folder)
@@ -61,6 +72,7 @@
     ClaimStoreOptions options;
     options.folder = folder;
     ClaimStore store(options);
+    BOOST_LEAF_CHECK(createFolders(folder, store.m_options.hooks.syncFolder));
     BOOST_LEAF_CHECK(store.lockFolder());
     if (fs::exists(store.journalPath()) || fs::exists(store.incompletePath()))
         return leaf::new_error(StepError{"initialize", folder, "the folder already contains claims"});
@@ -73,8 +85,12 @@
     std::unique_ptr<ClaimStore> store(new ClaimStore(options));
     if (options.folder.empty())
         return store;
-    BOOST_LEAF_CHECK(store->lockFolder());
-    std::optional<StepError> error = errorOf([&] { return store->openJournal(); });
+    std::optional<StepError> error =
+        errorOf([&] { return createFolders(options.folder, store->m_options.hooks.syncFolder); });
+    if (!error) {
+        BOOST_LEAF_CHECK(store->lockFolder());
+        error = errorOf([&] { return store->openJournal(); });
+    }
     if (!error)
         return store;
     if (error->step == checkJournalStep)
@@ -89,6 +105,12 @@
 {
     if (!m_options.bootId)
         m_options.bootId = systemBootId;
+    if (!m_options.hooks.rename)
+        m_options.hooks.rename = [](const char *from, const char *to) { return std::rename(from, to); };
+    if (!m_options.hooks.remove)
+        m_options.hooks.remove = ::unlink;
+    if (!m_options.hooks.syncFolder)
+        m_options.hooks.syncFolder = ::fsync;
 }
 
 ClaimStore::~ClaimStore()
@@ -108,8 +130,6 @@
 
 leaf::result<void> ClaimStore::lockFolder()
 {
-    std::error_code ec;
-    fs::create_directories(m_options.folder, ec);
     const auto path = m_options.folder + "/lock";
     m_lockDescriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
     if (m_lockDescriptor >= 0 && ::flock(m_lockDescriptor, LOCK_EX | LOCK_NB) != 0 && errno == EWOULDBLOCK)
@@ -119,14 +139,12 @@
 
 leaf::result<void> ClaimStore::openJournal()
 {
-    std::error_code ec;
-    const bool isIncomplete = fs::exists(incompletePath(), ec);
+    BOOST_LEAF_ASSIGN(const bool isIncomplete, fileExists(incompletePath()));
+    BOOST_LEAF_ASSIGN(const bool hasJournal, fileExists(journalPath()));
     // If both exist, the journal is newer: it was replaced, and the incomplete one was not removed yet.
-    const bool isMoved = isIncomplete && !fs::exists(journalPath(), ec);
-    if (isMoved)
-        fs::rename(incompletePath(), journalPath(), ec);
-    const bool isFound = fs::exists(journalPath(), ec);
-    BOOST_LEAF_ASSIGN(auto journal, Journal::open(journalPath(), m_options.hooks));
+    const auto path = isIncomplete && !hasJournal ? incompletePath() : journalPath();
+    const bool isFound = isIncomplete || hasJournal;
+    BOOST_LEAF_ASSIGN(auto journal, Journal::open(path, m_options.hooks, incompletePath()));
     m_journal.emplace(std::move(journal));
     if (const auto &failure = m_journal->summary().failure)
         return leaf::new_error(*failure);
@@ -141,8 +159,6 @@
         m_recovery.completeness = JournalCompleteness::Whole;
     else if (isFound && (m_lastIncarnation != 0 || !isUncut))
         m_recovery.completeness = JournalCompleteness::TailMayBeLost;
-    if (isMoved || !isUncut)
-        fs::rename(journalPath(), incompletePath(), ec);
     return {};
 }
 
@@ -170,11 +186,13 @@
         m_failed({"open journal", journalPath(), "the data folder can't be used"});
         return;
     }
+    // An incomplete journal keeps its name until the new one is on the disk.
+    m_journal->setPath(journalPath());
     compact(snapshot);
     if (m_hasFailed)
         return;
-    std::error_code ec;
-    fs::remove(incompletePath(), ec);
+    // If this fails or is undone by a power loss, the journal counts as incomplete, which is safe.
+    m_options.hooks.remove(incompletePath().c_str());
     m_thread = std::thread([this] { syncLoop(); });
     m_lazySync.emplace(m_executor);
     scheduleLazySync();
@@ -297,10 +315,13 @@
         return;
     m_hasFailed = true;
     m_pending.clear();
-    // Marks the journal as incomplete for later incarnations; renaming works on a full disk too.
-    std::error_code ec;
-    fs::rename(journalPath(), incompletePath(), ec);
-    m_failed(error);
+    auto reported = error;
+    // Marks the journal as incomplete for later incarnations; renaming works on a full disk too. If start()
+    // could not replace a marked journal, there is no other.
+    if (m_options.hooks.rename(journalPath().c_str(), incompletePath().c_str()) != 0 && errno != ENOENT)
+        reported.detail += std::string("; can't mark the journal as incomplete: ") + std::strerror(errno)
+            + "; before the next start, rename it to " + incompletePath();
+    m_failed(reported);
 }
 
 std::string ClaimStore::journalPath() const
--- a/src/store/configurationstore.cpp
+++ b/src/store/configurationstore.cpp
@@ -1,5 +1,7 @@
 #include "store/configurationstore.h"
 
+#include "store/folders.h"
+
 #include <boost/asio/post.hpp>
 
 #include <condition_variable>
@@ -9,6 +11,7 @@
 #include <optional>
 #include <stdexcept>
 #include <thread>
+#include <unistd.h>
 
 namespace Citronpitch {
 
@@ -27,9 +30,11 @@
 Journal openJournal(const std::string &dataFolder)
 {
     const auto path = journalPath(dataFolder);
-    fs::create_directories(path.parent_path());
     return leaf::try_handle_all(
-        [&]() -> leaf::result<Journal> { return Journal::open(path); },
+        [&]() -> leaf::result<Journal> {
+            BOOST_LEAF_CHECK(createFolders(path.parent_path(), ::fsync));
+            return Journal::open(path);
+        },
         [](const StepError &error) -> Journal { throw std::runtime_error(error.text()); },
         []() -> Journal { throw std::runtime_error("open configuration journal"); });
 }
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -67,10 +67,11 @@
 
 } // namespace
 
-leaf::result<Journal> Journal::open(const std::string &path, const JournalHooks &hooks)
+leaf::result<Journal> Journal::open(const std::string &path, const JournalHooks &hooks,
+                                    const std::string &cutPath)
 {
     Journal journal(path, hooks);
-    BOOST_LEAF_CHECK(journal.read());
+    BOOST_LEAF_CHECK(journal.read(cutPath));
     return journal;
 }
 
@@ -122,6 +123,7 @@
     , m_summary(std::move(other.m_summary))
     , m_recovered(std::move(other.m_recovered))
     , m_hasFailed(other.m_hasFailed.load())
+    , m_failedErrno(other.m_failedErrno.load())
 {
 }
 
@@ -137,10 +139,11 @@
     std::swap(m_summary, other.m_summary);
     std::swap(m_recovered, other.m_recovered);
     other.m_hasFailed = m_hasFailed.exchange(other.m_hasFailed);
+    other.m_failedErrno = m_failedErrno.exchange(other.m_failedErrno);
     return *this;
 }
 
-leaf::result<void> Journal::read()
+leaf::result<void> Journal::read(const std::string &cutPath)
 {
     m_descriptor = ::open(m_path.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     if (m_descriptor < 0)
@@ -159,7 +162,7 @@
     // Journals of claims have hundreds of megabytes.
     content.clear();
     content.shrink_to_fit();
-    leaf::try_handle_all([&]() -> leaf::result<void> { return persistRecovered(found); },
+    leaf::try_handle_all([&]() -> leaf::result<void> { return persistRecovered(found, cutPath); },
                          [&](const StepError &error) { m_summary.failure = error; },
                          [&] {
                              m_summary.failure = StepError{"open journal", m_path, "unknown error"};
@@ -168,8 +171,13 @@
     return {};
 }
 
-leaf::result<void> Journal::persistRecovered(const JournalScan &scan)
+leaf::result<void> Journal::persistRecovered(const JournalScan &scan, const std::string &cutPath)
 {
+    if (m_summary.droppedBytes > 0 && !cutPath.empty() && cutPath != m_path) {
+        if (m_hooks.rename(m_path.c_str(), cutPath.c_str()) != 0)
+            return systemError("rename journal", m_path);
+        m_path = cutPath;
+    }
     const bool isMarked = scan.version == journalFormatVersion && scan.syncedEnd >= scan.recordsEnd;
     if (!isMarked || m_summary.droppedBytes > 0)
         return replace(m_recovered);
@@ -200,10 +208,13 @@
 leaf::result<void> Journal::sync()
 {
     if (m_hasFailed)
-        return fileError("sync journal", m_path, "an earlier write failed");
+        return earlierError("sync journal");
     const auto size = m_size.load();
-    if (m_hooks.sync(m_descriptor) != 0)
-        return systemError("sync journal", m_path);
+    if (m_hooks.sync(m_descriptor) != 0) {
+        m_failedErrno = errno;
+        m_hasFailed = true;
+        return fileError("sync journal", m_path, std::strerror(m_failedErrno));
+    }
     m_syncedEnd = size;
     return {};
 }
@@ -221,7 +232,7 @@
 leaf::result<void> Journal::replace(const std::vector<std::string> &records)
 {
     if (m_hasFailed)
-        return fileError("replace journal", m_path, "an earlier write failed");
+        return earlierError("replace journal");
     m_hasFailed = true;
     const auto path = m_path + ".new";
     const int descriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
@@ -246,6 +257,11 @@
     return {};
 }
 
+void Journal::setPath(const std::string &path)
+{
+    m_path = path;
+}
+
 std::uint64_t Journal::size() const
 {
     return m_size;
@@ -254,15 +270,23 @@
 leaf::result<void> Journal::write(std::string_view bytes, std::string_view step)
 {
     if (m_hasFailed)
-        return fileError(step, m_path, "an earlier write failed");
+        return earlierError(step);
     if (!writeAll(m_descriptor, bytes)) {
+        m_failedErrno = errno;
         m_hasFailed = true;
-        return systemError(step, m_path);
+        return fileError(step, m_path, std::strerror(m_failedErrno));
     }
     m_size += bytes.size();
     return {};
 }
 
+leaf::error_id Journal::earlierError(std::string_view step) const
+{
+    const int error = m_failedErrno;
+    const std::string detail = "an earlier write or sync failed";
+    return fileError(step, m_path, error == 0 ? detail : detail + ": " + std::strerror(error));
+}
+
 leaf::result<void> Journal::syncParent() const
 {
     const auto parent = std::filesystem::path(m_path).parent_path();
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -20,12 +20,13 @@
 inline constexpr std::string_view checkJournalStep = "check journal";
 
 /// System calls that tests replace to inject disk failures, with the semantics of write(), fdatasync(),
-/// rename(), and fsync() of a folder.
+/// rename(), unlink(), and fsync() of a folder. remove() is called by ClaimStore only.
 struct JournalHooks
 {
     std::function<ssize_t(int descriptor, const void *bytes, std::size_t size)> write;
     std::function<int(int descriptor)> sync;
     std::function<int(const char *from, const char *to)> rename;
+    std::function<int(const char *path)> remove;
     std::function<int(int descriptor)> syncFolder;
 };
 
@@ -65,8 +66,12 @@
      *
      * If the disk refuses to write, JournalSummary::failure is set: the records can be read, but may not
      * survive a power loss, and nothing can be appended.
+     *
+     * If @p cutPath isn't empty, a file of which something is dropped is renamed to @p cutPath before that,
+     * and stays there.
      */
-    static boost::leaf::result<Journal> open(const std::string &path, const JournalHooks &hooks = {});
+    static boost::leaf::result<Journal> open(const std::string &path, const JournalHooks &hooks = {},
+                                             const std::string &cutPath = {});
 
     /// Reads the records of the file at @p path without changing it; none if there is no file. They may not
     /// survive a power loss. Errors as of open().
@@ -98,15 +103,19 @@
     /// Atomically replaces the whole content by @p records: writes and syncs a new file and renames it.
     boost::leaf::result<void> replace(const std::vector<std::string> &records);
 
+    /// Lets later calls of replace() write the file at @p path, in the same folder; the present file is kept.
+    void setPath(const std::string &path);
+
     /// Size of the file in bytes.
     std::uint64_t size() const;
 
 private:
     Journal(std::string path, JournalHooks hooks);
 
-    boost::leaf::result<void> read();
-    boost::leaf::result<void> persistRecovered(const JournalScan &scan);
+    boost::leaf::result<void> read(const std::string &cutPath);
+    boost::leaf::result<void> persistRecovered(const JournalScan &scan, const std::string &cutPath);
     boost::leaf::result<void> write(std::string_view bytes, std::string_view step);
+    boost::leaf::error_id earlierError(std::string_view step) const;
     boost::leaf::result<void> syncParent() const;
     /// Writes a whole file; returns its size, or nothing after a failed write.
     std::optional<std::uint64_t> writeRecords(int descriptor, const std::vector<std::string> &records,
@@ -124,6 +133,8 @@
     JournalSummary m_summary;
     std::vector<std::string> m_recovered;
     std::atomic<bool> m_hasFailed = false;
+    /// The errno of the append() or sync() that failed; zero if none did.
+    std::atomic<int> m_failedErrno = 0;
 };
 
 } // namespace Citronpitch
