Claim store: claims are recovered while the disk refuses writes

What callers would see: after a kill under load and a restart on a full disk, keys that were answered get "unknown" instead of their answer, although the claims can be read; and the start after that counts them as whole.

--- a/src/store/claimstore.cpp
+++ b/src/store/claimstore.cpp
@@ -95,6 +95,7 @@
         return store;
     if (error->step == checkJournalStep)
         return leaf::new_error(*error);
+    store->m_openError = *error;
     store->m_hasFailed = true;
     store->m_journal.reset();
     return store;
@@ -146,8 +147,6 @@
     const bool isFound = isIncomplete || hasJournal;
     BOOST_LEAF_ASSIGN(auto journal, Journal::open(path, m_options.hooks, incompletePath()));
     m_journal.emplace(std::move(journal));
-    if (const auto &failure = m_journal->summary().failure)
-        return leaf::new_error(*failure);
     m_recovery.records = m_journal->takeRecovered();
     const auto replay = replayClaims(m_recovery.records);
     m_lastIncarnation = replay.lastIncarnation;
@@ -159,7 +158,12 @@
         m_recovery.completeness = JournalCompleteness::Whole;
     else if (isFound && (m_lastIncarnation != 0 || !isUncut))
         m_recovery.completeness = JournalCompleteness::TailMayBeLost;
-    return {};
+    const auto &failure = m_journal->summary().failure;
+    if (!failure)
+        return {};
+    auto reported = *failure;
+    markIncomplete(reported);
+    return leaf::new_error(reported);
 }
 
 ClaimRecovery ClaimStore::takeRecovery()
@@ -183,7 +187,7 @@
     if (m_options.folder.empty())
         return;
     if (m_hasFailed) {
-        m_failed({"open journal", journalPath(), "the data folder can't be used"});
+        m_failed(m_openError);
         return;
     }
     // An incomplete journal keeps its name until the new one is on the disk.
@@ -309,6 +313,14 @@
         fail(*error);
 }
 
+void ClaimStore::markIncomplete(StepError &error) const
+{
+    // Renaming works on a full disk too. If start() could not replace a marked journal, there is no other.
+    if (m_options.hooks.rename(journalPath().c_str(), incompletePath().c_str()) != 0 && errno != ENOENT)
+        error.detail += std::string("; can't mark the journal as incomplete: ") + std::strerror(errno)
+            + "; before the next start, rename it to " + incompletePath();
+}
+
 void ClaimStore::fail(const StepError &error)
 {
     if (m_hasFailed)
@@ -316,11 +328,7 @@
     m_hasFailed = true;
     m_pending.clear();
     auto reported = error;
-    // Marks the journal as incomplete for later incarnations; renaming works on a full disk too. If start()
-    // could not replace a marked journal, there is no other.
-    if (m_options.hooks.rename(journalPath().c_str(), incompletePath().c_str()) != 0 && errno != ENOENT)
-        reported.detail += std::string("; can't mark the journal as incomplete: ") + std::strerror(errno)
-            + "; before the next start, rename it to " + incompletePath();
+    markIncomplete(reported);
     m_failed(reported);
 }
 
--- a/src/store/claimstore.h
+++ b/src/store/claimstore.h
@@ -55,8 +55,9 @@
     /**
      * Opens the journal and reads its records.
      *
-     * Fails if another process has locked the folder or the journal is damaged. If the folder can't be read
-     * or written, the returned store has failed and recovers nothing.
+     * Fails if another process has locked the folder or the journal is damaged. If the folder can't be read,
+     * the returned store has failed and recovers nothing; if it can't be written, it has failed and recovers
+     * what can be read.
      */
     static boost::leaf::result<std::unique_ptr<ClaimStore>> open(const ClaimStoreOptions &options);
 
@@ -105,6 +106,8 @@
     void requestSync();
     void scheduleLazySync();
     void synced(std::uint64_t sequence);
+    /// Marks the journal as incomplete for later incarnations; adds to @p error if that fails.
+    void markIncomplete(StepError &error) const;
     void fail(const StepError &error);
     std::string journalPath() const;
     std::string incompletePath() const;
@@ -117,6 +120,7 @@
     std::uint64_t m_incarnation = 0;
     std::uint64_t m_compactedSize = 0;
     bool m_hasFailed = false;
+    StepError m_openError;
 
     boost::asio::any_io_executor m_executor;
     std::optional<boost::asio::steady_timer> m_lazySync;
--- a/tests/integration/claimstoretest.cpp
+++ b/tests/integration/claimstoretest.cpp
@@ -270,6 +270,32 @@
     EXPECT_EQ(m_failures, 1);
 }
 
+// Guards against answering "unknown" for claims that can be read on a full disk, and against trusting a
+// journal into which an incarnation could not write.
+TEST_F(ClaimStoreTest, claimsAreRecoveredWhileTheDiskRefusesWrites)
+{
+    {
+        const auto store = open();
+        store->start(
+            m_io.get_executor(), 7, {}, [](std::uint64_t) {}, [](const StepError &) {});
+        store->append({}, 0);
+    }
+    m_options.hooks.write = [](int, const void *, std::size_t) -> ssize_t {
+        errno = ENOSPC;
+        return -1;
+    };
+    {
+        const auto store = open();
+        EXPECT_TRUE(store->hasFailed());
+        EXPECT_EQ(store->lastIncarnation(), 7U);
+        const auto recovery = store->takeRecovery();
+        EXPECT_EQ(recovery.records.size(), 2U);
+        EXPECT_EQ(recovery.completeness, JournalCompleteness::Whole);
+    }
+    m_options.hooks = {};
+    EXPECT_EQ(memoryAfterRestart(), JournalCompleteness::TailMayBeLost);
+}
+
 // Guards against recovering only some of the claims from a damaged journal.
 TEST_F(ClaimStoreTest, damagedJournalIsRejected)
 {
