Tests: a failed sync may lose the writes, and dropped records stay dropped

No test noticed either: the test disk stored on the next sync what a refused one had not stored.

UnreliableDisk can now drop the writes of a refused sync.

--- a/tests/integration/journalpowerlosstest.cpp
+++ b/tests/integration/journalpowerlosstest.cpp
@@ -188,6 +188,36 @@
     EXPECT_EQ(journal.error(), "");
 }
 
+// Guards against records that a restart returns and syncs in vain, since a failed sync marked them as stored.
+TEST(JournalPowerLossTest, recordsFoundAfterARefusedSyncAreWrittenAgain)
+{
+    JournalOnUnreliableDisk journal(1);
+    journal.disk().dropWritesOfRefusedSyncs();
+    journal.append("one");
+    journal.disk().refuseSyncs(1);
+    journal.sync();
+    ASSERT_EQ(journal.records().size(), 1U);
+    journal.losePower(PowerLoss::KeepsNothing);
+    EXPECT_EQ(journal.error(), "");
+}
+
+// Guards against a dropped record that comes back behind the record that was written in place of the gap.
+TEST(JournalPowerLossTest, recordsBehindAGapDoNotComeBack)
+{
+    JournalOnUnreliableDisk journal(1);
+    journal.append("one");
+    journal.sync();
+    journal.markSynced();
+    journal.sync();
+    journal.append("two");
+    journal.append("three");
+    journal.losePower(PowerLoss::LosesFirst);
+    ASSERT_EQ(journal.records(), std::vector<std::string>{"one"});
+    journal.append("six");
+    journal.losePower(PowerLoss::KeepsAll);
+    EXPECT_EQ(journal.error(), "");
+}
+
 // Guards against appending to a replaced journal whose name the next power loss takes away.
 TEST(JournalPowerLossTest, nameOfAReplacedJournalIsSyncedBeforeItIsUsed)
 {
@@ -206,8 +236,10 @@
 TEST(JournalPowerLossTest, syncedRecordsSurviveRandomFaults)
 {
     constexpr int steps = 300;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 2 * seeds; ++seed) {
         JournalOnUnreliableDisk journal(seed);
+        if (seed > seeds)
+            journal.disk().dropWritesOfRefusedSyncs();
         std::mt19937_64 random(seed);
         for (int i = 0; i < steps && journal.error().empty(); ++i) {
             const auto drawn = random() % 16;
--- a/tests/support/unreliabledisk.cpp
+++ b/tests/support/unreliabledisk.cpp
@@ -42,7 +42,12 @@
     hooks.write = [this](int descriptor, const void *bytes, std::size_t size) {
         return write(descriptor, bytes, size);
     };
-    hooks.sync = [this](int descriptor) { return sync(descriptor); };
+    hooks.sync = [this](int descriptor) {
+        const int result = sync(descriptor);
+        if (result != 0 && m_dropsWritesOfRefusedSyncs)
+            dropUnsynced(descriptor);
+        return result;
+    };
     hooks.rename = [this](const char *from, const char *to) { return rename(from, to); };
     hooks.syncFolder = [this](int) {
         if (isRefused())
@@ -59,6 +64,19 @@
     m_refusedSyncs = count;
 }
 
+void UnreliableDisk::dropWritesOfRefusedSyncs()
+{
+    m_dropsWritesOfRefusedSyncs = true;
+}
+
+void UnreliableDisk::dropUnsynced(int descriptor)
+{
+    struct stat status = {};
+    ::fstat(descriptor, &status);
+    if (const auto &file = m_files[status.st_ino])
+        file->writes.clear();
+}
+
 void UnreliableDisk::losePower(PowerLoss loss)
 {
     std::map<std::string, FilePointer> names;
--- a/tests/support/unreliabledisk.h
+++ b/tests/support/unreliabledisk.h
@@ -45,6 +45,10 @@
     /// Makes @p count syncs of files or folders fail, after the next @p before ones.
     void refuseSyncs(unsigned count, unsigned before = 0);
 
+    /// Lets a refused sync of a file count the writes as stored that it did not store: they can be read until
+    /// the power loss, but later syncs don't store them either.
+    void dropWritesOfRefusedSyncs();
+
     /// Changes the files to what @p loss leaves of them. No file may be open.
     void losePower(PowerLoss loss);
 
@@ -73,6 +77,7 @@
 
     ssize_t write(int descriptor, const void *bytes, std::size_t size);
     int sync(int descriptor);
+    void dropUnsynced(int descriptor);
     int rename(const std::string &from, const std::string &to);
     bool isRefused();
     std::string contentAfter(const File &file, PowerLoss loss);
@@ -85,6 +90,7 @@
     std::vector<Rename> m_renames;
     unsigned m_syncsBeforeRefusal = 0;
     unsigned m_refusedSyncs = 0;
+    bool m_dropsWritesOfRefusedSyncs = false;
 };
 
 } // namespace Citronpitch
