--- a/tests/integration/journaltest.cpp
+++ b/tests/integration/journaltest.cpp
@@ -4,8 +4,12 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <random>
 #include <unistd.h>
 
@@ -231,6 +235,203 @@
     EXPECT_EQ(read(), (std::vector<std::string>{"one"}));
 }
 
+// Guards against rejecting the journal after a power loss, since a record counts as synced that was appended
+// during the sync or whose sync failed.
+TEST_F(JournalTest, onlyRecordsBeforeASuccessfulSyncCountAsSynced)
+{
+    for (const int result : {0, -1}) {
+        std::filesystem::remove(m_path);
+        std::optional<Journal> journal;
+        JournalHooks hooks;
+        hooks.sync = [&](int) {
+            if (!journal)
+                return 0;
+            EXPECT_TRUE(static_cast<bool>(journal->append("two")));
+            errno = EIO;
+            return result;
+        };
+        auto opened = Journal::open(m_path, hooks);
+        ASSERT_TRUE(opened.has_value());
+        journal.emplace(std::move(*opened));
+        ASSERT_TRUE(static_cast<bool>(journal->append("one")));
+        EXPECT_EQ(static_cast<bool>(journal->sync()), result == 0);
+        static_cast<void>(journal->markSynced());
+        journal.reset();
+        const std::uint64_t one = journalHeaderBytes + recordHeaderBytes;
+        overwrite(result == 0 ? one + 3 + recordHeaderBytes : one, 'X');
+        EXPECT_EQ(read(), result == 0 ? std::vector<std::string>{"one"} : std::vector<std::string>{});
+    }
+}
+
+// Guards against a journal that is written again after a failure, behind content whose state is unknown.
+TEST_F(JournalTest, nothingIsWrittenAfterAFailure)
+{
+    enum class Call { Open, Append, Replace };
+    const struct
+    {
+        Call call;
+        const char *failing;
+    } cases[] = {{Call::Open, "write"},   {Call::Open, "sync"},      {Call::Open, "rename"},
+                 {Call::Open, "folder"},  {Call::Append, "write"},   {Call::Replace, "write"},
+                 {Call::Replace, "sync"}, {Call::Replace, "rename"}, {Call::Replace, "folder"}};
+    for (const auto &[call, failing] : cases) {
+        SCOPED_TRACE(std::to_string(static_cast<int>(call)) + ", " + failing);
+        std::filesystem::remove(m_path);
+        write({"one"});
+        std::string refused = call == Call::Open ? failing : "";
+        const auto isRefused = [&](std::string_view name) {
+            errno = EIO;
+            return refused == name;
+        };
+        JournalHooks hooks;
+        hooks.write = [&](int descriptor, const void *bytes, std::size_t size) {
+            // A full disk may take the start of a record.
+            if (!isRefused("write"))
+                return ::write(descriptor, bytes, size);
+            return size > 5 ? ::write(descriptor, bytes, 5) : ssize_t{-1};
+        };
+        hooks.sync = [&](int) { return isRefused("sync") ? -1 : 0; };
+        hooks.rename = [&](const char *from, const char *to) {
+            return isRefused("rename") ? -1 : std::rename(from, to);
+        };
+        hooks.syncFolder = [&](int) { return isRefused("folder") ? -1 : 0; };
+        auto journal = Journal::open(m_path, hooks);
+        ASSERT_TRUE(journal.has_value());
+        EXPECT_EQ(journal->summary().failure.has_value(), call == Call::Open);
+        refused = failing;
+        if (call == Call::Append) {
+            EXPECT_FALSE(static_cast<bool>(journal->append("two")));
+        } else if (call == Call::Replace) {
+            EXPECT_FALSE(static_cast<bool>(journal->replace({"two"})));
+        }
+        refused.clear();
+        const auto before = content();
+        EXPECT_FALSE(static_cast<bool>(journal->sync()));
+        EXPECT_FALSE(static_cast<bool>(journal->append("three")));
+        EXPECT_FALSE(static_cast<bool>(journal->replace({"three"})));
+        EXPECT_FALSE(static_cast<bool>(journal->sync()));
+        static_cast<void>(journal->markSynced());
+        EXPECT_EQ(content(), before);
+    }
+}
+
+// Guards against torn records on a disk that takes a write in parts or interrupts it.
+TEST_F(JournalTest, shortAndInterruptedWritesAreContinued)
+{
+    int calls = 0;
+    JournalHooks hooks;
+    hooks.write = [&](int descriptor, const void *bytes, std::size_t size) {
+        errno = EINTR;
+        return ++calls % 2 == 0 ? ssize_t{-1} : ::write(descriptor, bytes, std::min<std::size_t>(size, 7));
+    };
+    {
+        auto journal = Journal::open(m_path, hooks);
+        ASSERT_TRUE(journal.has_value());
+        ASSERT_TRUE(static_cast<bool>(journal->replace({"one"})));
+        ASSERT_TRUE(static_cast<bool>(journal->append("two")));
+        EXPECT_EQ(journal->size(), content().size());
+    }
+    EXPECT_EQ(read(), (std::vector<std::string>{"one", "two"}));
+}
+
+// Guards against silently dropping a synced record, if only the next record, which was not synced, shows that
+// it was.
+TEST_F(JournalTest, damageIsReportedByTheNextUnsyncedRecord)
+{
+    const auto markOffset = journalHeaderBytes + recordHeaderBytes + 3;
+    const auto damagedOffset = "offset " + std::to_string(journalHeaderBytes) + " ";
+    for (const bool isReopened : {false, true}) {
+        std::filesystem::remove(m_path);
+        if (isReopened) {
+            writeSynced({"one"});
+            write({"two"});
+            overwrite(markOffset, 'X');
+        } else {
+            auto journal = Journal::open(m_path);
+            ASSERT_TRUE(journal.has_value());
+            ASSERT_TRUE(static_cast<bool>(journal->append("one")));
+            ASSERT_TRUE(static_cast<bool>(journal->sync()));
+            ASSERT_TRUE(static_cast<bool>(journal->append("two")));
+        }
+        overwrite(markOffset - 1, 'X');
+        const auto found = read();
+        ASSERT_EQ(found.size(), 1U);
+        EXPECT_NE(found.front().find(damagedOffset), std::string::npos) << isReopened;
+    }
+}
+
+// Guards against silently dropping a synced record that is larger than a page.
+TEST_F(JournalTest, damageFarBeforeTheNextIntactHeaderIsReported)
+{
+    const auto damagedOffset = "offset " + std::to_string(journalHeaderBytes) + " ";
+    for (const std::size_t size : {10000U, 1000000U}) {
+        std::filesystem::remove(m_path);
+        writeSynced({std::string(size, 'r')});
+        overwrite(journalHeaderBytes, 'X');
+        const auto found = read();
+        ASSERT_EQ(found.size(), 1U);
+        EXPECT_NE(found.front().find(damagedOffset), std::string::npos) << size;
+    }
+}
+
+// Guards against returning, or believing, a record that belongs to another place in a journal.
+TEST_F(JournalTest, recordAtAnotherOffsetCountsAsDamaged)
+{
+    write({"one", "two"});
+    const auto size = recordHeaderBytes + 3;
+    const auto first = content().substr(0, journalHeaderBytes + size);
+    std::ofstream(m_path, std::ios::binary) << first << first.substr(journalHeaderBytes);
+    EXPECT_EQ(read(), std::vector<std::string>{"one"});
+
+    std::filesystem::remove(m_path);
+    writeSynced({"one"});
+    auto shifted = content();
+    shifted[journalHeaderBytes] = 'X';
+    shifted.insert(journalHeaderBytes + size, 1, 'X');
+    std::ofstream(m_path, std::ios::binary) << shifted;
+    EXPECT_EQ(read(), std::vector<std::string>{});
+}
+
+// Guards against a restart that needs space on a full disk, although all records are known to be synced, and
+// against marks of what the file states already.
+TEST_F(JournalTest, nothingIsWrittenIfTheFileStatesThatAllIsSynced)
+{
+    JournalHooks refusing;
+    refusing.write = [](int, const void *, std::size_t) -> ssize_t {
+        errno = ENOSPC;
+        return -1;
+    };
+    refusing.sync = [](int) {
+        errno = ENOSPC;
+        return -1;
+    };
+    for (const auto &it : {std::vector<std::string>{}, {"one"}, {"one", "two"}}) {
+        std::filesystem::remove(m_path);
+        writeSynced(it);
+        const auto before = content();
+        {
+            auto journal = Journal::open(m_path, refusing);
+            ASSERT_TRUE(journal.has_value());
+            EXPECT_FALSE(journal->summary().failure.has_value()) << it.size();
+            EXPECT_EQ(journal->takeRecovered(), it);
+            EXPECT_TRUE(static_cast<bool>(journal->markSynced())) << it.size();
+        }
+        auto journal = Journal::open(m_path);
+        ASSERT_TRUE(journal.has_value());
+        EXPECT_EQ(content(), before);
+        ASSERT_TRUE(static_cast<bool>(journal->append("three")));
+        ASSERT_TRUE(static_cast<bool>(journal->sync()));
+        ASSERT_TRUE(static_cast<bool>(journal->append("four")));
+        auto size = journal->size();
+        ASSERT_TRUE(static_cast<bool>(journal->markSynced()));
+        EXPECT_EQ(journal->size(), size);
+        ASSERT_TRUE(static_cast<bool>(journal->replace({"five"})));
+        size = journal->size();
+        ASSERT_TRUE(static_cast<bool>(journal->markSynced()));
+        EXPECT_EQ(journal->size(), size);
+    }
+}
+
 // Guards against a control VM that can't start while its disk is full.
 TEST_F(JournalTest, recordsAreReadWhileTheDiskRefusesWrites)
 {
