--- a/tests/integration/journaltest.cpp
+++ b/tests/integration/journaltest.cpp
@@ -211,6 +211,23 @@
     EXPECT_EQ(read(), (std::vector<std::string>{"three", "four"}));
 }
 
+// Guards against records that are lost or repeated in a replacement that is written in several parts.
+TEST_F(JournalTest, largeReplacementIsReadBack)
+{
+    std::vector<std::string> records;
+    for (std::size_t i = 0; i < 40; ++i)
+        records.emplace_back(100000 + i, static_cast<char>('a' + i % 26));
+    {
+        auto journal = Journal::open(m_path);
+        ASSERT_TRUE(journal.has_value());
+        ASSERT_TRUE(static_cast<bool>(journal->replace(records)));
+        EXPECT_EQ(journal->size(), content().size());
+        ASSERT_TRUE(static_cast<bool>(journal->append("new")));
+    }
+    records.emplace_back("new");
+    EXPECT_TRUE(read() == records);
+}
+
 // Guards against losing the records of a journal that an earlier version of the program wrote.
 TEST_F(JournalTest, journalWithoutMarksIsReadAndReplaced)
 {
