--- a/tests/support/unreliabledisk.cpp
+++ b/tests/support/unreliabledisk.cpp
@@ -43,7 +43,12 @@
     hooks.write = [this](int descriptor, const void *bytes, std::size_t size) {
         return write(descriptor, bytes, size);
     };
-    hooks.sync = [this](int descriptor) { return sync(descriptor); };
+    hooks.sync = [this](int descriptor) {
+        const int result = sync(descriptor);
+        if (result != 0 && m_dropsWritesOfRefusedSyncs)
+            dropUnsynced(descriptor);
+        return result;
+    };
     hooks.rename = [this](const char *from, const char *to) { return rename(from, to); };
     hooks.remove = [this](const char *path) { return remove(path); };
     hooks.syncFolder = [this](int) { return syncFolder(); };
@@ -57,6 +62,20 @@
     m_refusedSyncs = count;
 }
 
+void UnreliableDisk::dropWritesOfRefusedSyncs()
+{
+    m_dropsWritesOfRefusedSyncs = true;
+}
+
+void UnreliableDisk::dropUnsynced(int descriptor)
+{
+    const std::lock_guard lock(m_mutex);
+    struct stat status = {};
+    ::fstat(descriptor, &status);
+    if (const auto &file = m_files[status.st_ino])
+        file->writes.clear();
+}
+
 void UnreliableDisk::losePower(PowerLoss loss)
 {
     const std::lock_guard lock(m_mutex);
