Test: all control VMs lose power at once, as real processes

A library for LD_PRELOAD, loaded only by tests that ask for it, now records what a control VM has synced of its data folder, in a file beside it that survives SIGKILL at any moment.

--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -22,13 +22,19 @@
 } // namespace
 
 ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
-                           const std::string &logFile)
+                           const std::string &logFile, const std::vector<std::string> &environment)
 {
     std::vector<char *> values;
     values.push_back(const_cast<char *>(program.c_str()));
     for (const auto &it : arguments)
         values.push_back(const_cast<char *>(it.c_str()));
     values.push_back(nullptr);
+    std::vector<char *> variables;
+    for (const auto &it : environment)
+        variables.push_back(const_cast<char *>(it.c_str()));
+    for (char **it = environ; *it != nullptr; ++it)
+        variables.push_back(*it);
+    variables.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND,
@@ -36,7 +42,8 @@
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
     // The sockets of a proxy in this process would else stay open in the child.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    const int result = posix_spawn(&m_id, program.c_str(), &actions, nullptr, values.data(), environ);
+    const int result =
+        posix_spawn(&m_id, program.c_str(), &actions, nullptr, values.data(), variables.data());
     posix_spawn_file_actions_destroy(&actions);
     if (result != 0)
         throw std::runtime_error("can't start " + program);
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -12,9 +12,10 @@
 class ChildProcess
 {
 public:
-    /// Starts @p program with @p arguments; standard output and error go to @p logFile.
+    /// Starts @p program with @p arguments; standard output and error go to @p logFile. @p environment is
+    /// added to the environment of this process, as NAME=VALUE.
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
-                 const std::string &logFile);
+                 const std::string &logFile, const std::vector<std::string> &environment = {});
     ~ChildProcess();
     ChildProcess(ChildProcess &&other) noexcept;
     ChildProcess(const ChildProcess &) = delete;
--- a/tests/support/platformfleet.cpp
+++ b/tests/support/platformfleet.cpp
@@ -144,8 +144,11 @@
     if (isControl(vm))
         std::filesystem::create_directories(m_plan.folder / nameOf(vm));
     std::ofstream(file) << settingsOf(vm, isFirstStart).dump();
+    std::vector<std::string> environment;
+    if (isControl(vm) && !m_plan.diskRecorder.empty())
+        environment = diskOf(vm).environment(m_plan.diskRecorder, m_plan.syncDelay);
     m_processes[vm].emplace(m_plan.program, std::vector<std::string>{"--settings", file},
-                            m_plan.folder / (nameOf(vm) + ".log"));
+                            m_plan.folder / (nameOf(vm) + ".log"), environment);
 }
 
 ChildProcess &PlatformFleet::process(std::size_t vm)
@@ -156,6 +159,17 @@
 void PlatformFleet::loseDisk(std::size_t vm)
 {
     std::filesystem::remove_all(m_plan.folder / nameOf(vm));
+    diskOf(vm).clearRecord();
+}
+
+std::size_t PlatformFleet::losePower(std::size_t vm, PowerLoss loss, std::uint64_t seed)
+{
+    return diskOf(vm).losePower(loss, seed);
+}
+
+RecordedDisk PlatformFleet::diskOf(std::size_t vm) const
+{
+    return RecordedDisk(m_plan.folder / nameOf(vm));
 }
 
 FaultProxy &PlatformFleet::linkProxy(std::size_t vm)
--- a/tests/support/platformfleet.h
+++ b/tests/support/platformfleet.h
@@ -4,10 +4,12 @@
 #include "support/childprocess.h"
 #include "support/fakeexecutor.h"
 #include "support/faultproxy.h"
+#include "support/recordeddisk.h"
 
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <filesystem>
 #include <functional>
 #include <memory>
@@ -35,6 +37,10 @@
     nlohmann::json settings = nlohmann::json::object();
     /// Labels of each executor; those beyond the list have the usual ones.
     std::vector<std::vector<std::string>> executorLabels;
+    /// Library that records what the control VMs have synced, as losePower() requires; none if empty.
+    std::string diskRecorder;
+    /// Time that each sync of a recorded disk takes longer.
+    std::chrono::milliseconds syncDelay{0};
 };
 
 /**
@@ -72,6 +78,9 @@
     ChildProcess &process(std::size_t vm);
     /// Wipes the disk of @p vm.
     void loseDisk(std::size_t vm);
+    /// Changes the disk of @p vm, which has ended, to what @p loss leaves of it. Returns the number of writes
+    /// and renames that had not been synced. Only with diskRecorder.
+    std::size_t losePower(std::size_t vm, PowerLoss loss, std::uint64_t seed);
 
     /// Proxy before the links of @p vm, or before executor @p number. Only with hasProxies.
     FaultProxy &linkProxy(std::size_t vm);
@@ -89,6 +98,7 @@
 
 private:
     nlohmann::json settingsOf(std::size_t vm, bool isFirstStart) const;
+    RecordedDisk diskOf(std::size_t vm) const;
 
     PlatformFleetPlan m_plan;
     std::vector<std::optional<ChildProcess>> m_processes;
--- a/tests/support/unreliabledisk.cpp
+++ b/tests/support/unreliabledisk.cpp
@@ -1,6 +1,5 @@
 #include "support/unreliabledisk.h"
 
-#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <fstream>
@@ -20,14 +19,6 @@
     return status;
 }
 
-void writeAt(std::string &content, std::uint64_t offset, std::string_view bytes)
-{
-    if (bytes.empty())
-        return;
-    content.resize(std::max<std::size_t>(content.size(), offset + bytes.size()));
-    content.replace(offset, bytes.size(), bytes);
-}
-
 } // namespace
 
 UnreliableDisk::UnreliableDisk(fs::path folder, std::uint64_t seed)
@@ -70,7 +61,7 @@
     }
     // Renames of one name depend on each other: the newest ones may be lost.
     for (; !m_renames.empty(); m_renames.pop_back()) {
-        if (loss != PowerLoss::KeepsNothing && (loss != PowerLoss::Random || flip()))
+        if (!losesRename(loss, m_random))
             break;
         const auto &last = m_renames.back();
         names[last.from] = names[last.to];
@@ -83,7 +74,7 @@
     for (const auto &[name, file] : names) {
         if (!file)
             continue;
-        auto content = contentAfter(*file, loss);
+        auto content = contentAfter(loss, file->synced, file->writes, m_random);
         std::ofstream(name, std::ios::binary) << content;
         m_files[statusOf(name).st_ino] = std::make_shared<File>(File{std::move(content), {}});
     }
@@ -139,30 +130,4 @@
     return true;
 }
 
-std::string UnreliableDisk::contentAfter(const File &file, PowerLoss loss)
-{
-    auto content = file.synced;
-    for (std::size_t i = 0; i < file.writes.size(); ++i) {
-        const auto &[offset, bytes] = file.writes[i];
-        const auto cut = m_random() % (bytes.size() + 1);
-        const auto fate = loss == PowerLoss::Random ? m_random() % 4 : 0;
-        const bool isFirst = i == 0;
-        const bool losesAll = loss == PowerLoss::KeepsNothing || (isFirst && loss == PowerLoss::LosesFirst);
-        if (losesAll || fate == 1)
-            continue;
-        if ((isFirst && loss == PowerLoss::TearsEndOfFirst) || fate == 2)
-            writeAt(content, offset, std::string_view(bytes).substr(0, cut));
-        else if ((isFirst && loss == PowerLoss::TearsStartOfFirst) || fate == 3)
-            writeAt(content, offset + cut, std::string_view(bytes).substr(cut));
-        else
-            writeAt(content, offset, bytes);
-    }
-    return content;
-}
-
-bool UnreliableDisk::flip()
-{
-    return m_random() % 2 == 0;
-}
-
 } // namespace Citronpitch
--- a/tests/support/unreliabledisk.h
+++ b/tests/support/unreliabledisk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "store/journal.h"
+#include "support/powerloss.h"
 
 #include <cstdint>
 #include <filesystem>
@@ -12,21 +13,6 @@
 
 namespace Citronpitch {
 
-/// What a power loss leaves of the writes after the last sync of a file.
-enum class PowerLoss {
-    /// All are gone, and so are names that were not synced.
-    KeepsNothing,
-    KeepsAll,
-    /// The first is gone, the others are present.
-    LosesFirst,
-    /// The first lacks its last bytes, the others are present.
-    TearsEndOfFirst,
-    /// The first lacks its first bytes, the others are present.
-    TearsStartOfFirst,
-    /// Each write and each name by itself is kept, lost or, for writes, torn.
-    Random,
-};
-
 /**
  * @brief Disk of a journal in a test: a power loss keeps what was synced, and any part of the writes after
  * it.
@@ -49,16 +35,10 @@
     void losePower(PowerLoss loss);
 
 private:
-    struct Write
-    {
-        std::uint64_t offset = 0;
-        std::string bytes;
-    };
-
     struct File
     {
         std::string synced;
-        std::vector<Write> writes;
+        std::vector<DiskWrite> writes;
     };
 
     using FilePointer = std::shared_ptr<File>;
@@ -75,8 +55,6 @@
     int sync(int descriptor);
     int rename(const std::string &from, const std::string &to);
     bool isRefused();
-    std::string contentAfter(const File &file, PowerLoss loss);
-    bool flip();
 
     std::filesystem::path m_folder;
     std::mt19937_64 m_random;
