--- a/tests/integration/powerlosstest.cpp
+++ b/tests/integration/powerlosstest.cpp
@@ -30,9 +30,9 @@
     std::uint64_t seed = 1;
 };
 
-void PrintTo(const PowerLossPlay &play, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const PowerLossPlay &play)
 {
-    *out << play.name;
+    return out << play.name;
 }
 
 const std::vector<std::string> domains{"a", "b", "c", "d", "e"};
--- a/tests/soak/soakmain.cpp
+++ b/tests/soak/soakmain.cpp
@@ -21,14 +21,15 @@
     std::uint64_t seed = 1;
     std::uint64_t seeds = 1;
     std::chrono::seconds length{12};
+    bool losesPower = false;
 };
 
 bool runSeed(const SoakOptions &options, std::uint64_t seed)
 {
-    const auto folder = std::filesystem::temp_directory_path()
+    const auto folder = std::filesystem::canonical(std::filesystem::temp_directory_path())
         / ("citronpitch-soak-" + std::to_string(getpid()) + "-" + std::to_string(seed));
-    const auto plan = planSoak(seed, options.length);
-    SoakRun soak(options.programs + "/citronpitch-platform", folder, plan);
+    const auto plan = planSoak(seed, options.length, options.losesPower);
+    SoakRun soak(options.programs, folder, plan);
     soak.run();
     const auto failures = soak.ledger().failures();
     const auto counts = soak.ledger().counts();
@@ -52,11 +53,10 @@
 
 int main(int argc, char **argv)
 {
-    const option options[] = {{"programs", required_argument, nullptr, 'p'},
-                              {"seed", required_argument, nullptr, 's'},
-                              {"seeds", required_argument, nullptr, 'n'},
-                              {"seconds", required_argument, nullptr, 't'},
-                              {nullptr, 0, nullptr, 0}};
+    const option options[] = {
+        {"programs", required_argument, nullptr, 'p'}, {"seed", required_argument, nullptr, 's'},
+        {"seeds", required_argument, nullptr, 'n'},    {"seconds", required_argument, nullptr, 't'},
+        {"power-loss", no_argument, nullptr, 'l'},     {nullptr, 0, nullptr, 0}};
     SoakOptions chosen;
     for (int it = getopt_long(argc, argv, "", options, nullptr); it != -1;
          it = getopt_long(argc, argv, "", options, nullptr)) {
@@ -73,9 +73,12 @@
         case 't':
             chosen.length = std::chrono::seconds(std::strtoull(optarg, nullptr, 10));
             break;
+        case 'l':
+            chosen.losesPower = true;
+            break;
         default:
-            std::cerr
-                << "usage: citronpitch-soak [--programs DIR] [--seed N] [--seeds COUNT] [--seconds N]\n";
+            std::cerr << "usage: citronpitch-soak [--programs DIR] [--seed N] [--seeds COUNT] [--seconds N] "
+                         "[--power-loss]\n";
             return exitUsage;
         }
     }
--- a/tests/soak/soakplan.cpp
+++ b/tests/soak/soakplan.cpp
@@ -14,12 +14,37 @@
 constexpr Duration rollPeriod = std::chrono::milliseconds(5000);
 /// No fault begins in the first second, so that each run serves something.
 constexpr Duration calmStart = std::chrono::seconds(1);
+/// LosePower is the last fault of the table and is drawn apart, so that the plans of seeds without it remain.
+constexpr std::size_t drawnFaults = soakFaultNames.size() - 1;
+static_assert(soakFaultNames.back().value == SoakFault::LosePower);
+/// Time from one loss of power to the next; the VMs are back before it.
+constexpr std::int64_t shortestPowerPauseMs = 2500;
+constexpr std::int64_t longestPowerPauseMs = 4500;
+
+/// Adds losses of power to @p plan.
+void addPowerLosses(SoakPlan &plan)
+{
+    std::mt19937_64 random(~plan.seed);
+    const auto draw = [&](std::int64_t limit) {
+        return static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(limit));
+    };
+    const auto pause = [&] {
+        return std::chrono::milliseconds(shortestPowerPauseMs
+                                         + draw(longestPowerPauseMs - shortestPowerPauseMs));
+    };
+    for (Duration at = calmStart + std::chrono::milliseconds(draw(shortestPowerPauseMs)); at < plan.length;
+         at += pause()) {
+        const auto target = static_cast<std::size_t>(draw(1000));
+        plan.steps.push_back(
+            {at, SoakFault::LosePower, target, std::chrono::milliseconds(1 + draw(longestFaultMs))});
+    }
+}
 
 } // namespace
 
-SoakPlan planSoak(std::uint64_t seed, Duration length)
+SoakPlan planSoak(std::uint64_t seed, Duration length, bool losesPower)
 {
-    SoakPlan plan{seed, length, seed % plannedOnlyPeriod == 0, {}};
+    SoakPlan plan{seed, length, !losesPower && seed % plannedOnlyPeriod == 0, losesPower, {}};
     std::mt19937_64 random(seed);
     const auto draw = [&](std::int64_t limit) {
         return static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(limit));
@@ -32,12 +57,14 @@
             step.fault = SoakFault::Terminate;
             at += rollPeriod;
         } else {
-            step.fault = soakFaultNames[static_cast<std::size_t>(draw(soakFaultNames.size()))].value;
+            step.fault = soakFaultNames[static_cast<std::size_t>(draw(drawnFaults))].value;
             step.time = std::chrono::milliseconds(1 + draw(longestFaultMs));
             at += std::chrono::milliseconds(1 + draw(longestPauseMs));
         }
         plan.steps.push_back(step);
     }
+    if (losesPower)
+        addPowerLosses(plan);
     return plan;
 }
 
--- a/tests/soak/soakplan.h
+++ b/tests/soak/soakplan.h
@@ -35,6 +35,8 @@
     MuteExecutor,
     /// Starts at an executor go unanswered and are carried out later.
     DelayStarts,
+    /// Every control VM is killed at once, and its disk loses power; one of them may lose its disk.
+    LosePower,
 };
 
 inline constexpr std::array soakFaultNames{
@@ -51,6 +53,7 @@
     EnumName<SoakFault>{SoakFault::SilenceExecutor, "silenceExecutor"},
     EnumName<SoakFault>{SoakFault::MuteExecutor, "muteExecutor"},
     EnumName<SoakFault>{SoakFault::DelayStarts, "delayStarts"},
+    EnumName<SoakFault>{SoakFault::LosePower, "losePower"},
 };
 
 /// One fault of a run.
@@ -72,10 +75,13 @@
     Duration length{};
     /// Whether nothing but shutdowns in turn happens, during which no request may be cut off.
     bool isPlannedOnly = false;
+    /// Whether the disks of the control VMs are recorded, so that they can lose power.
+    bool losesPower = false;
     std::vector<SoakStep> steps;
 };
 
-/// The plan of @p seed; every fourth seed makes shutdowns in turn alone.
-SoakPlan planSoak(std::uint64_t seed, Duration length);
+/// The plan of @p seed; every fourth seed makes shutdowns in turn alone. With @p losesPower all seeds have
+/// faults, to which losses of power are added.
+SoakPlan planSoak(std::uint64_t seed, Duration length, bool losesPower = false);
 
 } // namespace Citronpitch
--- a/tests/soak/soakrun.cpp
+++ b/tests/soak/soakrun.cpp
@@ -17,6 +17,8 @@
 
 constexpr Duration submitPeriod = std::chrono::milliseconds(40);
 constexpr Duration orderPeriod = std::chrono::milliseconds(700);
+/// Orders beside losses of power follow each other almost without pause, so that writes wait for their sync.
+constexpr Duration densePeriod = std::chrono::milliseconds(100);
 constexpr Duration readPeriod = std::chrono::milliseconds(150);
 constexpr Duration watchPeriod = std::chrono::milliseconds(50);
 /// Time after which starts in an evacuated domain have ceased, as the settings of PlatformFleet say.
@@ -39,6 +41,8 @@
 constexpr Duration longestRecovery = std::chrono::seconds(40);
 constexpr Duration longestShutdown = std::chrono::seconds(12);
 constexpr Duration shortestDownTime = std::chrono::milliseconds(100);
+/// Time that syncs of recorded disks take longer, so that several writes wait for one.
+constexpr std::chrono::milliseconds syncDelay{60};
 constexpr std::size_t largestJob = 4;
 constexpr int statusOk = 200;
 constexpr int statusTimeout = 408;
@@ -90,16 +94,18 @@
 
 } // namespace
 
-SoakRun::SoakRun(const std::string &program, const std::filesystem::path &folder, SoakPlan plan)
+SoakRun::SoakRun(const std::string &programs, const std::filesystem::path &folder, SoakPlan plan)
     : m_plan(std::move(plan))
-    , m_fleet({program,
+    , m_fleet({programs + "/citronpitch-platform",
                folder,
                {"a", "b", "c", "d"},
                {"a", "b", "c"},
                {"a", "a", "b", "b", "c", "d"},
                true,
                nlohmann::json::object(),
-               executorLabels})
+               executorLabels,
+               m_plan.losesPower ? programs + "/citronpitch-diskrecorder.so" : std::string(),
+               syncDelay})
     , m_faultLog(folder / "faults.log")
     , m_client(m_io)
     , m_random(m_plan.seed)
@@ -128,7 +134,7 @@
 void SoakRun::run()
 {
     every(submitPeriod, [this] { submitNext(); });
-    every(orderPeriod, [this] { orderNext(); });
+    every(m_plan.losesPower ? densePeriod : orderPeriod, [this] { orderNext(); });
     every(readPeriod, [this] { readNext(); });
     every(checkPeriod, [this] { evacuateNext(); });
     every(checkPeriod, [this] { checkEvacuation(); });
@@ -428,6 +434,9 @@
         for (std::size_t i = 0; i < m_fleet.controls(); ++i)
             kill(i, step.time / 2);
         return;
+    case SoakFault::LosePower:
+        losePower(step);
+        return;
     case SoakFault::LoseDisk:
         // A fleet of this size bears the loss of one disk, and it is not seen here when that is made up for.
         if (!m_fleet.isControl(vm) || state.isEnding || std::exchange(m_hasLostDisk, true))
@@ -512,6 +521,39 @@
     after(std::max(downTime, shortestDownTime), [this, vm] { restart(vm); });
 }
 
+void SoakRun::losePower(const SoakStep &step)
+{
+    const auto lost = step.target % m_fleet.controls();
+    const bool isDiskDrawn = step.target / m_fleet.controls() % 2 == 0;
+    // The rule of LoseDisk: one disk in a run.
+    const bool losesDisk = isDiskDrawn && !m_states[lost].isEnding && !m_hasLostDisk;
+    if (losesDisk) {
+        m_hasLostDisk = true;
+        m_states[lost].hasLostDisk = true;
+    }
+    for (std::size_t i = 0; i < m_fleet.controls(); ++i) {
+        auto &state = m_states[i];
+        // A process that is ending by itself is killed, too; the others that end were killed already.
+        if (state.terminatedAt != TimePoint() && !m_fleet.process(i).hasEnded()) {
+            state.terminatedAt = {};
+            state.isEnding = false;
+        }
+        kill(i, step.time / 2);
+    }
+    std::mt19937_64 random(step.target);
+    for (std::size_t i = 0; i < m_fleet.controls(); ++i) {
+        const auto loss = powerLossNames[random() % powerLossNames.size()];
+        const auto seed = random();
+        if (losesDisk && i == lost) {
+            m_faultLog << "  " << m_fleet.nameOf(i) << " loses its disk" << std::endl;
+            continue;
+        }
+        const auto unsynced = m_fleet.losePower(i, loss.value, seed);
+        m_faultLog << "  " << m_fleet.nameOf(i) << " " << loss.name << " of " << unsynced
+                   << " unsynced writes and renames" << std::endl;
+    }
+}
+
 void SoakRun::restart(std::size_t vm)
 {
     auto &state = m_states[vm];
--- a/tests/soak/soakrun.h
+++ b/tests/soak/soakrun.h
@@ -26,8 +26,8 @@
 class SoakRun
 {
 public:
-    /// Runs @p plan with the program @p program; settings, data and logs go to @p folder.
-    SoakRun(const std::string &program, const std::filesystem::path &folder, SoakPlan plan);
+    /// Runs @p plan with the programs in @p programs; settings, data and logs go to @p folder.
+    SoakRun(const std::string &programs, const std::filesystem::path &folder, SoakPlan plan);
 
     /// Returns once all faults are over and the fleet was shut down.
     void run();
@@ -89,6 +89,7 @@
     void injectIntoVm(const SoakStep &step);
     void injectIntoExecutor(const SoakStep &step);
     void kill(std::size_t vm, Duration downTime);
+    void losePower(const SoakStep &step);
     void restart(std::size_t vm);
     void watchProcesses();
 
--- a/tests/support/recordeddisk.cpp
+++ b/tests/support/recordeddisk.cpp
@@ -55,6 +55,9 @@
 std::vector<std::string> RecordedDisk::environment(const std::string &library,
                                                    std::chrono::milliseconds syncDelay) const
 {
+    // The loader only warns of a library that is missing.
+    if (!fs::exists(library))
+        throw std::runtime_error("can't find " + library);
     return {"LD_PRELOAD=" + library, std::string(DiskRecord::folderVariable) + "=" + m_folder.string(),
             std::string(DiskRecord::recordVariable) + "=" + m_record.string(),
             std::string(DiskRecord::syncDelayVariable) + "=" + std::to_string(syncDelay.count())};
@@ -62,6 +65,9 @@
 
 std::size_t RecordedDisk::losePower(PowerLoss loss, std::uint64_t seed) const
 {
+    // The folder of a lost disk is created at the next start.
+    if (!fs::exists(m_folder))
+        return 0;
     std::mt19937_64 random(seed);
     auto record = readRecord();
     auto unsynced = record.renames.size();
