--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -13,12 +13,14 @@
 class ChildProcess
 {
 public:
-    /// Starts @p program with @p arguments; standard output and error go to @p logFile.
+    /// Starts @p program with @p arguments; standard output and error go to @p logFile. @p environment is
+    /// added to the environment of this process, as NAME=VALUE.
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
-                 const std::string &logFile);
+                 const std::string &logFile, const std::vector<std::string> &environment = {});
     /// Starts @p program with @p arguments; standard output and error go to descriptor @p output, which the
     /// caller keeps.
-    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, int output);
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, int output,
+                 const std::vector<std::string> &environment = {});
     ~ChildProcess();
     ChildProcess(ChildProcess &&other) noexcept;
     ChildProcess(const ChildProcess &) = delete;
@@ -42,7 +44,7 @@
 
 private:
     void start(const std::string &program, const std::vector<std::string> &arguments,
-               posix_spawn_file_actions_t &actions);
+               const std::vector<std::string> &environment, posix_spawn_file_actions_t &actions);
 
     pid_t m_id = -1;
     int m_exitCode = 0;
--- a/tests/support/unreliabledisk.h
+++ b/tests/support/unreliabledisk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "store/journal.h"
+#include "support/powerloss.h"
 
 #include <cstdint>
 #include <filesystem>
@@ -13,21 +14,6 @@
 
 namespace Citronpitch {
 
-/// What a power loss leaves of the writes after the last sync of a file.
-enum class PowerLoss {
-    /// All are gone, and so are names that were not synced.
-    KeepsNothing,
-    KeepsAll,
-    /// The first is gone, the others are present.
-    LosesFirst,
-    /// The first lacks its last bytes, the others are present.
-    TearsEndOfFirst,
-    /// The first lacks its first bytes, the others are present.
-    TearsStartOfFirst,
-    /// Each write and each name by itself is kept, lost or, for writes, torn.
-    Random,
-};
-
 /**
  * @brief Disk of a journal in a test: a power loss keeps what was synced, and any part of the writes after
  * it.
@@ -54,16 +40,10 @@
     void losePower(PowerLoss loss);
 
 private:
-    struct Write
-    {
-        std::uint64_t offset = 0;
-        std::string bytes;
-    };
-
     struct File
     {
         std::string synced;
-        std::vector<Write> writes;
+        std::vector<DiskWrite> writes;
     };
 
     using FilePointer = std::shared_ptr<File>;
@@ -86,8 +66,6 @@
     int syncFolder();
     FilePointer fileAt(const std::string &path);
     bool isRefused();
-    std::string contentAfter(const File &file, PowerLoss loss);
-    bool flip();
     void undoNameChanges(std::map<std::string, FilePointer> &names, PowerLoss loss);
 
     /// A ClaimStore writes and syncs on two threads.
