--- a/tests/integration/platformtest.cpp
+++ b/tests/integration/platformtest.cpp
@@ -420,6 +420,27 @@
     }
 }
 
+// Guards against a shutdown that a further SIGTERM cuts short.
+TEST_F(PlatformTest, furtherSigtermsDoNotInterruptAShutdown)
+{
+    constexpr int rounds = 4;
+    for (std::size_t vm = 0; vm < fleet.vms(); ++vm)
+        fleet.start(vm, true);
+    ASSERT_TRUE(becomesReady());
+    for (int i = 0; i < rounds; ++i) {
+        for (const std::size_t vm : {std::size_t{0}, entry}) {
+            while (!fleet.process(vm).hasEnded()) {
+                fleet.process(vm).signal(SIGTERM);
+                std::this_thread::sleep_for(std::chrono::microseconds(50));
+            }
+            EXPECT_EQ(fleet.process(vm).wait(), 0) << "VM " << vm << ", round " << i;
+            fleet.start(vm, false);
+            ASSERT_TRUE(
+                waitFor([&] { return fleet.logOf(vm).rfind("E100") > fleet.logOf(vm).rfind("E101"); }));
+        }
+    }
+}
+
 /// Guards against a second run of a job whose caller gave up while its entry VM was paused, and has submitted
 /// it to another one since.
 TEST_F(PlatformTest, jobOfACallerThatLeftDuringAPauseIsNotStarted)
