--- a/tests/integration/powerlosstest.cpp
+++ b/tests/integration/powerlosstest.cpp
@@ -205,3 +205,24 @@
                     PowerLossPlay{"tearsStartOfFirst", PowerLoss::TearsStartOfFirst, 2, 5},
                     PowerLossPlay{"randomly", PowerLoss::Random, 2, 6}, PowerLossPlay{"byLot", {}, 2, 7},
                     PowerLossPlay{"byLotWithoutLostDisks", {}, 0, 8}));
+
+// Guards against a VM that answers nothing while its disk hangs.
+TEST(SlowDiskTest, vmServesWhileItsJournalIsOpened)
+{
+    constexpr std::chrono::seconds delay{3};
+    const auto folder = std::filesystem::canonical(std::filesystem::temp_directory_path())
+        / ("citronpitch-slowdisk-" + std::to_string(getpid()));
+    PlatformFleetPlan plan{std::string(CITRONPITCH_PROGRAMS) + "/citronpitch-platform", folder, {"a"}};
+    plan.diskRecorder = std::string(CITRONPITCH_PROGRAMS) + "/citronpitch-diskrecorder.so";
+    plan.syncDelay = delay;
+    PlatformFleet fleet(plan);
+    const auto deadline = std::chrono::steady_clock::now() + delay;
+    fleet.start(0, true);
+    const auto isServing = [&] { return callOnce(fleet.metrics(0), {"GET", "/metrics"}).status == statusOk; };
+    EXPECT_TRUE(waitFor(isServing));
+    EXPECT_LT(std::chrono::steady_clock::now(), deadline);
+    EXPECT_TRUE(isServing());
+    fleet.process(0).signal(SIGKILL);
+    fleet.process(0).wait();
+    std::filesystem::remove_all(folder);
+}
