--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -120,7 +120,8 @@
         "missingMs term lastIndex voters silentVoters",
         "No changes can be committed, and the newest configuration can't be confirmed. Nothing was "
         "received from `silentVoters` lately: if that is half of the voters or more, look for "
-        "E104 and E402 there. Repeated while it lasts."},
+        "E104 and E402 there. Repeated while it lasts. A VM whose own disk fails (E402) knows no leader, "
+        "either."},
     EventDefinition{
         Event::ClaimsRecovered, EventSeverity::Info, "claims of earlier incarnations recovered",
         "records memory",
