FleetMember: the store has one owner, and its summary one name

The store that a thread opens is moved to the event loop instead of shared with it. Only a store with a disk gets there, so the check for one goes. No change of behaviour.

--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -177,9 +177,9 @@
     }
 }
 
-std::shared_ptr<ConfigurationStore> FleetMember::newStore()
+std::unique_ptr<ConfigurationStore> FleetMember::newStore()
 {
-    return std::make_shared<ConfigurationStore>(
+    return std::make_unique<ConfigurationStore>(
         m_io, m_settings.dataFolder,
         [this](std::uint64_t token) {
             m_node->synced(now(), token);
@@ -194,7 +194,7 @@
         m_opener.join();
     m_isOpening = true;
     m_opener = std::thread([this, isAlive = m_isAlive] {
-        std::shared_ptr<ConfigurationStore> store;
+        std::unique_ptr<ConfigurationStore> store;
         std::string error;
         try {
             store = newStore();
@@ -203,23 +203,23 @@
         } catch (const std::exception &e) {
             error = e.what();
         }
-        boost::asio::post(m_io, [this, isAlive, store = std::move(store), error] {
+        boost::asio::post(m_io, [this, isAlive, store = std::move(store), error]() mutable {
             if (!*isAlive)
                 return;
             m_isOpening = false;
             if (error.empty())
-                storeOpened(store);
+                storeOpened(std::move(store));
             else
                 storeFailed(error);
         });
     });
 }
 
-void FleetMember::storeOpened(const std::shared_ptr<ConfigurationStore> &store)
+void FleetMember::storeOpened(std::unique_ptr<ConfigurationStore> store)
 {
     m_node->endProposals();
     executeActions();
-    m_store = store;
+    m_store = std::move(store);
     m_node = std::make_unique<ConfigurationNode>(now(), nodeOptionsOf(m_settings, m_self),
                                                  m_store->takeRecovered());
     // A journal that gets lost while the VM runs doesn't make it an initial voter again.
@@ -593,14 +593,13 @@
 
 void FleetMember::logRecovery() const
 {
-    if (!m_store->summary())
-        return;
+    const auto &found = *m_store->summary();
     const auto &log = m_node->log();
     logEvent(Event::ConfigurationRecovered,
-             {{"records", std::to_string(m_store->summary()->records)},
-              {"bytes", std::to_string(m_store->summary()->bytes)},
-              {"syncedBytes", std::to_string(m_store->summary()->syncedBytes)},
-              {"droppedBytes", std::to_string(m_store->summary()->droppedBytes)},
+             {{"records", std::to_string(found.records)},
+              {"bytes", std::to_string(found.bytes)},
+              {"syncedBytes", std::to_string(found.syncedBytes)},
+              {"droppedBytes", std::to_string(found.droppedBytes)},
               {"version", std::to_string(m_node->activeConfiguration().version)},
               {"term", std::to_string(m_node->term())},
               {"lastIndex", std::to_string(log.lastIndex())},
--- a/src/fleet/fleetmember.h
+++ b/src/fleet/fleetmember.h
@@ -99,10 +99,10 @@
     /// Restores the configuration from the journal and begins to open it; throws std::exception if it is
     /// damaged.
     void openConfiguration();
-    std::shared_ptr<ConfigurationStore> newStore();
+    std::unique_ptr<ConfigurationStore> newStore();
     /// Opens the journal on a thread of its own, at the start or after a write to it failed.
     void openStore();
-    void storeOpened(const std::shared_ptr<ConfigurationStore> &store);
+    void storeOpened(std::unique_ptr<ConfigurationStore> store);
     void storeFailed(const std::string &error);
     /// A job or announcement that waits until more urgent messages were handled.
     struct DeferredMessage
@@ -143,7 +143,7 @@
     FleetPeer m_self;
     std::uint16_t m_peerPort;
     PeerDirectory m_directory;
-    std::shared_ptr<ConfigurationStore> m_store;
+    std::unique_ptr<ConfigurationStore> m_store;
     std::thread m_opener;
     bool m_isOpening = false;
     std::unique_ptr<ConfigurationNode> m_node;
