--- a/tests/decoders/journalformattest.cpp
+++ b/tests/decoders/journalformattest.cpp
@@ -186,6 +186,18 @@
 
 constexpr Mutation mutations[] = {changeBytes, truncate, zeroFill, appendZeros, removeBytes, duplicateBytes};
 
+/// Several power losses of @p journal, independent of each other.
+void expectSyncedRecordsSurvive(WrittenJournal &journal)
+{
+    for (int i = 0; i < 20; ++i) {
+        const auto content = journal.losePower();
+        const auto scan = scanCopy(content);
+        ASSERT_NO_FATAL_FAILURE(expectPrefix(scan, journal, content));
+        EXPECT_FALSE(scan.isDamaged());
+        EXPECT_GE(scan.records.size(), journal.recordsBefore(journal.syncedEnd));
+    }
+}
+
 } // namespace
 
 // Guards against reads beyond the content and against records that were not written at their place.
@@ -211,13 +223,7 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         SCOPED_TRACE(seed);
         WrittenJournal journal(seed);
-        for (int i = 0; i < 20; ++i) {
-            const auto content = journal.losePower();
-            const auto scan = scanCopy(content);
-            ASSERT_NO_FATAL_FAILURE(expectPrefix(scan, journal, content));
-            EXPECT_FALSE(scan.isDamaged());
-            EXPECT_GE(scan.records.size(), journal.recordsBefore(journal.syncedEnd));
-        }
+        ASSERT_NO_FATAL_FAILURE(expectSyncedRecordsSurvive(journal));
     }
 }
 
@@ -258,13 +264,7 @@
         journal.append(inner.content);
         journal.append("last");
         ASSERT_EQ(scanCopy(journal.content).records, journal.records);
-        for (int i = 0; i < 20; ++i) {
-            const auto content = journal.losePower();
-            const auto scan = scanCopy(content);
-            ASSERT_NO_FATAL_FAILURE(expectPrefix(scan, journal, content));
-            EXPECT_FALSE(scan.isDamaged());
-            EXPECT_GE(scan.records.size(), journal.recordsBefore(journal.syncedEnd));
-        }
+        ASSERT_NO_FATAL_FAILURE(expectSyncedRecordsSurvive(journal));
     }
 }
 
