--- a/src/net/curvekeypair.cpp
+++ b/src/net/curvekeypair.cpp
@@ -10,7 +10,6 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <filesystem>
 
 namespace Citronpitch {
 
@@ -72,8 +71,7 @@
         return keyError(path, "the file exists already; remove it to make another key");
     if (error != 0)
         return keyError(path, std::string("can't create the file: ") + std::strerror(error));
-    const auto parent = std::filesystem::path(path).parent_path();
-    auto synced = syncFolder(parent.empty() ? "." : parent, sync);
+    auto synced = syncParentFolder(path, sync);
     if (!synced) {
         // If this fails, too, the next attempt reports that the file exists.
         ::unlink(path.c_str());
--- a/src/store/claimstore.cpp
+++ b/src/store/claimstore.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/post.hpp>
 
 #include <cerrno>
-#include <cstdio>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
@@ -106,12 +105,6 @@
 {
     if (!m_options.bootId)
         m_options.bootId = systemBootId;
-    if (!m_options.hooks.rename)
-        m_options.hooks.rename = [](const char *from, const char *to) { return std::rename(from, to); };
-    if (!m_options.hooks.remove)
-        m_options.hooks.remove = ::unlink;
-    if (!m_options.hooks.syncFolder)
-        m_options.hooks.syncFolder = ::fsync;
 }
 
 ClaimStore::~ClaimStore()
--- a/src/store/folders.h
+++ b/src/store/folders.h
@@ -7,9 +7,10 @@
 
 namespace Citronpitch {
 
-/// Syncs the entries of @p folder by @p sync, which has the semantics of fsync(). The error is a StepError.
-boost::leaf::result<void> syncFolder(const std::filesystem::path &folder,
-                                     const std::function<int(int descriptor)> &sync);
+/// Syncs the entries of the folder that contains @p path by @p sync, which has the semantics of fsync(). The
+/// error is a StepError that names the folder.
+boost::leaf::result<void> syncParentFolder(const std::filesystem::path &path,
+                                           const std::function<int(int descriptor)> &sync);
 
 /**
  * Creates @p path and its missing parents, and syncs the entry of each folder that it creates, from the top.
--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -6,10 +6,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstdio>
 #include <cstring>
 #include <fcntl.h>
-#include <filesystem>
 #include <unistd.h>
 #include <utility>
 
@@ -96,14 +94,6 @@
     : m_path(std::move(path))
     , m_hooks(std::move(hooks))
 {
-    if (!m_hooks.write)
-        m_hooks.write = ::write;
-    if (!m_hooks.sync)
-        m_hooks.sync = ::fdatasync;
-    if (!m_hooks.rename)
-        m_hooks.rename = [](const char *from, const char *to) { return std::rename(from, to); };
-    if (!m_hooks.syncFolder)
-        m_hooks.syncFolder = ::fsync;
 }
 
 Journal::~Journal()
@@ -182,7 +172,7 @@
     if (!isMarked || m_summary.droppedBytes > 0)
         return replace(m_recovered);
     // An earlier process may have ended between renaming a replaced journal and syncing the folder.
-    return syncParent();
+    return syncParentFolder(m_path, m_hooks.syncFolder);
 }
 
 std::vector<std::string> Journal::takeRecovered()
@@ -252,7 +242,7 @@
     m_size = *size;
     m_syncedEnd = *size;
     m_markedEnd = *size;
-    BOOST_LEAF_CHECK(syncParent());
+    BOOST_LEAF_CHECK(syncParentFolder(m_path, m_hooks.syncFolder));
     m_hasFailed = false;
     return {};
 }
@@ -287,12 +277,6 @@
     return fileError(step, m_path, error == 0 ? detail : detail + ": " + std::strerror(error));
 }
 
-leaf::result<void> Journal::syncParent() const
-{
-    const auto parent = std::filesystem::path(m_path).parent_path();
-    return syncFolder(parent.empty() ? "." : parent, m_hooks.syncFolder);
-}
-
 std::optional<std::uint64_t> Journal::writeRecords(int descriptor, const std::vector<std::string> &records,
                                                    std::uint64_t salt) const
 {
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -7,11 +7,13 @@
 
 #include <atomic>
 #include <cstdint>
+#include <cstdio>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <sys/types.h>
+#include <unistd.h>
 #include <vector>
 
 namespace Citronpitch {
@@ -19,15 +21,14 @@
 /// Step of an error that reports damaged content rather than an I/O failure.
 inline constexpr std::string_view checkJournalStep = "check journal";
 
-/// System calls that tests replace to inject disk failures, with the semantics of write(), fdatasync(),
-/// rename(), unlink(), and fsync() of a folder. remove() is called by ClaimStore only.
+/// System calls that tests replace to inject disk failures. remove() is called by ClaimStore only.
 struct JournalHooks
 {
-    std::function<ssize_t(int descriptor, const void *bytes, std::size_t size)> write;
-    std::function<int(int descriptor)> sync;
-    std::function<int(const char *from, const char *to)> rename;
-    std::function<int(const char *path)> remove;
-    std::function<int(int descriptor)> syncFolder;
+    std::function<ssize_t(int descriptor, const void *bytes, std::size_t size)> write = ::write;
+    std::function<int(int descriptor)> sync = ::fdatasync;
+    std::function<int(const char *from, const char *to)> rename = ::rename;
+    std::function<int(const char *path)> remove = ::unlink;
+    std::function<int(int descriptor)> syncFolder = ::fsync;
 };
 
 /// What Journal::open() found in the file.
@@ -116,7 +117,6 @@
     boost::leaf::result<void> persistRecovered(const JournalScan &scan, const std::string &cutPath);
     boost::leaf::result<void> write(std::string_view bytes, std::string_view step);
     boost::leaf::error_id earlierError(std::string_view step) const;
-    boost::leaf::result<void> syncParent() const;
     /// Writes a whole file; returns its size, or nothing after a failed write.
     std::optional<std::uint64_t> writeRecords(int descriptor, const std::vector<std::string> &records,
                                               std::uint64_t salt) const;
