citronpitchd: further signals don't interrupt a shutdown, either

What operators would see: citronpitchd ends with signal 15 instead of code 0 when a second SIGTERM comes after E101.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -62,6 +62,7 @@
     , m_settingsFile(std::move(settingsFile))
     , m_steadyStart(std::chrono::steady_clock::now())
     , m_wallStart(wallClock())
+    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_claims(std::move(claims))
     , m_incarnation(nextIncarnation(m_wallStart, m_claims->lastIncarnation()))
     , m_vm(entryVmOptions(settings, m_incarnation))
@@ -95,7 +96,6 @@
                           return handleControl(request, respond);
                       })
     , m_tickTimer(m_io)
-    , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     , m_random(std::random_device{}())
 {
     m_configuration.start();
@@ -108,6 +108,7 @@
 {
     logEvent(Event::Started, {{"vm", m_settings.name}, {"failureDomain", m_settings.failureDomain}});
     const bool isStopped = runEventLoop(m_io);
+    blockShutdownSignals();
     if (isStopped)
         logEvent(Event::Stopped, {{"vm", m_settings.name}});
     logAllSuppressedCounts();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -66,6 +66,7 @@
     std::chrono::steady_clock::time_point m_steadyStart;
     TimePoint m_wallStart;
     boost::asio::io_context m_io;
+    boost::asio::signal_set m_signals;
     std::unique_ptr<ClaimStore> m_claims;
     std::uint64_t m_incarnation;
     EntryVm m_vm;
@@ -75,7 +76,6 @@
     HttpServer m_callerServer;
     HttpServer m_controlServer;
     boost::asio::steady_timer m_tickTimer;
-    boost::asio::signal_set m_signals;
     std::map<CallerId, HttpResponder> m_pendingCallers;
     StateChangeLogger m_stateChangeLogger;
     TimePoint m_nextStateCheck;
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -2,6 +2,7 @@
 
 #include "log/eventlog.h"
 
+#include <csignal>
 #include <utility>
 
 namespace Citronpitch {
@@ -30,4 +31,13 @@
     return false;
 }
 
+void blockShutdownSignals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int it : {SIGTERM, SIGINT, SIGHUP})
+        sigaddset(&set, it);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
 } // namespace Citronpitch
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -37,4 +37,8 @@
 /// Runs the event loop until it is stopped. Returns false if an exception left a handler; it is logged.
 bool runEventLoop(boost::asio::io_context &io);
 
+/// Blocks SIGTERM, SIGINT and SIGHUP in this thread. To be called after runEventLoop() and before the
+/// handlers of the signals are removed, so that a further one does not interrupt the rest of the shutdown.
+void blockShutdownSignals();
+
 } // namespace Citronpitch
--- a/tests/integration/recoverytest.cpp
+++ b/tests/integration/recoverytest.cpp
@@ -170,3 +170,22 @@
     EXPECT_EQ(after.doubled, 0U);
     expectTruth(after, job, answer);
 }
+
+// Guards against a shutdown that a further SIGTERM cuts short.
+TEST(RecoveryTest, furtherSigtermsDoNotInterruptAShutdown)
+{
+    constexpr int rounds = 3;
+    Deployment deployment(smallPlan("sigterm"));
+    deployment.start();
+    ASSERT_TRUE(deployment.waitUntilReady(std::chrono::seconds(20)));
+    for (int i = 0; i < rounds; ++i) {
+        auto &process = deployment.vm("a1");
+        while (!process.hasEnded()) {
+            process.signal(SIGTERM);
+            std::this_thread::sleep_for(std::chrono::microseconds(50));
+        }
+        EXPECT_EQ(process.wait(), 0) << "round " << i;
+        deployment.startVm("a1");
+        ASSERT_TRUE(deployment.waitUntilReady(std::chrono::seconds(20)));
+    }
+}
