--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -17,9 +17,6 @@
 
 namespace {
 
-/// Size from which the records of a new file are written.
-constexpr std::size_t replaceBufferBytes = std::size_t{1} << 20;
-
 leaf::error_id fileError(std::string_view step, const std::string &path, const std::string &detail)
 {
     return leaf::new_error(StepError{std::string(step), path, detail});
@@ -148,7 +145,7 @@
     m_size = content.size();
     m_syncedEnd = found.syncedEnd;
     m_markedEnd = found.syncedEnd;
-    m_summary = {m_recovered.size(), found.end, found.syncedEnd, content.size() - found.end, {}};
+    m_summary = {m_recovered.size(), found.end, found.syncedEnd, found.droppedBytes, {}};
     // Journals of claims have hundreds of megabytes.
     content.clear();
     content.shrink_to_fit();
@@ -163,13 +160,12 @@
 
 leaf::result<void> Journal::persistRecovered(const JournalScan &scan, const std::string &cutPath)
 {
-    if (m_summary.droppedBytes > 0 && !cutPath.empty() && cutPath != m_path) {
+    if (scan.droppedBytes > 0 && !cutPath.empty() && cutPath != m_path) {
         if (m_hooks.rename(m_path.c_str(), cutPath.c_str()) != 0)
             return systemError("rename journal", m_path);
         m_path = cutPath;
     }
-    const bool isMarked = scan.version == journalFormatVersion && scan.syncedEnd >= scan.recordsEnd;
-    if (!isMarked || m_summary.droppedBytes > 0)
+    if (!scan.isStored())
         return replace(m_recovered);
     // An earlier process may have ended between renaming a replaced journal and syncing the folder.
     return syncParentFolder(m_path, m_hooks.syncFolder);
@@ -229,8 +225,13 @@
     if (descriptor < 0)
         return systemError("open journal", path);
     const auto salt = randomNonZero();
-    const auto size = writeRecords(descriptor, records, salt);
-    if (!size || m_hooks.sync(descriptor) != 0 || m_hooks.rename(path.c_str(), m_path.c_str()) != 0) {
+    std::uint64_t size = 0;
+    // The file gets its name only once all of it is synced.
+    const bool isWritten = encodeJournal(records, salt, [&](std::string_view part) {
+        size += part.size();
+        return writeAll(descriptor, part);
+    });
+    if (!isWritten || m_hooks.sync(descriptor) != 0 || m_hooks.rename(path.c_str(), m_path.c_str()) != 0) {
         const auto error = systemError("replace journal", path);
         ::close(descriptor);
         return error;
@@ -239,9 +240,9 @@
         ::close(m_descriptor);
     m_descriptor = descriptor;
     m_salt = salt;
-    m_size = *size;
-    m_syncedEnd = *size;
-    m_markedEnd = *size;
+    m_size = size;
+    m_syncedEnd = size;
+    m_markedEnd = size;
     BOOST_LEAF_CHECK(syncParentFolder(m_path, m_hooks.syncFolder));
     m_hasFailed = false;
     return {};
@@ -277,32 +278,6 @@
     return fileError(step, m_path, error == 0 ? detail : detail + ": " + std::strerror(error));
 }
 
-std::optional<std::uint64_t> Journal::writeRecords(int descriptor, const std::vector<std::string> &records,
-                                                   std::uint64_t salt) const
-{
-    auto buf = encodeJournalHeader(salt);
-    std::uint64_t size = buf.size();
-    const auto add = [&](std::string_view bytes) {
-        buf += bytes;
-        size += bytes.size();
-        if (buf.size() < replaceBufferBytes)
-            return true;
-        const bool isWritten = writeAll(descriptor, buf);
-        buf.clear();
-        return isWritten;
-    };
-    for (const auto &it : records) {
-        if (!add(encodeRecord(it, size, 0, salt)))
-            return {};
-    }
-    // The file gets its name only once all of it is synced.
-    if (!records.empty() && !add(encodeSyncMark(size, size, salt)))
-        return {};
-    if (!writeAll(descriptor, buf))
-        return {};
-    return size;
-}
-
 bool Journal::writeAll(int descriptor, std::string_view bytes) const
 {
     while (!bytes.empty()) {
--- a/src/store/journal.h
+++ b/src/store/journal.h
@@ -117,9 +117,6 @@
     boost::leaf::result<void> persistRecovered(const JournalScan &scan, const std::string &cutPath);
     boost::leaf::result<void> write(std::string_view bytes, std::string_view step);
     boost::leaf::error_id earlierError(std::string_view step) const;
-    /// Writes a whole file; returns its size, or nothing after a failed write.
-    std::optional<std::uint64_t> writeRecords(int descriptor, const std::vector<std::string> &records,
-                                              std::uint64_t salt) const;
     bool writeAll(int descriptor, std::string_view bytes) const;
 
     std::string m_path;
--- a/src/store/journalformat.cpp
+++ b/src/store/journalformat.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Size from which the records of a whole journal are written.
+constexpr std::size_t partBytes = std::size_t{1} << 20;
+
 enum class RecordKind : std::uint32_t { Content, SyncMark };
 
 /// Header of a record or a mark. Its integers have the byte order of the machine.
@@ -103,6 +106,26 @@
     return encode(RecordKind::SyncMark, {}, offset, syncedEnd, salt);
 }
 
+bool encodeJournal(const std::vector<std::string> &records, std::uint64_t salt,
+                   const std::function<bool(std::string_view part)> &write)
+{
+    auto part = encodeJournalHeader(salt);
+    std::uint64_t writtenBytes = 0;
+    for (const auto &it : records) {
+        part += encodeRecord(it, writtenBytes + part.size(), 0, salt);
+        if (part.size() < partBytes)
+            continue;
+        if (!write(part))
+            return false;
+        writtenBytes += part.size();
+        part.clear();
+    }
+    const auto size = writtenBytes + part.size();
+    if (!records.empty())
+        part += encodeSyncMark(size, size, salt);
+    return write(part);
+}
+
 JournalScan scanJournal(std::string_view content)
 {
     JournalScan scan;
@@ -129,6 +152,7 @@
     }
     // Writes after the last sync may be lost in any order. Content behind the gap only shows what was synced.
     scan.syncedEnd = std::max(scan.syncedEnd, findSyncedEnd(content, scan.end, scan.salt));
+    scan.droppedBytes = content.size() - scan.end;
     return scan;
 }
 
@@ -160,6 +184,7 @@
         scan.end = start + header.length;
         scan.recordsEnd = scan.end;
     }
+    scan.droppedBytes = content.size() - scan.end;
     return scan;
 }
 
--- a/src/store/journalformat.h
+++ b/src/store/journalformat.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +46,11 @@
 /// Encodes a mark: a record without content, which only states @p syncedEnd.
 std::string encodeSyncMark(std::uint64_t offset, std::uint64_t syncedEnd, std::uint64_t salt);
 
+/// Calls @p write with the parts of a whole journal of @p records, which states that all of it is synced.
+/// Returns false as soon as @p write does.
+bool encodeJournal(const std::vector<std::string> &records, std::uint64_t salt,
+                   const std::function<bool(std::string_view part)> &write);
+
 /// The intact records of a journal.
 struct JournalScan
 {
@@ -58,6 +64,15 @@
     /// Offset up to which the file is known to have been synced; may exceed @ref end.
     std::uint64_t syncedEnd = journalHeaderBytes;
 
+    /// Size of the content behind @ref end.
+    std::uint64_t droppedBytes = 0;
+
+    /// Whether the file states that all of it is on the disk; else it has to be replaced by the records.
+    bool isStored() const
+    {
+        return version == journalFormatVersion && syncedEnd >= recordsEnd && droppedBytes == 0;
+    }
+
     /// Whether content was lost that had been synced. Otherwise all of it is in @ref records.
     bool isDamaged() const
     {
--- a/tests/fuzz/configurationdisk.cpp
+++ b/tests/fuzz/configurationdisk.cpp
@@ -2,7 +2,6 @@
 
 #include "store/journalformat.h"
 
-#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -19,14 +18,6 @@
 constexpr WriteFate writeFates[] = {WriteFate::Kept, WriteFate::Kept,    WriteFate::Kept,
                                     WriteFate::Lost, WriteFate::EndTorn, WriteFate::StartTorn};
 
-void writeAt(std::string &content, std::uint64_t offset, std::string_view bytes)
-{
-    if (bytes.empty())
-        return;
-    content.resize(std::max<std::size_t>(content.size(), offset + bytes.size()));
-    content.replace(offset, bytes.size(), bytes);
-}
-
 } // namespace
 
 void ConfigurationDisk::append(const std::string &record)
@@ -36,11 +27,11 @@
 
 void ConfigurationDisk::replace(const std::vector<std::string> &records)
 {
-    m_content = encodeJournalHeader(salt);
-    for (const auto &it : records)
-        m_content += encodeRecord(it, m_content.size(), 0, salt);
-    if (!records.empty())
-        m_content += encodeSyncMark(m_content.size(), m_content.size(), salt);
+    m_content.clear();
+    encodeJournal(records, salt, [this](std::string_view part) {
+        m_content += part;
+        return true;
+    });
     m_synced = m_content;
     m_writes.clear();
     m_hasGap = false;
@@ -98,9 +89,8 @@
         return std::nullopt;
     m_syncedEnd = scan.syncedEnd;
     m_markedEnd = scan.syncedEnd;
-    const bool isDropped = scan.end < m_content.size();
-    const bool isMarked = scan.syncedEnd >= scan.recordsEnd;
-    if (isDropped ? !faults.keepsGaps : !isMarked && !faults.trustsFoundRecords)
+    const bool isKept = scan.droppedBytes > 0 ? faults.keepsGaps : faults.trustsFoundRecords;
+    if (!scan.isStored() && !isKept)
         replace(scan.records);
     return scan.records;
 }
--- a/tests/fuzz/configurationdisk.h
+++ b/tests/fuzz/configurationdisk.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "support/powerloss.h"
+
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -42,19 +44,13 @@
     std::optional<std::vector<std::string>> open(const JournalTestFaults &faults);
 
 private:
-    /// A write that was not synced.
-    struct Write
-    {
-        std::uint64_t offset = 0;
-        std::string bytes;
-    };
-
     void write(std::string bytes);
 
     std::string m_content;
     /// What a power loss can't change.
     std::string m_synced;
-    std::vector<Write> m_writes;
+    /// Writes that were not synced.
+    std::vector<DiskWrite> m_writes;
     /// Whether a power loss has left something of a write behind one that was not kept.
     bool m_hasGap = false;
     std::uint64_t m_syncedEnd = 0;
