Log of a configuration that may be out of date, and of requests to unknown routes

E407 tells the age of the configuration, the leader, and what the leader has committed beyond it; E408 how long that lasted; E503 by which version, and how certain of it, a VM answered that there is no such route. MissingLeaderReport becomes LastingFaultReport, as a second fault is reported in the same way.

--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -259,6 +259,9 @@
     const std::string &leader() const;
     const ConfigurationLog &log() const;
     std::uint64_t commitIndex() const;
+    /// Highest commit index that a leader has reported to this VM in this incarnation, or its own; log
+    /// entries that are missing up to it are still to arrive.
+    std::uint64_t leaderCommitIndex() const;
     /// Storage ID under which this VM votes.
     std::uint64_t voterId() const;
     bool hasStorageFailed() const;
@@ -418,6 +421,7 @@
     ConfigurationLog m_log;
     ConfigurationState m_state;
     std::uint64_t m_commitIndex = 0;
+    std::uint64_t m_leaderCommitIndex = 0;
     /// Index of the snapshot at the start of the journal.
     std::uint64_t m_journalSnapshotIndex = 0;
     std::uint64_t m_syncedIndex = 0;
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -326,6 +326,11 @@
     return m_commitIndex;
 }
 
+std::uint64_t ConfigurationNode::leaderCommitIndex() const
+{
+    return std::max(m_commitIndex, m_leaderCommitIndex);
+}
+
 std::uint64_t ConfigurationNode::voterId() const
 {
     return m_isIdentityKnown && m_isInitialVoter ? initialStorageId : m_storageId;
@@ -688,6 +693,7 @@
         return;
     }
     followLeader(now, vm, message.term());
+    m_leaderCommitIndex = std::max(m_leaderCommitIndex, append.commit());
     const auto previous = append.previous_index();
     if (previous > m_log.lastIndex()) {
         replyToLeader(now, vm, false, m_log.lastIndex(), echo);
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -108,6 +108,20 @@
     return m_activeDeclaration.declaration();
 }
 
+void FleetEntry::routeNotFound(const std::string &peer, const std::string &host,
+                               const std::string &path) const
+{
+    const auto age = m_member.configuration().confirmedAge(now());
+    logEvent(Event::RouteUnknown,
+             {{"peer", peer},
+              {"host", host},
+              {"path", path},
+              {"version", std::to_string(declaration()->version)},
+              {"confirmedAgeMs",
+               age ? std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*age).count())
+                   : std::string()}});
+}
+
 bool FleetEntry::isReady() const
 {
     return declaration() != nullptr && !m_shutdown.hasBegun() && m_router.canServe();
--- a/src/fleet/fleetentry.h
+++ b/src/fleet/fleetentry.h
@@ -62,6 +62,9 @@
     /// The active declaration; null before the first.
     const WorkDeclaration *declaration() const;
 
+    /// Logs that the active declaration has no queue for a request of @p peer to @p path at @p host.
+    void routeNotFound(const std::string &peer, const std::string &host, const std::string &path) const;
+
     /// Whether callers' jobs can be served.
     bool isReady() const;
 
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -43,9 +43,19 @@
 /// Age of a job that can't wait any more, by which it is refused unless it is known.
 constexpr Duration refusedMessageAge = std::chrono::hours(1);
 
+/// Several elections fit into this time.
+constexpr Duration toleratedLeaderAbsence = std::chrono::seconds(3);
+/// A change is in force on every reachable VM within this time, also where it needs an election.
+constexpr Duration toleratedConfigurationAge = std::chrono::seconds(2);
+
 /// Time without a message after which a voter counts as silent in the log.
 constexpr Duration maximumVoterSilence = std::chrono::seconds(1);
 
+std::string millisecondsText(Duration time)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 /// Names of @p voters, separated by commas.
 std::string namesOf(const std::vector<Voter> &voters)
 {
@@ -151,6 +161,8 @@
           },
           linkLimits())
     , m_timer(io)
+    , m_missingLeaderReport(toleratedLeaderAbsence)
+    , m_outdatedReport(toleratedConfigurationAge)
 {
     openConfiguration();
 }
@@ -545,6 +557,7 @@
     executeActions();
     logLeaderChange();
     logMissingLeader();
+    logOutdatedConfiguration();
     logEvacuations();
     logSuppressedCounts();
     m_hooks.ticked();
@@ -609,7 +622,7 @@
 
 void FleetMember::logMissingLeader()
 {
-    const auto missing = m_missingLeaderReport.observe(now(), !m_node->leader().empty());
+    const auto missing = m_missingLeaderReport.observe(now(), m_node->leader().empty());
     if (!missing)
         return;
     const auto &log = m_node->log();
@@ -620,14 +633,30 @@
             || (peer != nullptr && now() - peer->lastMessageAt <= maximumVoterSilence);
     });
     logEvent(Event::ConfigurationLeaderMissing,
-             {{"missingMs",
-               std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(*missing).count())},
+             {{"missingMs", millisecondsText(*missing)},
               {"term", std::to_string(m_node->term())},
               {"lastIndex", std::to_string(log.lastIndex())},
               {"voters", namesOf(log.voters())},
               {"silentVoters", namesOf(silent)}});
 }
 
+void FleetMember::logOutdatedConfiguration()
+{
+    const auto age = m_node->confirmedAge(now());
+    const auto version = std::to_string(m_node->activeConfiguration().document.version);
+    if (const auto outdated = m_outdatedReport.observe(now(), !age || *age > toleratedConfigurationAge))
+        logEvent(Event::ConfigurationOutdated,
+                 {{"outdatedMs", millisecondsText(age ? *age : *outdated)},
+                  {"version", version},
+                  {"leader", m_node->leader()},
+                  {"term", std::to_string(m_node->term())},
+                  {"commitIndex", std::to_string(m_node->commitIndex())},
+                  {"leaderCommitIndex", std::to_string(m_node->leaderCommitIndex())}});
+    if (const auto lasted = m_outdatedReport.takeEnded(now()))
+        logEvent(Event::ConfigurationConfirmed,
+                 {{"version", version}, {"outdatedMs", millisecondsText(*lasted)}});
+}
+
 void FleetMember::logLeaderChange()
 {
     if (m_loggedLeader == m_node->leader())
--- a/src/fleet/fleetmember.h
+++ b/src/fleet/fleetmember.h
@@ -5,7 +5,7 @@
 #include "citronpitch/peerdirectory.h"
 #include "fleet/bootclock.h"
 #include "fleet/fleetsettings.h"
-#include "fleet/missingleaderreport.h"
+#include "fleet/lastingfaultreport.h"
 #include "log/metrics.h"
 #include "net/peerlinks.h"
 #include "store/configurationstore.h"
@@ -134,6 +134,7 @@
     void logRecovery() const;
     void logLeaderChange();
     void logMissingLeader();
+    void logOutdatedConfiguration();
     void logEvacuations();
 
     boost::asio::io_context &m_io;
@@ -166,7 +167,8 @@
     TimePoint m_nextHeartbeat;
     TimePoint m_reopenAt;
     std::string m_loggedLeader;
-    MissingLeaderReport m_missingLeaderReport;
+    LastingFaultReport m_missingLeaderReport;
+    LastingFaultReport m_outdatedReport;
     std::vector<DomainEvacuation> m_loggedEvacuations;
     bool m_isExecuting = false;
 };
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -122,6 +122,14 @@
         "received from `silentVoters` lately: if that is half of the voters or more, look for "
         "E104 and E402 there. Repeated while it lasts. A VM whose own disk fails (E402) knows no leader, "
         "either."},
+    EventDefinition{Event::ConfigurationOutdated, EventSeverity::Warning, "configuration may be out of date",
+                    "outdatedMs version leader term commitIndex leaderCommitIndex",
+                    "For `outdatedMs` this VM has not been certain that the configuration that is active "
+                    "here is the newest. A `leaderCommitIndex` above `commitIndex`: it has contact and is "
+                    "behind; look for load and slow links. Otherwise it hears no leader that a majority "
+                    "follows: look for E406 and E302. Repeated while it lasts."},
+    EventDefinition{Event::ConfigurationConfirmed, EventSeverity::Info, "configuration is the newest again",
+                    "version outdatedMs", "Ends E407. `outdatedMs`: how long this VM was uncertain."},
     EventDefinition{
         Event::ClaimsRecovered, EventSeverity::Info, "claims of earlier incarnations recovered",
         "records memory",
@@ -147,6 +155,10 @@
         "closed. `limit`: header, trailers, body, bodiesInAll, incompleteInAll or readTime. "
         "`incompleteInAll`: all connections together held too much, and this one most. See "
         "docs/OPERATIONS.md."},
+    EventDefinition{Event::RouteUnknown, EventSeverity::Info, "request to an unknown route",
+                    "peer host path version confirmedAgeMs",
+                    "The active configuration, `version`, has no queue for the request. `confirmedAgeMs`: "
+                    "how long ago it was certain that this is the newest; empty if it never was."},
     EventDefinition{Event::DocumentActivated, EventSeverity::Info, "declared document is active", "version",
                     "This VM uses this version from now on."},
     EventDefinition{Event::DocumentUnreadable, EventSeverity::Error, "can't decode the declared document",
