--- a/tests/unit/configurationnodetest.cpp
+++ b/tests/unit/configurationnodetest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 using namespace Citronpitch;
 
 namespace {
@@ -338,3 +340,44 @@
     EXPECT_EQ(cluster.failure(), "");
     EXPECT_LT(cluster.counts().largestMessageBytes, 1U << 20);
 }
+
+// Guards against a VM that uses earlier versions one after the other while it catches up after a restart.
+TEST(ConfigurationNodeTest, restartedLearnerActivatesNoVersionOlderThanTheNewestAtItsStart)
+{
+    auto plan = clusterPlan(3, 2);
+    plan.documentBytes = 204'800;
+    plan.retainedEntries = 64;
+    ConfigurationCluster cluster(plan);
+    cluster.advance(settlingTime);
+    proposeChanges(cluster, 0, 40);
+    ASSERT_TRUE(cluster.wipeDisk(3));
+    cluster.restart(3);
+    std::set<std::uint64_t> versions;
+    for (int i = 0; i < 1000; ++i) {
+        cluster.advance(std::chrono::milliseconds(1));
+        versions.insert(cluster.node(3).activeConfiguration().version);
+    }
+    EXPECT_EQ(versions, (std::set<std::uint64_t>{0, 40}));
+    EXPECT_EQ(cluster.failure(), "");
+}
+
+// Guards against a catch-up that costs the leader and slow links the whole history of a large document.
+TEST(ConfigurationNodeTest, restartedLearnersReceiveTheNewestDocumentOnly)
+{
+    constexpr std::size_t learners = 12;
+    auto plan = clusterPlan(3, learners);
+    plan.documentBytes = 204'800;
+    plan.retainedEntries = 64;
+    ConfigurationCluster cluster(plan);
+    cluster.advance(settlingTime);
+    proposeChanges(cluster, 0, 40);
+    for (std::size_t i = 3; i < cluster.size(); ++i) {
+        ASSERT_TRUE(cluster.wipeDisk(i));
+        cluster.restart(i);
+    }
+    const auto before = cluster.counts().messageBytes;
+    cluster.advance(settlingTime);
+    EXPECT_LT(cluster.counts().messageBytes - before, 2 * learners * plan.documentBytes);
+    cluster.settle();
+    EXPECT_EQ(cluster.failure(), "");
+}
