Configuration: a version that is known to be out of date is not activated

Seen: restarted entry VMs handled requests by versions of long ago, for up to 6 s: routes that had been added were refused with 404, and jobs ran under time limits that had been replaced. Cause: a VM that catches up commits the log in parts, and each part became active at once, the oldest first, although the same message names what the leader has committed beyond it. Why this works: a VM keeps the highest commit index that a leader has named, and skips activation, and the confirmation that its configuration is the newest, until it has reached it. The VM without a configuration stays without one for that time, which it reports as not ready.

--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -367,6 +367,11 @@
     void followLeader(TimePoint now, const std::string &vm, std::uint64_t term);
     void advanceCommitIndex(TimePoint now);
     void commitTo(TimePoint now, std::uint64_t index);
+    /// Whether entries that are known to be committed are still to arrive.
+    bool isBehind() const;
+    /// Activates the committed state once it is on the disk. A VM that is behind skips it, as it is known to
+    /// be out of date.
+    void activateIfNewest();
     void apply(const LogEntry &entry);
     Duration quorumAge(TimePoint now) const;
     /// Time since a majority was confirmed to follow this leader, by the send times of its own messages;
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -710,7 +710,7 @@
     const auto matched = previous + static_cast<std::uint64_t>(append.entries_size());
     replyToLeader(now, vm, true, matched, echo);
     commitTo(now, std::min({append.commit(), matched, m_log.lastIndex()}));
-    if (m_commitIndex < append.commit())
+    if (isBehind())
         return;
     m_upToDateAt = std::max(m_upToDateAt.value_or(TimePoint()), now - Duration(append.quorum_age_us()));
     if (const auto sentAt = decodeTimestamp(append.echoed_at())) {
@@ -780,7 +780,8 @@
     else if (index > m_commitIndex)
         installSnapshotState(install);
     replyToLeader(now, vm, true, std::min(install.snapshot().index(), m_commitIndex), echo);
-    m_upToDateAt = std::max(m_upToDateAt.value_or(TimePoint()), now - Duration(install.quorum_age_us()));
+    if (!isBehind())
+        m_upToDateAt = std::max(m_upToDateAt.value_or(TimePoint()), now - Duration(install.quorum_age_us()));
 }
 
 void ConfigurationNode::handleAppendReply(TimePoint now, const std::string &vm, const Message &message)
@@ -847,12 +848,23 @@
     record.mutable_commit()->set_index(m_commitIndex);
     record.mutable_commit()->set_heard_at_us(microsecondsOf(now));
     queueRecord(record);
-    m_pendingActivations.push_back({m_nextToken, m_state.configuration()});
+    activateIfNewest();
     compactLog();
     if (m_options.faults.skipsSync)
         releaseSynced();
 }
 
+bool ConfigurationNode::isBehind() const
+{
+    return m_commitIndex < leaderCommitIndex();
+}
+
+void ConfigurationNode::activateIfNewest()
+{
+    if (!isBehind())
+        m_pendingActivations.push_back({m_nextToken, m_state.configuration()});
+}
+
 void ConfigurationNode::apply(const LogEntry &entry)
 {
     if (entry.kind == LogEntryKind::Initial)
--- a/src/core/config/configurationnoderecords.cpp
+++ b/src/core/config/configurationnoderecords.cpp
@@ -148,7 +148,7 @@
     m_syncedIndex = 0;
     for (auto &it : m_pendingSyncs)
         it.lastIndex = 0;
-    m_pendingActivations.push_back({m_nextToken, m_state.configuration()});
+    activateIfNewest();
     replaceJournal();
 }
 
