Configuration: a learner that is behind receives the state, not its history

Why this works: a learner needs the state alone. Voters still receive the entries, as their logs must match the leader's.

--- a/include/citronpitch/configurationnode.h
+++ b/include/citronpitch/configurationnode.h
@@ -355,6 +355,9 @@
     void broadcast(TimePoint now);
     void sendAppend(TimePoint now, const std::string &vm);
     void sendSnapshot(TimePoint now, const std::string &vm);
+    /// Whether @p vm is sent the state, as the entries that it lacks are no longer in the log or, for a VM
+    /// without a vote, longer than the state.
+    bool needsSnapshot(const std::string &vm) const;
     /// Whether a learner has to wait for its snapshot until others have received theirs.
     bool isSnapshotPostponed(TimePoint now, const std::string &vm) const;
     void handleAppend(TimePoint now, const std::string &vm, const Message &message);
--- a/src/core/config/configurationnode.cpp
+++ b/src/core/config/configurationnode.cpp
@@ -58,11 +58,18 @@
 }
 
 /// Approximate size of an entry in a message.
-std::size_t sizeOf(const LogEntry &entry)
+std::size_t approximateSize(const LogEntry &entry)
 {
     return entryBytes + entry.change.document.text.size();
 }
 
+/// Approximate size of a snapshot of @p state in a message.
+std::size_t approximateSize(const ConfigurationState &state)
+{
+    return entryBytes * (1 + state.answers().size() + state.history().size())
+        + state.configuration().document.text.size();
+}
+
 /// Records that entries or a snapshot of @p bytes are sent to a VM, unless they are so short that they may be
 /// sent again at any time. Later ones count only once a reply shows that the first were received or lost, so
 /// that frequent changes don't hide that a VM is behind.
@@ -619,7 +626,7 @@
     const bool isSilent = now - progress.lastReplyAt > 2 * m_options.learnerHeartbeatInterval;
     auto end = votes ? m_log.lastIndex() : m_commitIndex;
     end = isSilent ? 0 : std::min(end, progress.nextIndex - 1 + maximumEntriesPerMessage);
-    if (progress.nextIndex <= m_log.snapshotIndex()) {
+    if (needsSnapshot(vm)) {
         sendSnapshot(now, vm);
         return;
     }
@@ -637,7 +644,7 @@
     std::size_t bytes = 0;
     for (; progress.nextIndex <= end; ++progress.nextIndex) {
         const auto &entry = m_log.at(progress.nextIndex);
-        bytes += sizeOf(entry);
+        bytes += approximateSize(entry);
         if (bytes > maximumBytesPerMessage && append->entries_size() > 0)
             break;
         toWire(entry, append->add_entries());
@@ -673,9 +680,23 @@
     sendAfterSync(m_termToken, vm, message);
 }
 
+bool ConfigurationNode::needsSnapshot(const std::string &vm) const
+{
+    const auto next = m_progress.at(vm).nextIndex;
+    if (next <= m_log.snapshotIndex())
+        return true;
+    if (hasVoterNamed(vm))
+        return false;
+    const auto ofState = approximateSize(m_state);
+    std::size_t ofEntries = 0;
+    for (auto it = next; it <= m_commitIndex && ofEntries <= ofState; ++it)
+        ofEntries += approximateSize(m_log.at(it));
+    return ofEntries > ofState;
+}
+
 bool ConfigurationNode::isSnapshotPostponed(TimePoint now, const std::string &vm) const
 {
-    if (m_progress.at(vm).nextIndex > m_log.snapshotIndex() || hasVoterNamed(vm))
+    if (!needsSnapshot(vm) || hasVoterNamed(vm))
         return false;
     const auto inFlight = std::count_if(m_progress.begin(), m_progress.end(), [&](const auto &it) {
         const auto &progress = it.second;
