Entry VM: what may have been added meanwhile is not denied

Seen: a request to a route that an operator had added was answered by 404, which tells the caller that there is no such queue. Cause: an entry VM looked the route up in whatever version it had, and denied it also when it could not know whether that was the newest: after its start, without a leader, or while its links were cut. Why this works: 404 needs the proof that reads of the configuration need, that the active version was the newest within the last second; FleetMember has one function for both. Queues that the VM knows are served on, so that a failure domain that is cut off continues to work. A VM that has had no such proof since its start answers as one without a configuration, and is not ready: the first version that reaches it could come from a leader that has been replaced.

--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -43,9 +43,6 @@
 
 constexpr Duration partitionPlanInterval = std::chrono::milliseconds(500);
 
-/// Reading the document fails if the last proof that it is the newest is older than this.
-constexpr Duration maximumReadAge = std::chrono::milliseconds(1000);
-
 void addToBatch(TimePoint now, const RelayedAnnouncement &relayed, wire::AnnouncementBatch &batch)
 {
     if (relayed.isRenewal)
@@ -275,8 +272,7 @@
 
 std::optional<DeclaredDocument> FleetControl::readDocument() const
 {
-    const auto age = m_member.configuration().confirmedAge(now());
-    if (!age || *age > maximumReadAge)
+    if (!m_member.isConfigurationCurrent())
         return std::nullopt;
     return m_member.configuration().activeConfiguration().document;
 }
--- a/src/fleet/fleetentry.cpp
+++ b/src/fleet/fleetentry.cpp
@@ -105,7 +105,12 @@
 
 const WorkDeclaration *FleetEntry::declaration() const
 {
-    return m_activeDeclaration.declaration();
+    return m_hasBeenCurrent ? m_activeDeclaration.declaration() : nullptr;
+}
+
+bool FleetEntry::isDeclarationCurrent() const
+{
+    return m_member.isConfigurationCurrent();
 }
 
 void FleetEntry::routeNotFound(const std::string &peer, const std::string &host,
@@ -350,6 +355,7 @@
 
 void FleetEntry::ticked()
 {
+    m_hasBeenCurrent = m_hasBeenCurrent || m_member.isConfigurationCurrent();
     m_groups.tick();
     requestRegistry();
     reportOwnLoads();
--- a/src/fleet/fleetentry.h
+++ b/src/fleet/fleetentry.h
@@ -59,9 +59,13 @@
     static void unsupportedJobRefused(const std::string &peer, const std::string &key,
                                       const std::string &field);
 
-    /// The active declaration; null before the first.
+    /// The active declaration; null until this incarnation has known for certain that one is the newest.
     const WorkDeclaration *declaration() const;
 
+    /// Whether a queue that declaration() does not have does not exist: it was the newest within the last
+    /// second. Otherwise it may have been added meanwhile.
+    bool isDeclarationCurrent() const;
+
     /// Logs that the active declaration has no queue for a request of @p peer to @p path at @p host.
     void routeNotFound(const std::string &peer, const std::string &host, const std::string &path) const;
 
@@ -131,6 +135,8 @@
     TimePoint m_nextLoadReportAt;
     /// Whether the router knows this VM as a holder.
     bool m_isOwnHolder = false;
+    /// Whether the active declaration has been the newest for certain in this incarnation.
+    bool m_hasBeenCurrent = false;
     bool m_isExecuting = false;
     std::map<CallerId, WaitingCaller> m_callers;
     CallerId m_nextCaller = 1;
--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -43,6 +43,9 @@
 /// Age of a job that can't wait any more, by which it is refused unless it is known.
 constexpr Duration refusedMessageAge = std::chrono::hours(1);
 
+/// Age of the last proof that the active configuration is the newest, up to which it counts as current.
+constexpr Duration maximumConfirmedAge = std::chrono::seconds(1);
+
 /// Several elections fit into this time.
 constexpr Duration toleratedLeaderAbsence = std::chrono::seconds(3);
 /// A change is in force on every reachable VM within this time, also where it needs an election.
@@ -381,6 +384,12 @@
     return *m_node;
 }
 
+bool FleetMember::isConfigurationCurrent() const
+{
+    const auto age = m_node->confirmedAge(now());
+    return age && *age <= maximumConfirmedAge;
+}
+
 void FleetMember::received(std::string_view bytes)
 {
     wire::Message message;
--- a/src/fleet/fleetmember.h
+++ b/src/fleet/fleetmember.h
@@ -95,6 +95,10 @@
     const PeerDirectory &directory() const;
     const ConfigurationNode &configuration() const;
 
+    /// Whether it is certain that the active configuration was the newest within the last second. Answers
+    /// that a missed change would make wrong require it.
+    bool isConfigurationCurrent() const;
+
 private:
     /// Restores the configuration from the journal and begins to open it; throws std::exception if it is
     /// damaged.
