--- a/src/fleet/fleetcontrol.cpp
+++ b/src/fleet/fleetcontrol.cpp
@@ -131,18 +131,22 @@
     m_groups.executeActions();
 }
 
-std::string FleetControl::contradictionOf(const FleetAnnouncement &announcement) const
+std::optional<AnnouncementContradiction>
+FleetControl::contradictionOf(const FleetAnnouncement &announcement) const
 {
     const auto it = m_registry.upstreams().find(announcement.upstream.name);
     if (it == m_registry.upstreams().end())
         return {};
     const auto &known = it->second.announcement;
     if (announcement.domain != known.domain && !hasDomain(announcement.domain))
-        return "the known upstream is not of failure domain \"" + announcement.domain
-            + "\", which doesn't exist";
+        return AnnouncementContradiction{"the known upstream is not of failure domain \""
+                                             + announcement.domain + "\", which doesn't exist",
+                                         true};
     const auto *declaration = m_activeDeclaration.declaration();
     if (announcement.pool != known.pool && declaration != nullptr && !declaration->hasPool(announcement.pool))
-        return "the known upstream is not of pool \"" + announcement.pool + "\", which is not declared";
+        return AnnouncementContradiction{"the known upstream is not of pool \"" + announcement.pool
+                                             + "\", which is not declared",
+                                         m_member.isConfigurationCurrent()};
     return {};
 }
 
--- a/src/fleet/fleetcontrol.h
+++ b/src/fleet/fleetcontrol.h
@@ -26,6 +26,14 @@
 
 namespace Citronpitch {
 
+/// Why an announcement can't be of the known upstream with its name.
+struct AnnouncementContradiction
+{
+    std::string text;
+    /// False if a change of the configuration that this VM may have missed could resolve it.
+    bool isCertain = true;
+};
+
 /// Callbacks of a FleetControl into the process that runs it.
 struct FleetControlHooks
 {
@@ -60,8 +68,8 @@
     void announce(FleetAnnouncement announcement, std::function<void(bool)> acknowledge);
 
     /// Why @p announcement can't be of the known upstream with its name: its failure domain or pool is
-    /// another one, which doesn't exist. Empty if it can be.
-    std::string contradictionOf(const FleetAnnouncement &announcement) const;
+    /// another one, which doesn't exist. Nothing if it can be.
+    std::optional<AnnouncementContradiction> contradictionOf(const FleetAnnouncement &announcement) const;
 
     /// Logs and counts a malformed announcement that this VM got from @p sender.
     void announcementRejected(const std::string &sender, const std::string &error);
--- a/tests/integration/outdatedconfigurationtest.cpp
+++ b/tests/integration/outdatedconfigurationtest.cpp
@@ -41,10 +41,16 @@
         std::filesystem::remove_all(folder);
     }
 
-    /// Replaces the configuration by one with a route to each of @p paths, and @p padding unused routes.
-    bool replace(std::uint64_t version, const std::vector<std::string> &paths, std::size_t padding = 0)
+    /// Replaces the configuration by one with a route to each of @p paths, @p padding unused routes, and
+    /// @p services besides the usual one.
+    bool replace(std::uint64_t version, const std::vector<std::string> &paths, std::size_t padding = 0,
+                 const std::vector<std::string> &services = {})
     {
         auto configuration = platformConfiguration(version);
+        for (const auto &it : services) {
+            configuration["Services"].push_back(configuration["Services"][0]);
+            configuration["Services"].back()["Name"] = it;
+        }
         auto &routes = configuration["Routes"];
         const auto addRoute = [&](const std::string &path) {
             auto route = routes[0];
@@ -73,18 +79,31 @@
         return waitFor([&] { return ask(path).status == 200; });
     }
 
-    void setEntryVmCutOff(bool isCutOff)
+    /// Cuts or restores the links on which the others send to @p vm.
+    void setCutOff(std::size_t vm, bool isCutOff)
     {
-        auto &faults = fleet.linkProxy(entry).faults();
+        auto &faults = fleet.linkProxy(vm).faults();
         faults.swallowToServer = isCutOff;
         faults.swallowToClient = isCutOff;
         if (!isCutOff)
-            fleet.linkProxy(entry).closeAll();
+            fleet.linkProxy(vm).closeAll();
+    }
+
+    /// Status of an announcement to control VM @p control by which an executor is of service @p service.
+    int announce(std::size_t control, const std::string &service)
+    {
+        const Json body{{"Service", service}, {"Address", "127.0.0.1:9"},
+                        {"Zone", "a"},        {"State", "ready"},
+                        {"Seq", ++sequence},  {"born", 1'800'000'000'000},
+                        {"ClockMs", 1},       {"Capacity", {{"Cpu", 1}, {"MemMb", 1}}}};
+        return callOnce(fleet.control(control), {"POST", "/instances/moving/heartbeat", {}, body.dump()})
+            .status;
     }
 
     static constexpr std::size_t entry = 3;
     std::filesystem::path folder;
     PlatformFleet fleet;
+    unsigned sequence = 0;
 };
 
 } // namespace
@@ -118,14 +137,32 @@
     ASSERT_TRUE(replace(1, {}));
     ASSERT_TRUE(isServed("/jobs/"));
     ASSERT_TRUE(waitFor([&] { return ask("/added/").status == 404; }));
-    setEntryVmCutOff(true);
+    setCutOff(entry, true);
     ASSERT_TRUE(replace(2, {"/added/"}));
     std::this_thread::sleep_for(applicationTime);
     const auto response = ask("/added/");
     EXPECT_EQ(response.status, 503) << response.body;
     EXPECT_THAT(response.headers, testing::Contains(testing::Field(&HttpHeader::name, "Retry-After")));
     EXPECT_EQ(ask("/jobs/").status, 200) << "the routes that it knows are still served";
-    setEntryVmCutOff(false);
+    setCutOff(entry, false);
     EXPECT_TRUE(isServed("/added/"));
     EXPECT_TRUE(waitFor([&] { return ask("/absent/").status == 404; }));
 }
+
+// Guards against the rejection of an upstream whose pool was declared by a change that the VM has missed.
+TEST_F(OutdatedConfigurationTest, controlVmThatIsCutOffRejectsNoUpstreamOfANewPool)
+{
+    constexpr std::size_t cutOff = 2;
+    ASSERT_TRUE(replace(1, {}));
+    ASSERT_TRUE(waitFor([&] {
+        return callOnce(fleet.control(cutOff), {"GET", "/config/read", {}, {}}).status == 200;
+    }));
+    ASSERT_TRUE(waitFor([&] { return announce(cutOff, "pool") == 200; }));
+    ASSERT_TRUE(waitFor([&] { return announce(cutOff, "added") == 400; }));
+    setCutOff(cutOff, true);
+    ASSERT_TRUE(replace(2, {}, 0, {"added"}));
+    std::this_thread::sleep_for(applicationTime);
+    EXPECT_EQ(announce(cutOff, "added"), 503);
+    setCutOff(cutOff, false);
+    EXPECT_TRUE(waitFor([&] { return announce(cutOff, "added") == 200; }));
+}
