citronpitchd: a class that a missed change may declare is not denied

Now the refusal is configuration-outdated, 503 with Retry-After, unless the configuration was the newest within 3 s, a proof that a VM without a vote gets every second; the only VM of a deployment is always certain. DispatcherTest has the three reasons.

--- a/include/citronpitch/dispatcher.h
+++ b/include/citronpitch/dispatcher.h
@@ -130,6 +130,10 @@
     /// Applies the declared classes and teams; queued tasks are reordered at once.
     void setConfiguration(const Configuration &configuration);
 
+    /// Sets whether the configuration is certain to be the newest, as it is by default. Otherwise jobs whose
+    /// class or team it does not declare are refused with a retry time.
+    void setConfigurationCurrent(bool isCurrent);
+
     /**
      * Sets this VM's share of the slots of every upstream: share @p shareIndex, counted from zero, of
      * @p shareCount.
--- a/include/citronpitch/entryvm.h
+++ b/include/citronpitch/entryvm.h
@@ -108,6 +108,9 @@
     /// Applies a new accepted configuration.
     void setConfiguration(TimePoint now, const Configuration &configuration);
 
+    /// Sets whether the configuration is certain to be the newest, see Dispatcher::setConfigurationCurrent().
+    void setConfigurationCurrent(bool isCurrent);
+
     /// Performs timed work: heartbeats, failure detection, resends, deadlines and expiry. Called every few
     /// milliseconds.
     void tick(TimePoint now);
--- a/include/citronpitch/job.h
+++ b/include/citronpitch/job.h
@@ -133,6 +133,8 @@
     DomainEvacuated,
     /// No upstream in service meets the placement constraints of the job.
     NoSuitableUpstream,
+    /// The class or team is not declared, unless a change that this VM may have missed declares it.
+    ConfigurationOutdated,
 };
 
 inline constexpr std::array reasonNames{
@@ -159,6 +161,7 @@
     EnumName<Reason>{Reason::DeadlineOutOfReach, "deadline-out-of-reach"},
     EnumName<Reason>{Reason::DomainEvacuated, "domain-evacuated"},
     EnumName<Reason>{Reason::NoSuitableUpstream, "no-suitable-upstream"},
+    EnumName<Reason>{Reason::ConfigurationOutdated, "configuration-outdated"},
 };
 
 /// Final answer to a submission, or its current state if it is pending.
--- a/src/core/dispatch/dispatcher.cpp
+++ b/src/core/dispatch/dispatcher.cpp
@@ -12,6 +12,7 @@
 
 /// Minimum retry delay of jobs that are refused before any upstream has announced itself.
 constexpr Duration noUpstreamsRetryDelay = std::chrono::seconds(1);
+constexpr Duration outdatedConfigurationRetryDelay = std::chrono::seconds(1);
 
 /// Minimum retry delay of jobs that fit no upstream since capacities have shrunk.
 constexpr Duration shrunkCapacityRetryDelay = std::chrono::seconds(1);
@@ -70,6 +71,11 @@
         m_state->queue.setQuotas(quotasPerEntryVm(configuration.teams, m_state->options.entryVms));
 }
 
+void Dispatcher::setConfigurationCurrent(bool isCurrent)
+{
+    m_state->isConfigurationCurrent = isCurrent;
+}
+
 void Dispatcher::setShare(TimePoint now, std::uint32_t shareIndex, std::uint32_t shareCount)
 {
     if (m_state->share.setShare(shareIndex, shareCount))
@@ -107,14 +113,22 @@
 {
     if (!submission.constraints.requiredLabel.empty())
         m_state->recordLabel(now, submission.constraints.requiredLabel);
-    const auto *declared = m_state->configuration.findClass(submission.className);
+    const auto &configuration = m_state->configuration;
+    const auto undeclared = [&](Reason reason, const std::string &detail) {
+        if (m_state->isConfigurationCurrent)
+            return Refusal{reason, detail, {}};
+        const auto retryAt = jitteredRetryTime(now + outdatedConfigurationRetryDelay,
+                                               outdatedConfigurationRetryDelay, submission);
+        return Refusal{Reason::ConfigurationOutdated,
+                       detail + ", but this VM may have missed a change of the configuration", retryAt};
+    };
+    const auto *declared = configuration.findClass(submission.className);
     if (declared == nullptr)
-        return Refusal{Reason::UnknownClass, "no class named " + submission.className + " is declared", {}};
+        return undeclared(Reason::UnknownClass, "no class named " + submission.className + " is declared");
     if (declared->retired)
-        return Refusal{Reason::RetiredClass, "class " + submission.className + " is retired", {}};
-    const auto &configuration = m_state->configuration;
+        return undeclared(Reason::RetiredClass, "class " + submission.className + " is retired");
     if (!configuration.teams.empty() && configuration.findTeam(submission.team) == nullptr)
-        return Refusal{Reason::UnknownTeam, "no team named " + submission.team + " is declared", {}};
+        return undeclared(Reason::UnknownTeam, "no team named " + submission.team + " is declared");
     if (submission.deadline <= now)
         return Refusal{Reason::DeadlinePassed, "the deadline had passed when the job arrived", {}};
     return m_state->isBaseline() ? std::nullopt : m_state->refusalForLoad(now, submission);
--- a/src/core/dispatch/dispatcherstate.h
+++ b/src/core/dispatch/dispatcherstate.h
@@ -220,6 +220,7 @@
     DispatcherOptions options;
     BaselineSelector baseline;
     Configuration configuration;
+    bool isConfigurationCurrent = true;
     ClassTable classes;
     UpstreamTable upstreams;
     CapacityShare share;
--- a/src/core/entryvm.cpp
+++ b/src/core/entryvm.cpp
@@ -209,6 +209,11 @@
     place(now);
 }
 
+void EntryVm::setConfigurationCurrent(bool isCurrent)
+{
+    m_dispatcher.setConfigurationCurrent(isCurrent);
+}
+
 void EntryVm::tick(TimePoint now)
 {
     for (const auto &it : m_membership.markSuspected(now))
--- a/src/daemon/configurationservice.cpp
+++ b/src/daemon/configurationservice.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::string_view resourcePath = "/v1/configuration";
 constexpr std::size_t defaultHistoryEntries = 100;
+/// Age of the last proof that the active configuration is the newest, up to which it counts as current. A VM
+/// without a vote gets a proof every second.
+constexpr Duration maximumConfirmedAge = std::chrono::seconds(3);
 
 ConfigurationNodeOptions configurationNodeOptions(const Settings &settings)
 {
@@ -54,6 +57,7 @@
               executeActions();
           })
     , m_node(m_hooks.now(), configurationNodeOptions(settings), m_store.takeRecovered())
+    , m_isOnlyVm(settings.vms.size() <= 1)
 {
     if (m_store.summary() && m_store.summary()->failure)
         storeFailed(*m_store.summary()->failure);
@@ -100,6 +104,14 @@
     return nullptr;
 }
 
+bool ConfigurationService::isCurrent() const
+{
+    if (m_isOnlyVm)
+        return true;
+    const auto age = m_node.confirmedAge(m_hooks.now());
+    return age && *age <= maximumConfirmedAge;
+}
+
 const ConfigurationNode &ConfigurationService::node() const
 {
     return m_node;
--- a/src/daemon/configurationservice.h
+++ b/src/daemon/configurationservice.h
@@ -49,6 +49,9 @@
     /// Handles the operators' requests to /v1/configuration and below.
     DisconnectHandler handle(const HttpRequest &request, const HttpResponder &respond);
 
+    /// Whether no other VM can have accepted a newer configuration than the active one until shortly before.
+    bool isCurrent() const;
+
     const ConfigurationNode &node() const;
 
 private:
@@ -65,6 +68,7 @@
     ConfigurationHooks m_hooks;
     ConfigurationStore m_store;
     ConfigurationNode m_node;
+    bool m_isOnlyVm = false;
     std::map<ChangeRequestId, HttpResponder> m_pendingChanges;
     ChangeRequestId m_nextRequest = 1;
     std::string m_loggedLeader;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -99,6 +99,7 @@
     , m_random(std::random_device{}())
 {
     m_configuration.start();
+    m_vm.setConfigurationCurrent(m_configuration.isCurrent());
     recoverClaims();
     waitForSignal();
     scheduleTick();
@@ -336,6 +337,7 @@
     if (now() >= m_nextStateCheck)
         logStateChanges();
     m_configuration.tick();
+    m_vm.setConfigurationCurrent(m_configuration.isCurrent());
     if (m_claims->needsCompaction())
         m_claims->compact(m_vm.journalSnapshot());
     if (!m_isDraining)
--- a/tests/integration/configurationtest.cpp
+++ b/tests/integration/configurationtest.cpp
@@ -232,8 +232,8 @@
     EXPECT_EQ(submitUntilDecided(deployment, {"b1"}, "change-0", 0, 7).at("version"), 1);
 }
 
-// Guards against a partitioned failure domain that accepts changes, reports its configuration as recent, or
-// keeps the old one after the partition has healed.
+// Guards against a partitioned failure domain that accepts changes, reports its configuration as recent,
+// denies a class that it may have missed, or keeps the old configuration after the partition has healed.
 TEST(ConfigurationIntegrationTest, partitionedFailureDomainCatchesUpAfterHealing)
 {
     auto plan = voterPlan("cut");
@@ -261,6 +261,18 @@
                 it->closeAll();
         }
     };
+    const auto submitUndeclared = [&](const std::string &vm) {
+        // A key that the VM has issued is not forwarded to another VM.
+        const auto keys = Json::parse(call(deployment.callers(vm), {"POST", "/v1/keys"}).response.body);
+        ClientRequest request{"POST", "/v1/jobs"};
+        request.headers = {{"Idempotency-Key", keys.at("keys").at(0).get<std::string>()}};
+        request.body = R"({"team": "clinic", "class": "undeclared", "tasks": [{}]})";
+        return call(deployment.callers(vm), request).response;
+    };
+    const auto reasonOf = [](const HttpResponse &response) {
+        return Json::parse(response.body).value("reason", "");
+    };
+    EXPECT_TRUE(waitFor([&] { return submitUndeclared("b1").status == 422; }));
     setCut(true);
     const std::vector<std::string> majority{"a1", "a2", "c1"};
     ASSERT_EQ(submitUntilDecided(deployment, majority, "change-1", 1).at("outcome"), "accepted");
@@ -269,6 +281,10 @@
     EXPECT_TRUE(waitFor([&] { return fetchJson(deployment, "b1", "").value("ageMs", 0) > 1000; }));
     const auto refused = sendChange(deployment, "b1", "change-2", 1, 9);
     EXPECT_EQ(refused.response.status, 503);
+    EXPECT_TRUE(waitFor([&] { return reasonOf(submitUndeclared("b1")) == "configuration-outdated"; }));
+    EXPECT_EQ(submitUndeclared("b1").status, 503);
+    EXPECT_EQ(reasonOf(submitUndeclared("a1")), "unknown-class");
     setCut(false);
     EXPECT_TRUE(waitUntilAllShow(deployment, allVms, 2));
+    EXPECT_TRUE(waitFor([&] { return submitUndeclared("b1").status == 422; }));
 }
--- a/tests/unit/dispatchertest.cpp
+++ b/tests/unit/dispatchertest.cpp
@@ -662,3 +662,28 @@
     EXPECT_EQ(refusal->reason, Reason::Overloaded);
     EXPECT_TRUE(refusal->retryAt);
 }
+
+// Guards against a caller that is told to correct its class, although a change that is in force declares it.
+TEST_F(DispatcherTest, classOfAMissedChangeIsRefusedWithARetryTime)
+{
+    const auto retired = [&] {
+        auto configuration = twoClasses();
+        configuration.classes[1].retired = true;
+        configuration.teams = {{"t", 10}};
+        return configuration;
+    }();
+    dispatcher.setConfiguration(retired);
+    const std::vector<std::pair<Submission, Reason>> undeclared{
+        {submission(1, "new"), Reason::UnknownClass},
+        {submission(1, "long"), Reason::RetiredClass},
+        {submission(1, "short", "new"), Reason::UnknownTeam},
+    };
+    for (const auto &[job, reason] : undeclared) {
+        EXPECT_EQ(dispatcher.refusal(now, job)->reason, reason);
+        dispatcher.setConfigurationCurrent(false);
+        const auto refusal = dispatcher.refusal(now, job);
+        EXPECT_EQ(refusal->reason, Reason::ConfigurationOutdated);
+        EXPECT_GT(refusal->retryAt, now);
+        dispatcher.setConfigurationCurrent(true);
+    }
+}
