--- a/src/fleet/fleetmember.cpp
+++ b/src/fleet/fleetmember.cpp
@@ -48,8 +48,8 @@
 
 /// Several elections fit into this time.
 constexpr Duration toleratedLeaderAbsence = std::chrono::seconds(3);
-/// A change is in force on every reachable VM within this time, also where it needs an election.
-constexpr Duration toleratedConfigurationAge = std::chrono::seconds(2);
+/// Time within which a VM that starts, or that lost its leader, usually knows the newest configuration again.
+constexpr Duration toleratedUncertainty = std::chrono::seconds(2);
 
 /// Time without a message after which a voter counts as silent in the log.
 constexpr Duration maximumVoterSilence = std::chrono::seconds(1);
@@ -165,7 +165,7 @@
           linkLimits())
     , m_timer(io)
     , m_missingLeaderReport(toleratedLeaderAbsence)
-    , m_outdatedReport(toleratedConfigurationAge)
+    , m_outdatedReport(toleratedUncertainty)
 {
     openConfiguration();
 }
@@ -653,7 +653,7 @@
 {
     const auto age = m_node->confirmedAge(now());
     const auto version = std::to_string(m_node->activeConfiguration().document.version);
-    if (const auto outdated = m_outdatedReport.observe(now(), !age || *age > toleratedConfigurationAge))
+    if (const auto outdated = m_outdatedReport.observe(now(), !isConfigurationCurrent()))
         logEvent(Event::ConfigurationOutdated,
                  {{"outdatedMs", millisecondsText(age ? *age : *outdated)},
                   {"version", version},
